--- /dev/null
+++ b/decide/admit.go
@@ -0,0 +1,184 @@
+package decide
+
+import (
+	"math"
+
+	"mintspring/fleet"
+)
+
+// stock meters this node's work at the origin: how much may be out is learnt from completions and time-outs.
+type stock struct {
+	window  float64
+	cutAt   float64
+	rt      float64 // usual answer time
+	waiting []fleet.Ref
+}
+
+func (k *stock) start(n *Node) {
+	k.window = 4
+	k.rt = n.lim.sloMin / 4
+}
+
+func (k *stock) room(n *Node) bool {
+	return n.origin != nil && float64(n.origin.out) < k.window
+}
+
+func (k *stock) crowded(n *Node) bool { return !k.room(n) }
+
+// learn widens the window while answers come in time and cuts it, once per answer time, when they do not.
+func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
+	slow := o.Result == fleet.TimedOut || o.Result == fleet.Failed || o.Result == fleet.Full ||
+		o.Result == fleet.Reset || o.Result == fleet.ConnectFailed
+	if o.Result == fleet.Completed {
+		k.rt += 0.1 * (o.Took - k.rt)
+		slow = o.Took > n.lim.sloMin
+	}
+	if slow && e.Sent >= k.cutAt {
+		k.window = max(1, k.window*0.7)
+		k.cutAt = n.now
+	}
+	if o.Result == fleet.Completed && !slow && float64(n.origin.out+1) >= k.window-1 {
+		k.window = min(64, k.window+1/k.window)
+	}
+}
+
+// best names the waiting query that is worth most, once there is room.
+func (k *stock) best(n *Node) fleet.Ref {
+	if len(k.waiting) == 0 || !k.room(n) {
+		return fleet.NoQuery
+	}
+	pick, top := fleet.NoQuery, math.Inf(-1)
+	kept := k.waiting[:0]
+	for _, r := range k.waiting {
+		q := n.slab.Get(r)
+		if q == nil || q.Closed || q.Stage != queued {
+			continue
+		}
+		kept = append(kept, r)
+		if v := n.worth(q); v > top {
+			pick, top = r, v
+		}
+	}
+	k.waiting = kept
+	if pick == fleet.NoQuery {
+		return pick
+	}
+	for i, r := range kept {
+		if r == pick {
+			k.waiting = append(kept[:i], kept[i+1:]...)
+			break
+		}
+	}
+	return pick
+}
+
+// worth orders the wait at the origin: importance first, then the time left.
+func (n *Node) worth(q *fleet.Query) float64 {
+	w := &n.lim.Workloads[q.Workload]
+	return w.Importance / (1 + (q.Deadline-n.now)/w.StatementTimeout)
+}
+
+// toOrigin sends q to the origin when there is room, queues it while an answer in time is likely, or gives it up.
+func (n *Node) toOrigin(q *fleet.Query) fleet.Move {
+	k := &n.store
+	if n.origin == nil {
+		return n.giveUp(q, n.lim.sloMin)
+	}
+	if q.HasKey && !q.Write {
+		if m, ok := n.follow(q); ok {
+			return m
+		}
+		n.fetches[q.Key] = q.Ref
+	}
+	if k.room(n) || q.Write && float64(n.origin.out) < k.window+2 {
+		return n.send(q, n.origin)
+	}
+	rt := max(k.rt, n.now-n.origin.quiet)
+	left := q.Deadline - n.now - n.lim.slack
+	wait := float64(len(k.waiting)+1) * rt / k.window
+	if wait+rt > left {
+		return n.giveUp(q, wait)
+	}
+	q.Stage = queued
+	k.waiting = append(k.waiting, q.Ref)
+	return n.hold(q, q.Deadline-n.lim.slack-min(rt, left/2))
+}
+
+// meter keeps this node's share of what a cold server can bear.
+type meter struct {
+	rate  float64 // work this node sends to all caches, per ms
+	since float64
+	sum   float64
+	mean  float64 // usual work told with a query
+}
+
+// warmth is the share of its capacity that a server is sure to have: it grows evenly from its start.
+func (s *server) warmth(n *Node) float64 {
+	age := n.now - s.started
+	if s.started <= 0 || n.lim.WarmWithin <= 0 || age >= n.lim.WarmWithin {
+		return 1
+	}
+	return n.lim.StartCapacity + (1-n.lim.StartCapacity)*max(0, age)/n.lim.WarmWithin
+}
+
+// coldPart gives a cold server the part of its arc next to its predecessor, growing as it warms; the rest of the
+// arc stays with its successor, who held it before.
+func (n *Node) coldPart(s *server, p float64) bool {
+	g := s.warmth(n)
+	if g >= 1 || len(n.ring) < 2 {
+		return true
+	}
+	pred := n.neighbour(s.at, -1)
+	return span(pred.point, p) <= min(n.arc(s.at), 1/float64(len(n.ring)))*g
+}
+
+func (m *meter) cost(q *fleet.Query) float64 {
+	if q.Work > 0 && m.mean > 0 {
+		return max(q.Work/m.mean, 0.25)
+	}
+	return 1
+}
+
+// refill lets a cold server's budget grow: half of what it bears before it falls, divided as traffic is.
+func (m *meter) refill(n *Node, s *server) float64 {
+	rate := n.lim.FallMultiple / 2 * s.warmth(n) * m.rate / float64(max(1, len(n.ring)))
+	most := max(1, rate*n.lim.TipAfter/2)
+	s.tokens = min(most, s.tokens+rate*(n.now-s.tokenAt))
+	s.tokenAt = n.now
+	return most
+}
+
+// room tells whether a cold server may be given q.
+func (m *meter) room(n *Node, s *server, q *fleet.Query) bool {
+	if s == n.origin || s.warmth(n) >= 1 {
+		return true
+	}
+	most := m.refill(n, s)
+	return s.tokens >= min(m.cost(q), most)
+}
+
+// spend books q against the meters.
+func (m *meter) spend(n *Node, s *server, q *fleet.Query) {
+	if s == n.origin {
+		return
+	}
+	if q.Work > 0 {
+		if m.mean == 0 {
+			m.mean = q.Work
+		}
+		m.mean += 0.02 * (q.Work - m.mean)
+	}
+	c := m.cost(q)
+	if s.warmth(n) < 1 {
+		s.tokens -= c
+	}
+	m.sum += c
+	if d := n.now - m.since; d >= n.lim.period {
+		f := 0.3
+		if m.rate == 0 {
+			f = 1
+		}
+		m.rate += f * (m.sum/d - m.rate)
+		m.sum, m.since = 0, n.now
+	}
+}
--- /dev/null
+++ b/decide/health.go
@@ -0,0 +1,248 @@
+package decide
+
+import (
+	"math"
+
+	"mintspring/fleet"
+)
+
+// server is what this node knows of one server, from the list and its own traffic.
+type server struct {
+	id      fleet.ServerID
+	state   fleet.State
+	kind    fleet.KindID
+	zone    fleet.ZoneID
+	cell    fleet.CellID
+	started float64
+	listed  bool
+
+	point, was float64 // on the ring now, and before the recent moves
+	wasAt      float64
+	at         int
+	moved      bool
+
+	report   fleet.Report
+	news     bool // the report was not yet used for a move
+	reportAt float64
+	peak     float64 // recent peak of the reported queue
+	hits     float64 // recent level of the hit share
+
+	out     int     // own executions there
+	quiet   float64 // since when something is out and nothing was heard
+	pace    float64 // answer time per query ahead
+	bad     float64 // recent share of failures
+	ejected bool
+	tryAt   float64 // when the next trial may go
+	pause   float64 // between trials
+	goods   int     // trials in a row that went well
+	fullTil float64
+	tokens  float64 // cold: work that may still be sent
+	tokenAt float64
+}
+
+// Ratios of the health rules.
+const (
+	failWeight = 0.25 // of one outcome in the recent share of failures
+	failLimit  = 0.4
+	trialsBack = 3
+)
+
+// ahead counts what a new query would find at s: own executions and the reported queue, the less the older it is.
+func (s *server) ahead(n *Node) float64 {
+	a := float64(s.out)
+	if q := s.report.Queue; !math.IsNaN(q) {
+		if w := 1 - (n.now-s.reportAt)/(2*n.lim.period); w > 0 {
+			a += q * w
+		}
+	}
+	return a
+}
+
+// est is the answer time to expect at s. Silence counts as it grows: a server that hangs has no bad outcomes yet.
+func (s *server) est(n *Node) float64 {
+	e := s.pace * (1 + s.ahead(n))
+	if s.out > 0 {
+		e = max(e, n.now-s.quiet)
+	}
+	if n.now < s.fullTil {
+		e += n.lim.sloMin
+	}
+	return e
+}
+
+func (s *server) hear(n *Node) { s.quiet = n.now }
+
+// sent books one more execution at s.
+func (n *Node) sent(s *server, q *fleet.Query) {
+	if s.out == 0 {
+		s.quiet = n.now
+	}
+	s.out++
+	if s.ejected {
+		s.tryAt = n.now + s.pause
+	}
+	n.gate4.spend(n, s, q)
+	if s != n.origin {
+		n.copies = min(n.copies+n.lim.copyRate, 10)
+	}
+}
+
+// learn takes in what an outcome says of its server.
+func (n *Node) learn(s *server, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
+	s.out--
+	if o.Report.Told {
+		n.takeReport(s, o.Report)
+	}
+	if s == n.origin {
+		n.store.learn(n, q, e, o)
+	}
+	heardSince := s.quiet > e.Sent
+	fail := -1.0
+	switch o.Result {
+	case fleet.Completed:
+		fail = 0
+		if s == n.origin || o.Note <= fleet.NoteHit || n.lim.through {
+			took := o.Took / (1 + e.Ahead)
+			s.pace += 0.2 * (took - s.pace)
+			if s != n.origin {
+				n.typical += 0.02 * (o.Took - n.typical)
+			}
+		}
+	case fleet.Missed:
+		fail = 0
+	case fleet.Failed, fleet.Reset:
+		fail = 1
+	case fleet.ConnectFailed:
+		fail = 2
+	case fleet.TimedOut, fleet.Cancelled:
+		// Slow is not dead: only a server that answered nothing since the execution left is held for silent.
+		if !heardSince && !(e.Quit && q.Closed) {
+			fail = 1
+		}
+	case fleet.Full:
+		s.fullTil = n.now + n.typical
+		s.hear(n)
+	}
+	if fail >= 0 && o.Result != fleet.TimedOut && o.Result != fleet.Cancelled {
+		s.hear(n)
+	}
+	if fail >= 0 && s != n.origin {
+		n.judge(s, fail)
+	}
+}
+
+// judge weighs one good or bad outcome and ejects or restores its server.
+func (n *Node) judge(s *server, fail float64) {
+	s.bad += min(1, failWeight*max(1, fail)) * (min(fail, 1) - s.bad)
+	if s.ejected {
+		if fail > 0 {
+			s.goods = 0
+			s.pause = min(2*s.pause, 4*n.lim.period)
+			s.tryAt = n.now + s.pause
+			return
+		}
+		if s.goods++; s.goods >= trialsBack {
+			s.ejected, s.bad = false, 0
+		}
+		s.tryAt = n.now
+		return
+	}
+	if s.bad < failLimit {
+		return
+	}
+	gone := 1
+	for _, r := range n.ring {
+		if r.ejected {
+			gone++
+		}
+	}
+	if 2*gone > len(n.ring) { // the rest could not carry more
+		return
+	}
+	s.ejected, s.goods = true, 0
+	s.pause = n.lim.period
+	s.tryAt = n.now + s.pause
+}
+
+// takes tells whether s can be given q. An ejected server gets single trials of queries that may run again.
+func (n *Node) takes(s *server, q *fleet.Query, p float64, own bool) bool {
+	for i := range q.Execs[:q.N] {
+		if e := &q.Execs[i]; e.Server == s.id && e.Result != fleet.Missed && e.Result != fleet.NotSent {
+			return false
+		}
+	}
+	if s.ejected && (!own || s.out > 0 || n.now < s.tryAt || q.N > 0 ||
+		n.lim.Workloads[q.Workload].Effect != fleet.Idempotent) {
+		return false
+	}
+	return n.coldPart(s, p) && n.maySend(q, s)
+}
+
+// allowed is the time an execution gets: enough for a slow answer, and leaving time for another where one may follow.
+func (n *Node) allowed(q *fleet.Query, s *server) float64 {
+	left := q.Deadline - n.now
+	w := &n.lim.Workloads[q.Workload]
+	if w.Effect == fleet.NonIdempotent || q.N+1 >= n.lim.maxExecs || s == n.origin {
+		return left
+	}
+	need := max(w.SLOTime/2, 4*s.est(n), 3*q.Work)
+	if s.ejected {
+		need = w.SLOTime / 4
+	}
+	if need > left*0.7 {
+		return left
+	}
+	return need
+}
+
+// secondAt is when a silent execution of q is to be looked at again; 0: never.
+func (n *Node) secondAt(q *fleet.Query, s *server) float64 {
+	w := &n.lim.Workloads[q.Workload]
+	if s == n.origin || w.Effect != fleet.Idempotent || q.N != 1 || !n.lim.SecondCopies {
+		return 0
+	}
+	return n.now + max(w.SLOTime/4, 3*s.est(n))
+}
+
+// secondCopy sends a query once more while its first execution is out, when its server has gone silent.
+func (n *Node) secondCopy(q *fleet.Query) fleet.Move {
+	h := fleet.Move{Action: fleet.Hold}
+	if q.Stage != out || q.N != 1 || n.copies < 1 || n.now >= q.Deadline-n.lim.slack {
+		return h
+	}
+	s := n.servers[q.Execs[0].Server]
+	if n.now-s.quiet < n.lim.Workloads[q.Workload].SLOTime/4 {
+		return h
+	}
+	if t := n.route(q); t != nil && t != s && n.maySend(q, t) {
+		n.copies--
+		return fleet.Move{Action: fleet.Send, Server: t.id, Limit: q.Deadline - n.now}
+	}
+	return h
+}
+
+// takeReport keeps a server's report, and remembers its recent peaks.
+func (n *Node) takeReport(s *server, r fleet.Report) {
+	if !differs(r.Util, s.report.Util) && !differs(r.Queue, s.report.Queue) && !differs(r.X0, s.report.X0) {
+		return // the same report again: it rides on every answer until the server refreshes it
+	}
+	s.news = true
+	if !math.IsNaN(r.Queue) {
+		s.peak = max(1, r.Queue, s.peak*0.9)
+	}
+	if !math.IsNaN(r.X0) {
+		s.hits = max(r.X0, s.hits*0.98)
+	}
+	s.report, s.reportAt = r, n.now
+}
+
+func differs(a, b float64) bool { return a != b && !(math.IsNaN(a) && math.IsNaN(b)) }
+
+// Probed reports the result of a probe.
+func (n *Node) Probed(now float64, id fleet.ServerID, res fleet.Result, took float64, r fleet.Report) {
+	n.now = now
+	s := n.servers[id]
+	if r.Told {
+		n.takeReport(s, r)
+	}
+}
--- /dev/null
+++ b/decide/list.go
@@ -0,0 +1,88 @@
+package decide
+
+import (
+	"math"
+
+	"mintspring/fleet"
+)
+
+// follower keeps the subscription to the list alive.
+type follower struct {
+	askAt float64 // when the next call is due; +Inf while one is out or the subscription stands
+	fails int
+}
+
+func (f *follower) start(n *Node) {
+	f.askAt = math.Inf(1)
+	if n.lim.Subscribe {
+		f.askAt = n.now
+	}
+}
+
+// upkeep does what is due for the node itself: it moves the ring and renews the subscription.
+func (n *Node) upkeep() fleet.Move {
+	if n.now >= n.list.askAt {
+		// One call answers once; should that answer never come, ask again within the time allowed.
+		n.list.askAt = n.now + n.lim.MustAskIn
+		return fleet.Move{Action: fleet.Subscribe}
+	}
+	if n.now >= n.moveAt {
+		n.moveAt = n.now + n.lim.period*(0.9+0.2*n.chance())
+		n.moveRing()
+	}
+	return fleet.Move{}
+}
+
+// Members reports what the list says. Entries are applied on top of what is known; a full list removes what it lacks.
+func (n *Node) Members(now float64, mode fleet.ListMode, entries []fleet.Member) {
+	n.now = now
+	if mode == fleet.ListFailed {
+		if n.lim.Subscribe {
+			// Back off, but stay well inside the time after which the rules treat the node as told.
+			wait := min(n.lim.sloMin*float64(int(1)<<min(n.list.fails, 6)), n.lim.MustAskIn/2)
+			n.list.askAt = now + wait*(0.5+0.5*n.chance())
+			n.list.fails++
+		}
+		return
+	}
+	if mode != fleet.ListCached {
+		n.list.askAt, n.list.fails = math.Inf(1), 0
+	}
+	if mode != fleet.ListDelta {
+		for _, s := range n.servers {
+			if s != nil {
+				s.listed = false
+			}
+		}
+	}
+	for i := range entries {
+		n.member(&entries[i])
+	}
+	if mode != fleet.ListDelta {
+		for _, s := range n.servers {
+			if s != nil && !s.listed {
+				s.state = fleet.Gone
+			}
+		}
+	}
+	n.rebuild()
+}
+
+func (n *Node) member(m *fleet.Member) {
+	for int(m.ID) >= len(n.servers) {
+		n.servers = append(n.servers, nil)
+	}
+	s := n.servers[m.ID]
+	if s == nil {
+		s = &server{id: m.ID, report: fleet.NewReport(), pace: n.typical, point: homePoint(m.Name), wasAt: math.Inf(-1)}
+		s.state, s.started = m.State, m.Started
+		n.servers[m.ID] = s
+	}
+	if m.State == fleet.Ready && (s.state != fleet.Ready || m.Started != s.started) {
+		// A new start: what was learnt of the old process does not hold. It takes its own arc again.
+		*s = server{id: s.id, report: fleet.NewReport(), pace: n.typical, point: homePoint(m.Name),
+			wasAt: math.Inf(-1), out: s.out, quiet: s.quiet, tokenAt: n.now}
+	}
+	s.listed = true
+	s.state, s.kind, s.zone, s.cell, s.started = m.State, m.Kind, m.Zone, m.Cell, m.Started
+}
--- /dev/null
+++ b/decide/ring.go
@@ -0,0 +1,228 @@
+package decide
+
+import (
+	"hash/fnv"
+	"math"
+	"sort"
+
+	"mintspring/fleet"
+)
+
+// The move's figures as the thesis gives them (section 3.1, MOVE).
+const (
+	gamma  = 5.0
+	alpha  = 3.0
+	slope  = (gamma - 1) / alpha
+	beta   = 0.1
+	margin = 0.05 * gamma // how far a server must exceed its successor
+	damp   = 0.5          // share of x taken in one move, since reports lag behind it
+)
+
+// mix spreads the bits of an fnv sum, whose high ones hardly differ for names that are alike.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+func unit(h uint64) float64 { return float64(h>>11) / (1 << 53) }
+
+// homePoint is where a server starts on the ring: the hash of its id.
+func homePoint(name string) float64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return unit(mix(h.Sum64()))
+}
+
+// keyPoint places a key on the ring.
+func keyPoint(k fleet.Key) float64 { return unit(mix(uint64(k))) }
+
+// span is the way from a forward to b on the ring.
+func span(a, b float64) float64 {
+	if d := b - a; d >= 0 {
+		return d
+	}
+	return b - a + 1
+}
+
+// rebuild sorts the servers that own arcs. Those that drain or are gone own none: their arcs fall to their successors.
+func (n *Node) rebuild() {
+	n.ring = n.ring[:0]
+	n.origin = nil
+	for _, s := range n.servers {
+		if s == nil || s.state != fleet.Ready {
+			continue
+		}
+		if !n.lim.through && s.kind == n.lim.OriginKind {
+			n.origin = s
+			continue
+		}
+		n.ring = append(n.ring, s)
+	}
+	sort.Slice(n.ring, func(i, j int) bool {
+		if n.ring[i].point != n.ring[j].point {
+			return n.ring[i].point < n.ring[j].point
+		}
+		return n.ring[i].id < n.ring[j].id
+	})
+	for i, s := range n.ring {
+		s.at = i
+	}
+}
+
+// owner returns the place on the ring of the server whose arc holds p.
+func (n *Node) owner(p float64) int {
+	i := sort.Search(len(n.ring), func(i int) bool { return n.ring[i].point >= p })
+	if i == len(n.ring) {
+		return 0
+	}
+	return i
+}
+
+func (n *Node) neighbour(i, step int) *server {
+	return n.ring[((i+step)%len(n.ring)+len(n.ring))%len(n.ring)]
+}
+
+// arc is the length of the arc of the server at place i.
+func (n *Node) arc(i int) float64 {
+	if len(n.ring) == 1 {
+		return 1
+	}
+	return span(n.neighbour(i, -1).point, n.ring[i].point)
+}
+
+// level is a server's load as the thesis sums it: CPU, utilisation and memory, each 1 to gamma, equally weighted.
+// Values that are not reported leave the sum.
+func (s *server) level() float64 {
+	sum, k := 0.0, 0.0
+	add := func(v float64) { sum, k = sum+min(max(v, 1), gamma), k+1 }
+	if u := s.report.Util; !math.IsNaN(u) {
+		if c := alpha * u; c > alpha {
+			add(gamma)
+		} else {
+			add(1 + slope*c)
+		}
+	}
+	if q := s.report.Queue; !math.IsNaN(q) && s.peak > 0 {
+		add(1 + (gamma-1)*q/s.peak)
+	}
+	if x := s.report.X0; !math.IsNaN(x) && s.hits > 0 {
+		if free := beta * x / s.hits; free <= beta {
+			add(gamma - (gamma-1)/beta*free)
+		} else {
+			add(1)
+		}
+	}
+	if k == 0 {
+		return math.NaN()
+	}
+	return sum / k
+}
+
+// shift is x of the thesis: how far a point must go back so that arcs are inversely proportional to loads.
+func shift(own, succ, arcOwn, arcSucc float64) float64 {
+	return (own*arcOwn - succ*arcSucc) / (own + succ)
+}
+
+// moveRing moves every point whose server is loaded above its successor by the margin, each on reports
+// not used before: an old number must not move a point twice.
+func (n *Node) moveRing() {
+	if len(n.ring) < 2 {
+		return
+	}
+	for i, s := range n.ring {
+		next := n.neighbour(i, 1)
+		if !s.news || !next.news || s.ejected || next.ejected {
+			continue
+		}
+		own, succ := s.level(), next.level()
+		if !(own > succ+margin) {
+			continue
+		}
+		x := shift(own, succ, n.arc(i), n.arc(next.at)) * damp
+		if x <= 0 {
+			continue
+		}
+		x = min(x, n.arc(i)/2)
+		if n.now-s.wasAt > n.lim.period*10 {
+			s.was, s.wasAt = s.point, n.now
+		}
+		if s.point -= x; s.point < 0 {
+			s.point++
+		}
+		s.moved = true
+	}
+	for _, s := range n.ring {
+		if s.moved {
+			s.news, s.moved = false, false
+		}
+	}
+	n.rebuild()
+}
+
+// route walks from the key's owner along its successors to the first server that can take q.
+func (n *Node) route(q *fleet.Query) *server {
+	if len(n.ring) == 0 {
+		return nil
+	}
+	p := 0.0
+	if q.HasKey {
+		p = keyPoint(q.Key)
+	} else {
+		p = n.chance()
+	}
+	i := n.owner(p)
+	var first *server
+	for k := range n.ring {
+		s := n.neighbour(i, k)
+		if !n.takes(s, q, p, k == 0) {
+			continue
+		}
+		if first == nil {
+			first = s
+			if s.est(n) <= n.crowded(q) {
+				return s
+			}
+			continue
+		}
+		// Departure: an owner that would be late hands the query to its successor, if that one is far quicker.
+		if s.est(n) < first.est(n)/2 {
+			return s
+		}
+		if k > 2 {
+			break
+		}
+	}
+	return first
+}
+
+// crowded is the wait at an owner above which its successor is considered.
+func (n *Node) crowded(q *fleet.Query) float64 { return n.lim.Workloads[q.Workload].SLOTime / 3 }
+
+// elsewhere names the server that may still hold a key after a miss at its owner: the predecessor that handed
+// the stretch over, or the successor that stood in for a cold owner. It is asked only while the origin is
+// crowded, because only a fetch leaves a copy at the owner.
+func (n *Node) elsewhere(q *fleet.Query) *server {
+	if q.N != 1 || !q.HasKey || len(n.ring) < 2 || !n.store.crowded(n) {
+		return nil
+	}
+	p := keyPoint(q.Key)
+	i := n.owner(p)
+	o := n.ring[i]
+	if q.Execs[0].Server != o.id {
+		return nil
+	}
+	if o.warmth(n) < 1 {
+		if s := n.neighbour(i, 1); n.takes(s, q, p, false) {
+			return s
+		}
+		return nil
+	}
+	s := n.neighbour(i, -1)
+	if n.now-s.wasAt < n.lim.period*10 && span(s.point, p) <= span(s.point, s.was) && n.takes(s, q, p, false) {
+		return s
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,212 @@
+// Package fleet holds the plain facts that the adapters and the decision module exchange:
+// ids, workloads, limits, load reports, outcomes, and the slab of queries in hand.
+package fleet
+
+import "math"
+
+// Ids are types of their own so that one is never passed where another belongs.
+type (
+	ServerID   int32 // a place in the node's own table of servers
+	QueryID    uint32
+	Key        uint64
+	WorkloadID int32
+	TenantID   int32
+	ZoneID     int32
+	KindID     int32
+	CellID     int32
+	NodeID     int32
+)
+
+// NoServer stands where a move names no server.
+const NoServer ServerID = -1
+
+// Effect says whether a query may be executed more than once.
+type Effect uint8
+
+const (
+	Idempotent Effect = iota
+	Deduplicated
+	NonIdempotent
+)
+
+// Scope names the servers that drop repeats of a deduplicated query.
+type Scope uint8
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Workload is what is known of one sort of query. Times are milliseconds.
+type Workload struct {
+	Effect           Effect
+	Scope            Scope
+	SLOTime          float64
+	SLOStretch       float64 // the SLO time grows by this multiple of the query's own work
+	StatementTimeout float64
+	DedupSpan        float64
+	Importance       float64
+	LateShare        float64
+	Stream           bool
+}
+
+// Tenant is one customer organisation with its share of the service.
+type Tenant struct {
+	Quota float64 // queries a second over all nodes
+	Share float64
+}
+
+// Limits are the facts a node is started with.
+type Limits struct {
+	Seed              uint64
+	Nodes             int
+	Self              NodeID
+	Zone              ZoneID
+	OriginKind        KindID // -1: servers fetch for themselves
+	OriginFallOver    float64
+	OriginFallTime    float64
+	Workloads         []Workload
+	Tenants           []Tenant
+	SurplusShare      float64
+	MaxExecutions     int
+	SecondCopies      bool
+	Cancelling        bool
+	Probes            bool
+	Peers             bool
+	RetryAfter        bool
+	MaxRetryAfter     float64
+	ConnectTimeout    float64
+	Subscribe         bool
+	MustAskIn         float64
+	StopSendingWithin float64
+	StartCapacity     float64
+	WarmWithin        float64
+	FallMultiple      float64
+	TipAfter          float64
+	AnswerSlack       float64
+	Quantum           float64
+	WasteCost         float64
+	ProbeCost         float64
+	CrossZoneCost     float64
+	ReportsIn         ReportsIn
+}
+
+// ReportsIn says where load reports ride.
+type ReportsIn uint8
+
+const (
+	ReportsNowhere ReportsIn = iota
+	ReportsInAnswers
+	ReportsInProbes
+)
+
+// State is what the list says of a server.
+type State uint8
+
+const (
+	Gone State = iota
+	Draining
+	Ready
+)
+
+// Member is one entry of the list of servers.
+type Member struct {
+	ID      ServerID
+	Name    string
+	State   State
+	Kind    KindID
+	Zone    ZoneID
+	Cell    CellID
+	Size    float64
+	Started float64 // 0: long past
+}
+
+// ListMode says how entries relate to the list held so far.
+type ListMode uint8
+
+const (
+	ListDelta ListMode = iota
+	ListFull
+	ListCached
+	ListFailed
+)
+
+// Report is a server's own account of its load. Values not told are NaN.
+type Report struct {
+	Told                                                 bool
+	Util, Queue, Inflight, Latency, Rate, Errors, X0, X1 float64
+}
+
+// NewReport returns a report in which nothing is told yet.
+func NewReport() Report {
+	x := math.NaN()
+	return Report{Util: x, Queue: x, Inflight: x, Latency: x, Rate: x, Errors: x, X0: x, X1: x}
+}
+
+// Result is how an execution ended.
+type Result uint8
+
+const (
+	Pending Result = iota // still out
+	Completed
+	Failed
+	Full
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	NotSent
+	Missed
+)
+
+// NeverRan reports whether the result proves that the execution had no effect.
+func (r Result) NeverRan() bool {
+	return r == Full || r == ConnectFailed || r == NotSent || r == Missed
+}
+
+// Note is what a cache says of how it came by an answer.
+type Note uint8
+
+const (
+	NoteNone Note = iota
+	NoteHit
+	NoteMiss
+	NoteMissFetching
+)
+
+// Outcome reports the end of one execution.
+type Outcome struct {
+	Exec   int
+	Result Result
+	Took   float64
+	Over   bool // the query is closed
+	Note   Note
+	Report Report
+}
+
+// Action is what the adapter is to do.
+type Action uint8
+
+const (
+	Nothing Action = iota
+	Hold
+	Send
+	Reject
+	Abort
+	Cancel
+	Subscribe
+	AskList
+	Probe
+	Tell
+)
+
+// Move is one answer of the decision module, in plain values.
+type Move struct {
+	Action Action
+	Server ServerID
+	Exec   int
+	Limit  float64 // Send: time allowed to the execution
+	Wait   float64 // Reject: when the client may come back
+	Body   []byte  // Tell
+}
