--- a/decide/ring.go
+++ b/decide/ring.go
@@ -14,8 +14,8 @@
 	alpha  = 3.0
 	slope  = (gamma - 1) / alpha
 	beta   = 0.1
-	margin = 0.05 * gamma // how far a server must exceed its successor
-	damp   = 0.5          // share of x taken in one move, since reports lag behind it
+	margin = 0.1 * gamma // how far a server must exceed its successor
+	damp   = 0.2 // share of x taken in one move, since reports lag behind it
 )
 
 // mix spreads the bits of an fnv sum, whose high ones hardly differ for names that are alike.
