--- a/decide/ring.go
+++ b/decide/ring.go
@@ -14,8 +14,8 @@
 	alpha  = 3.0
 	slope  = (gamma - 1) / alpha
 	beta   = 0.1
-	margin = 0.1 * gamma // how far a server must exceed its successor
-	damp   = 0.2 // share of x taken in one move, since reports lag behind it
+	margin = 0.05 * gamma // how far a server must exceed its successor
+	damp   = 0.5          // share of x taken in one move, since reports lag behind it
 )
 
 // mix spreads the bits of an fnv sum, whose high ones hardly differ for names that are alike.
@@ -199,7 +199,7 @@
 }
 
 // crowded is the wait at an owner above which its successor is considered.
-func (n *Node) crowded(q *fleet.Query) float64 { return n.lim.Workloads[q.Workload].SLOTime / 3 }
+func (n *Node) crowded(q *fleet.Query) float64 { return n.lim.Workloads[q.Workload].SLOTime }
 
 // elsewhere names the server that may still hold a key after a miss at its owner: the predecessor that handed
 // the stretch over, or the successor that stood in for a cold owner. It is asked only while the origin is
