--- a/decide/health.go
+++ b/decide/health.go
@@ -20,6 +20,7 @@
 	wasAt      float64
 	at         int
 	moved      bool
+	stride     float64
 
 	report   fleet.Report
 	news     bool // the report was not yet used for a move
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -15,7 +15,8 @@
 	slope  = (gamma - 1) / alpha
 	beta   = 0.1
 	margin = 0.05 * gamma // how far a server must exceed its successor
-	damp   = 0.5          // share of x taken in one move, since reports lag behind it
+	stride = 0.7          // share of x taken in a first move, since reports lag behind it
+	settle = 0.75         // by which each move shortens the next, so that rings come to rest and keys stay
 )
 
 // mix spreads the bits of an fnv sum, whose high ones hardly differ for names that are alike.
@@ -141,7 +142,7 @@
 		if !(own > succ+margin) {
 			continue
 		}
-		x := shift(own, succ, n.arc(i), n.arc(next.at)) * damp
+		x := shift(own, succ, n.arc(i), n.arc(next.at)) * s.stride
 		if x <= 0 {
 			continue
 		}
@@ -153,6 +154,7 @@
 			s.point++
 		}
 		s.moved = true
+		s.stride = max(s.stride*settle, 0.05)
 	}
 	for _, s := range n.ring {
 		if s.moved {
@@ -199,7 +201,7 @@
 }
 
 // crowded is the wait at an owner above which its successor is considered.
-func (n *Node) crowded(q *fleet.Query) float64 { return n.lim.Workloads[q.Workload].SLOTime }
+func (n *Node) crowded(q *fleet.Query) float64 { return n.lim.Workloads[q.Workload].SLOTime / 3 }
 
 // elsewhere names the server that may still hold a key after a miss at its owner: the predecessor that handed
 // the stretch over, or the successor that stood in for a cold owner. It is asked only while the origin is
