--- a/decide/health.go
+++ b/decide/health.go
@@ -31,6 +31,9 @@
 	out     int     // own executions there
 	quiet   float64 // since when something is out and nothing was heard
 	pace    float64 // answer time per query ahead
+	rt      float64 // recent answer time
+	ah      float64 // what the executions behind rt found ahead of them
+	rtAt    float64
 	bad     float64 // recent share of failures
 	ejected bool
 	tryAt   float64 // when the next trial may go
@@ -59,9 +62,16 @@
 	return a
 }
 
-// est is the answer time to expect at s. Silence counts as it grows: a server that hangs has no bad outcomes yet.
+// est is the answer time to expect at s: the recent one, corrected by how much more or less is ahead now than was
+// then. What reports always get wrong so cancels out. An old answer time counts less; silence counts as it grows,
+// since a server that hangs has no bad outcomes yet.
 func (s *server) est(n *Node) float64 {
-	e := s.pace * (1 + s.ahead(n))
+	a := s.ahead(n)
+	e := s.pace * (1 + a)
+	if w := 1 - (n.now-s.rtAt)/(2*n.lim.period); w > 0 {
+		e += w * (s.rt + s.pace*(a-s.ah) - e)
+	}
+	e = max(e, s.pace)
 	if s.out > 0 {
 		e = max(e, n.now-s.quiet)
 	}
@@ -103,8 +113,11 @@
 	case fleet.Completed:
 		fail = 0
 		if s == n.origin || o.Note <= fleet.NoteHit || n.lim.through {
-			took := o.Took / (1 + e.Ahead)
-			s.pace += 0.2 * (took - s.pace)
+			took := min(o.Took, 4*s.est(n)) // one heavy query says little of the server
+			s.pace += 0.05 * (took/(1+e.Ahead) - s.pace)
+			s.rt += 0.3 * (took - s.rt)
+			s.ah += 0.3 * (e.Ahead - s.ah)
+			s.rtAt = n.now
 			if s != n.origin {
 				n.typical += 0.02 * (o.Took - n.typical)
 			}
--- a/decide/list.go
+++ b/decide/list.go
@@ -74,13 +74,13 @@
 	}
 	s := n.servers[m.ID]
 	if s == nil {
-		s = &server{id: m.ID, report: fleet.NewReport(), stride: stride, pace: n.typical, point: homePoint(m.Name), wasAt: math.Inf(-1)}
+		s = &server{id: m.ID, report: fleet.NewReport(), stride: stride, pace: n.typical, rt: n.typical, point: homePoint(m.Name), wasAt: math.Inf(-1)}
 		s.state, s.started = m.State, m.Started
 		n.servers[m.ID] = s
 	}
 	if m.State == fleet.Ready && (s.state != fleet.Ready || m.Started != s.started) {
 		// A new start: what was learnt of the old process does not hold. It takes its own arc again.
-		*s = server{id: s.id, report: fleet.NewReport(), stride: stride, pace: n.typical, point: homePoint(m.Name),
+		*s = server{id: s.id, report: fleet.NewReport(), stride: stride, pace: n.typical, rt: n.typical, point: homePoint(m.Name),
 			wasAt: math.Inf(-1), out: s.out, quiet: s.quiet, tokenAt: n.now}
 	}
 	s.listed = true
