--- a/decide/decide.go
+++ b/decide/decide.go
@@ -236,7 +236,7 @@
 // place chooses for an open query; gate has the last word.
 func (n *Node) place(q *fleet.Query) fleet.Move {
 	if q.Out > 0 {
-		return n.secondCopy(q)
+		return n.lookBack(q)
 	}
 	if q.Deadline-n.now <= n.lim.slack || q.N >= n.lim.maxExecs {
 		return n.giveUp(q, n.lim.sloMin)
@@ -325,8 +325,8 @@
 		} else {
 			q.Stage = out
 		}
-		if at := n.secondAt(q, s); at > 0 {
-			n.hold(q, at)
+		if s != n.origin && n.looksBack(q) {
+			n.hold(q, n.now+n.patience(q, s))
 		}
 	case fleet.Reject:
 		if q.Out > 0 || !n.mayReject(q) {
--- a/decide/health.go
+++ b/decide/health.go
@@ -192,47 +192,56 @@
 	return n.coldPart(s, p) && n.maySend(q, s)
 }
 
-// allowed is the time an execution gets: enough for a slow answer, and leaving time for another where one may follow.
+// allowed is the time an execution gets. Where a silent one can be looked at again before, it gets all that is left:
+// a time-out kills heavy queries on sound servers, which take as long again elsewhere.
 func (n *Node) allowed(q *fleet.Query, s *server) float64 {
 	left := q.Deadline - n.now
 	w := &n.lim.Workloads[q.Workload]
-	if w.Effect == fleet.NonIdempotent || q.N+1 >= n.lim.maxExecs || s == n.origin {
+	if w.Effect == fleet.NonIdempotent || q.N+1 >= n.lim.maxExecs || s == n.origin || n.looksBack(q) {
 		return left
 	}
-	need := max(w.SLOTime/2, 4*s.est(n), 3*q.Work)
-	if s.ejected {
-		need = w.SLOTime / 4
-	}
-	if need > left*0.7 {
-		return left
+	if need := max(w.SLOTime/2, 4*s.est(n), 3*q.Work); need < left*0.7 {
+		return need
 	}
-	return need
+	return left
 }
 
-// secondAt is when a silent execution of q is to be looked at again; 0: never.
-func (n *Node) secondAt(q *fleet.Query, s *server) float64 {
-	w := &n.lim.Workloads[q.Workload]
-	if s == n.origin || w.Effect != fleet.Idempotent || q.N != 1 || !n.lim.SecondCopies {
-		return 0
-	}
-	return n.now + max(w.SLOTime/4, 3*s.est(n))
+// looksBack tells whether an execution of q can be joined or replaced while it is out.
+func (n *Node) looksBack(q *fleet.Query) bool {
+	return n.lim.Workloads[q.Workload].Effect == fleet.Idempotent && (n.lim.SecondCopies || n.lim.Cancelling)
 }
 
-// secondCopy sends a query once more while its first execution is out, when its server has gone silent.
-func (n *Node) secondCopy(q *fleet.Query) fleet.Move {
-	h := fleet.Move{Action: fleet.Hold}
-	if q.Stage != out || q.N != 1 || n.copies < 1 || n.now >= q.Deadline-n.lim.slack {
-		return h
+// patience is how long a server may be silent before its queries are taken elsewhere.
+func (n *Node) patience(q *fleet.Query, s *server) float64 {
+	return max(n.lim.Workloads[q.Workload].SLOTime/4, 3*s.pace)
+}
+
+// lookBack decides on a query whose execution is out for long. Only silence counts: a server that answers others
+// is at work, and the query in hand is heavy or waits its turn.
+func (n *Node) lookBack(q *fleet.Query) fleet.Move {
+	last := q.N - 1
+	e := &q.Execs[last]
+	s := n.servers[e.Server]
+	if q.Stage != out || q.Out != 1 || e.Result != fleet.Pending || e.Quit || q.N >= n.lim.maxExecs {
+		return fleet.Move{Action: fleet.Hold}
 	}
-	s := n.servers[q.Execs[0].Server]
-	if n.now-s.quiet < n.lim.Workloads[q.Workload].SLOTime/4 {
-		return h
+	if more := max(s.quiet, e.Sent) + n.patience(q, s) - n.now; more > 0 || n.copies < 1 {
+		if more = max(more, n.lim.sloMin/10); n.now+more < q.Deadline-n.lim.slack {
+			return n.hold(q, n.now+more)
+		}
+		return fleet.Move{Action: fleet.Hold}
 	}
-	if t := n.route(q); t != nil && t != s && n.maySend(q, t) {
+	if !n.lim.SecondCopies {
 		n.copies--
-		return fleet.Move{Action: fleet.Send, Server: t.id, Limit: q.Deadline - n.now}
+		e.Quit = true
+		return fleet.Move{Action: fleet.Cancel, Exec: last}
+	}
+	t := n.route(q)
+	if t == nil || t == s {
+		return fleet.Move{Action: fleet.Hold}
 	}
-	return h
+	n.copies--
+	return fleet.Move{Action: fleet.Send, Server: t.id, Limit: q.Deadline - n.now}
 }
 
 // takeReport keeps a server's report, and remembers its recent peaks.
