--- a/decide/health.go
+++ b/decide/health.go
@@ -216,6 +216,14 @@
 	return max(n.lim.Workloads[q.Workload].SLOTime/4, 3*s.pace)
 }
 
+// stuckAfter is when a query whose work is told must be waiting behind others, for its own work is done by then.
+func (n *Node) stuckAfter(q *fleet.Query, s *server) float64 {
+	if q.Work <= 0 || n.gate4.mean <= 0 {
+		return math.Inf(1)
+	}
+	return max(n.lim.Workloads[q.Workload].SLOTime/2, 4*s.pace*q.Work/n.gate4.mean)
+}
+
 // lookBack decides on a query whose execution is out for long. Only silence counts: a server that answers others
 // is at work, and the query in hand is heavy or waits its turn.
 func (n *Node) lookBack(q *fleet.Query) fleet.Move {
@@ -225,6 +233,10 @@
 	if q.Stage != out || q.Out != 1 || e.Result != fleet.Pending || e.Quit || q.N >= n.lim.maxExecs {
 		return fleet.Move{Action: fleet.Hold}
 	}
+	if n.now-e.Sent >= n.stuckAfter(q, s) && n.lim.Cancelling && q.N == 1 {
+		e.Quit = true
+		return fleet.Move{Action: fleet.Cancel, Exec: last}
+	}
 	if more := max(s.quiet, e.Sent) + n.patience(q, s) - n.now; more > 0 || n.copies < 1 {
 		if more = max(more, n.lim.sloMin/10); n.now+more < q.Deadline-n.lim.slack {
 			return n.hold(q, n.now+more)
