--- a/decide/decide.go
+++ b/decide/decide.go
@@ -306,7 +306,7 @@
 // gate is the one place that every send, rejection, abort and cancel passes. It keeps the four rules:
 // what they forbid becomes the nearest thing that they allow.
 func (n *Node) gate(q *fleet.Query, m fleet.Move) fleet.Move {
-	if m.Action == fleet.Send && !n.maySend(q, n.servers[m.Server]) {
+	if m.Action == fleet.Send && (q.Out > 0 && !n.lim.SecondCopies || !n.maySend(q, n.servers[m.Server])) {
 		if q.Out > 0 {
 			return n.hold(q, q.Deadline)
 		}
@@ -344,7 +344,7 @@
 	if q.Closed || q.Streamed || q.N >= n.lim.maxExecs || n.now >= q.Deadline {
 		return false
 	}
-	if q.Out > 0 && !n.lim.SecondCopies || s.state != fleet.Ready || !n.gate4.room(n, s, q) {
+	if s.state != fleet.Ready || !n.gate4.room(n, s, q) {
 		return false
 	}
 	w := &n.lim.Workloads[q.Workload]
--- a/decide/health.go
+++ b/decide/health.go
@@ -233,27 +233,22 @@
 	if q.Stage != out || q.Out != 1 || e.Result != fleet.Pending || e.Quit || q.N >= n.lim.maxExecs {
 		return fleet.Move{Action: fleet.Hold}
 	}
-	if n.now-e.Sent >= n.stuckAfter(q, s) && n.lim.Cancelling && q.N == 1 {
-		e.Quit = true
-		return fleet.Move{Action: fleet.Cancel, Exec: last}
-	}
-	if more := max(s.quiet, e.Sent) + n.patience(q, s) - n.now; more > 0 || n.copies < 1 {
-		if more = max(more, n.lim.sloMin/10); n.now+more < q.Deadline-n.lim.slack {
-			return n.hold(q, n.now+more)
+	silent := n.now - max(s.quiet, e.Sent)
+	stuck := n.now-e.Sent >= n.stuckAfter(q, s) && n.lim.Cancelling
+	if silent >= n.patience(q, s) || stuck {
+		if t := n.route(q); n.copies >= 1 && t != nil && t != s && t.est(n) < (n.now-e.Sent)/2 {
+			n.copies--
+			if n.lim.SecondCopies && !stuck {
+				return fleet.Move{Action: fleet.Send, Server: t.id, Limit: q.Deadline - n.now}
+			}
+			e.Quit = true
+			return fleet.Move{Action: fleet.Cancel, Exec: last}
 		}
-		return fleet.Move{Action: fleet.Hold}
 	}
-	if !n.lim.SecondCopies {
-		n.copies--
-		e.Quit = true
-		return fleet.Move{Action: fleet.Cancel, Exec: last}
-	}
-	t := n.route(q)
-	if t == nil || t == s {
-		return fleet.Move{Action: fleet.Hold}
+	if next := n.now + n.lim.Workloads[q.Workload].SLOTime/8; next < q.Deadline-n.lim.slack {
+		return n.hold(q, next)
 	}
-	n.copies--
-	return fleet.Move{Action: fleet.Send, Server: t.id, Limit: q.Deadline - n.now}
+	return fleet.Move{Action: fleet.Hold}
 }
 
 // takeReport keeps a server's report, and remembers its recent peaks.
