--- a/decide/health.go
+++ b/decide/health.go
@@ -236,9 +236,9 @@
 	silent := n.now - max(s.quiet, e.Sent)
 	stuck := n.now-e.Sent >= n.stuckAfter(q, s) && n.lim.Cancelling
 	if silent >= n.patience(q, s) || stuck {
-		if t := n.route(q); n.copies >= 1 && t != nil && t != s && t.est(n) < (n.now-e.Sent)/2 {
-			n.copies--
+		if t := n.route(q); (n.copies >= 1 || stuck) && t != nil && t != s && t.est(n) < (n.now-e.Sent)/2 {
 			if n.lim.SecondCopies && !stuck {
+				n.copies--
 				return fleet.Move{Action: fleet.Send, Server: t.id, Limit: q.Deadline - n.now}
 			}
 			e.Quit = true
