Hand on what exceeds an owner's share of the node's queries in hand

Cause: the expected wait at a server comes from a few reports a second and is late; what this node itself has out is known now. A server holding more than 1.25 times the mean passes the next query to its successor.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,25 +29,26 @@
 
 // Node is the state of one balancer. Nodes share nothing.
 type Node struct {
-	lim     limits
-	slab    *fleet.Slab
-	now     float64
-	seed    uint64
-	draws   uint64
-	servers []*server // by ServerID
-	ring    []*server // by point
-	origin  *server
-	ready   []fleet.Ref // to be asked about now
-	next    int
-	alarms  alarms
-	fetches map[fleet.Key]fleet.Ref
-	follows []fleet.Ref
-	list    follower
-	gate4   meter
-	store   stock
-	moveAt  float64
-	copies  float64 // budget for further executions
-	typical float64 // usual answer time over all caches
+	lim      limits
+	slab     *fleet.Slab
+	now      float64
+	seed     uint64
+	draws    uint64
+	servers  []*server // by ServerID
+	ring     []*server // by point
+	origin   *server
+	ready    []fleet.Ref // to be asked about now
+	next     int
+	alarms   alarms
+	fetches  map[fleet.Key]fleet.Ref
+	follows  []fleet.Ref
+	list     follower
+	gate4    meter
+	store    stock
+	moveAt   float64
+	copies   float64 // budget for further executions
+	atCaches int     // executions out at caches
+	typical  float64 // usual answer time over all caches
 }
 
 // limits are the derived figures that decisions use.
--- a/decide/health.go
+++ b/decide/health.go
@@ -94,6 +94,7 @@
 	}
 	n.gate4.spend(n, s, q)
 	if s != n.origin {
+		n.atCaches++
 		n.copies = min(n.copies+n.lim.copyRate, 10)
 	}
 }
@@ -101,6 +102,9 @@
 // learn takes in what an outcome says of its server.
 func (n *Node) learn(s *server, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
 	s.out--
+	if s != n.origin {
+		n.atCaches--
+	}
 	if o.Report.Told {
 		n.takeReport(s, o.Report)
 	}
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -16,7 +16,8 @@
 	beta   = 0.1
 	margin = 0.05 * gamma // how far a server must exceed its successor
 	stride = 0.7          // share of x taken in a first move, since reports lag behind it
-	settle = 0.75         // by which each move shortens the next, so that rings come to rest and keys stay
+	spread = 1.25
+	settle = 0.75 // by which each move shortens the next, so that rings come to rest and keys stay
 )
 
 // mix spreads the bits of an fnv sum, whose high ones hardly differ for names that are alike.
@@ -177,24 +178,18 @@
 	}
 	i := n.owner(p)
 	var first *server
+	bound := math.Ceil(spread * float64(n.atCaches+1) / float64(len(n.ring)))
 	for k := range n.ring {
 		s := n.neighbour(i, k)
 		if !n.takes(s, q, p, k == 0) {
 			continue
 		}
-		if first == nil {
-			first = s
-			if s.est(n) <= n.crowded(q) {
-				return s
-			}
-			continue
-		}
-		// Departure: an owner that would be late hands the query to its successor, if that one is far quicker.
-		if s.est(n) < first.est(n)/2 {
+		// Departure: an owner that holds more than its share of this node's queries hands the next one to its successor.
+		if float64(s.out+1) <= bound && n.now >= s.fullTil {
 			return s
 		}
-		if k > 2 {
-			break
+		if first == nil || s.est(n) < first.est(n) {
+			first = s
 		}
 	}
 	return first
