--- a/decide/ring.go
+++ b/decide/ring.go
@@ -184,12 +184,19 @@
 		if !n.takes(s, q, p, k == 0) {
 			continue
 		}
-		// Departure: an owner that holds more than its share of this node's queries hands the next one to its successor.
-		if float64(s.out+1) <= bound && n.now >= s.fullTil {
-			return s
-		}
-		if first == nil || s.est(n) < first.est(n) {
+		// Departure: an owner that holds more than its share of this node's queries hands the next one to its
+		// successor, when the wait that saves is longer than what a miss there costs more.
+		if first == nil {
 			first = s
+			if float64(s.out+1) <= bound && n.now >= s.fullTil {
+				return s
+			}
+			continue
+		}
+		if s.est(n)+n.store.rt/2 < first.est(n) {
+			if first = s; float64(s.out+1) <= bound && n.now >= s.fullTil {
+				return s
+			}
 		}
 	}
 	return first
