--- a/decide/ring.go
+++ b/decide/ring.go
@@ -17,7 +17,7 @@
 	margin = 0.05 * gamma
 	stride = 0.7 // share of x taken in a first move, since reports lag behind it
 	spread = 1.25
-	settle = 0.5 // by which each move shortens the next, so that rings come to rest and keys stay
+	settle = 0.85 // by which each move shortens the next, so that rings come to rest and keys stay
 )
 
 // mix spreads the bits of an fnv sum, whose high ones hardly differ for names that are alike.
