--- a/decide/admit.go
+++ b/decide/admit.go
@@ -104,6 +104,14 @@
 	return n.hold(q, q.Deadline-n.lim.slack-min(rt, left/2))
 }
 
+// bearable is the wait up to which q is let in: what would come late only takes the place of what would not.
+// The less important a workload is among the others, the sooner it is turned away.
+func (n *Node) bearable(q *fleet.Query) float64 {
+	w := &n.lim.Workloads[q.Workload]
+	left := q.Arrived + w.SLOTime*(1+w.LateShare) - n.now
+	return min(left, q.Deadline-n.now) * (0.5 + 0.5*w.Importance/n.lim.topImportance)
+}
+
 // meter keeps this node's share of what a cold server can bear.
 type meter struct {
 	rate  float64 // work this node sends to all caches, per ms
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,12 +54,14 @@
 // limits are the derived figures that decisions use.
 type limits struct {
 	fleet.Limits
-	sloMin   float64 // shortest SLO time
-	slack    float64 // kept before a deadline
-	period   float64 // between moves of the ring
-	through  bool
-	maxExecs int
-	copyRate float64 // further executions per first one
+	sloMin  float64 // shortest SLO time
+	slack   float64 // kept before a deadline
+	period  float64 // between moves of the ring
+	through bool
+
+	topImportance float64
+	maxExecs      int
+	copyRate      float64 // further executions per first one
 }
 
 // New starts a node that knows nothing but its limits.
@@ -69,6 +71,7 @@
 	n.lim.sloMin = math.Inf(1)
 	for _, w := range lim.Workloads {
 		n.lim.sloMin = min(n.lim.sloMin, w.SLOTime)
+		n.lim.topImportance = max(n.lim.topImportance, w.Importance)
 	}
 	if math.IsInf(n.lim.sloMin, 1) {
 		n.lim.sloMin = 1000
@@ -266,6 +269,9 @@
 		}
 		return n.giveUp(q, n.typical)
 	}
+	if e := s.est(n); e > n.bearable(q) {
+		return n.giveUp(q, e)
+	}
 	return n.send(q, s)
 }
 
--- a/decide/health.go
+++ b/decide/health.go
@@ -133,6 +133,12 @@
 	case fleet.ConnectFailed:
 		fail = 2
 	case fleet.TimedOut, fleet.Cancelled:
+		// It would have taken longer still: an overloaded server must not look quick because its slow answers are cut off.
+		if s != n.origin && o.Took > s.rt {
+			s.rt += 0.3 * (o.Took - s.rt)
+			s.ah += 0.3 * (e.Ahead - s.ah)
+			s.rtAt = n.now
+		}
 		// Slow is not dead: only a server that answered nothing since the execution left is held for silent.
 		if !heardSince && !(e.Quit && q.Closed) {
 			fail = 1
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -202,9 +202,6 @@
 	return first
 }
 
-// crowded is the wait at an owner above which its successor is considered.
-func (n *Node) crowded(q *fleet.Query) float64 { return n.lim.Workloads[q.Workload].SLOTime / 3 }
-
 // elsewhere names the server that may still hold a key after a miss at its owner: the predecessor that handed
 // the stretch over, or the successor that stood in for a cold owner. It is asked only while the origin is
 // crowded, because only a fetch leaves a copy at the owner.
