--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,6 +49,7 @@
 	copies   float64 // budget for further executions
 	atCaches int     // executions out at caches
 	typical  float64 // usual answer time over all caches
+	late     float64 // recent share of cache answers that were late or nearly so
 }
 
 // limits are the derived figures that decisions use.
@@ -269,7 +270,7 @@
 		}
 		return n.giveUp(q, n.typical)
 	}
-	if e := s.est(n); e > n.bearable(q) {
+	if e := s.est(n); n.late > 0.15 && e > n.bearable(q) {
 		return n.giveUp(q, e)
 	}
 	return n.send(q, s)
