--- a/decide/health.go
+++ b/decide/health.go
@@ -112,7 +112,7 @@
 		n.store.learn(n, q, e, o)
 	}
 	heardSince := s.quiet > e.Sent
-	if s != n.origin && !q.Closed && o.Result != fleet.Missed && !o.Result.NeverRan() {
+	if s != n.origin && !o.Result.NeverRan() && (heardSince || o.Result == fleet.Completed) {
 		late := 0.0
 		if n.now-q.Arrived > n.lim.Workloads[q.Workload].SLOTime*0.8 {
 			late = 1
