--- a/decide/admit.go
+++ b/decide/admit.go
@@ -109,7 +109,7 @@
 func (n *Node) bearable(q *fleet.Query) float64 {
 	w := &n.lim.Workloads[q.Workload]
 	left := q.Arrived + w.SLOTime*(1+w.LateShare) - n.now
-	return min(left, q.Deadline-n.now) * (0.8 + 0.4*w.Importance/n.lim.topImportance)
+	return min(left, q.Deadline-n.now) * (0.15 + 0.1*w.Importance/n.lim.topImportance)
 }
 
 // meter keeps this node's share of what a cold server can bear.
