--- a/decide/decide.go
+++ b/decide/decide.go
@@ -270,8 +270,10 @@
 		}
 		return n.giveUp(q, n.typical)
 	}
-	if e := s.est(n); n.late > 0.15 && e > n.bearable(q) {
-		return n.giveUp(q, e)
+	if n.late > 0.15 && s.est(n) > n.bearable(q) {
+		if s = n.quickest(q); s.est(n) > n.bearable(q) {
+			return n.giveUp(q, s.est(n))
+		}
 	}
 	return n.send(q, s)
 }
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -202,6 +202,22 @@
 	return first
 }
 
+// quickest is the server with the shortest expected wait among those that can take q; route has found one.
+func (n *Node) quickest(q *fleet.Query) *server {
+	p := keyPoint(q.Key)
+	i := n.owner(p)
+	var best *server
+	for k := range min(3, len(n.ring)) {
+		if s := n.neighbour(i, k); n.takes(s, q, p, k == 0) && (best == nil || s.est(n) < best.est(n)) {
+			best = s
+		}
+	}
+	if best == nil {
+		return n.route(q)
+	}
+	return best
+}
+
 // elsewhere names the server that may still hold a key after a miss at its owner: the predecessor that handed
 // the stretch over, or the successor that stood in for a cold owner. It is asked only while the origin is
 // crowded, because only a fetch leaves a copy at the owner.
