--- a/decide/health.go
+++ b/decide/health.go
@@ -114,7 +114,7 @@
 	heardSince := s.quiet > e.Sent
 	if s != n.origin && !o.Result.NeverRan() && (heardSince || o.Result == fleet.Completed) {
 		late := 0.0
-		if n.now-q.Arrived > n.lim.Workloads[q.Workload].SLOTime*0.8 {
+		if n.now-q.Arrived > n.lim.Workloads[q.Workload].SLOTime {
 			late = 1
 		}
 		n.late += 0.05 * (late - n.late)
