--- a/decide/decide.go
+++ b/decide/decide.go
@@ -270,7 +270,7 @@
 		}
 		return n.giveUp(q, n.typical)
 	}
-	if n.late > 0.2 && s.est(n) > n.bearable(q) {
+	if n.late > 0.15 && s.est(n) > n.bearable(q) {
 		if s = n.quickest(q); s.est(n) > n.bearable(q) {
 			return n.giveUp(q, s.est(n))
 		}
--- a/decide/health.go
+++ b/decide/health.go
@@ -114,7 +114,7 @@
 	heardSince := s.quiet > e.Sent
 	if s != n.origin && !o.Result.NeverRan() && (heardSince || o.Result == fleet.Completed) {
 		late := 0.0
-		if n.now-q.Arrived > n.lim.Workloads[q.Workload].SLOTime {
+		if n.now-q.Arrived > n.lim.Workloads[q.Workload].SLOTime*0.8 {
 			late = 1
 		}
 		n.late += 0.05 * (late - n.late)
@@ -125,7 +125,12 @@
 		fail = 0
 		if s == n.origin || o.Note <= fleet.NoteHit || n.lim.through {
 			took := min(o.Took, 4*s.est(n)) // one heavy query says little of the server
-			s.pace += 0.05 * (took/(1+e.Ahead) - s.pace)
+			// The pace is near the shortest seen: waits behind other nodes' queries must not pass for slowness.
+			if one := took / (1 + e.Ahead); one < s.pace {
+				s.pace += 0.1 * (one - s.pace)
+			} else {
+				s.pace += 0.02 * (one - s.pace)
+			}
 			s.rt += 0.3 * (took - s.rt)
 			s.ah += 0.3 * (e.Ahead - s.ah)
 			s.rtAt = n.now
