--- a/decide/list.go
+++ b/decide/list.go
@@ -28,6 +28,7 @@
 	}
 	if n.now >= n.moveAt {
 		n.moveAt = n.now + n.lim.period*(0.9+0.2*n.chance())
+		n.late *= 0.8 // a node that turns most away sees few answers: without new evidence it lets queries in again
 		n.moveRing()
 	}
 	return fleet.Move{}
