--- a/decide/ring.go
+++ b/decide/ring.go
@@ -193,7 +193,7 @@
 			}
 			continue
 		}
-		if s.est(n) < first.est(n) {
+		if s.est(n)+n.store.rt*2 < first.est(n) {
 			if first = s; float64(s.out+1) <= bound && n.now >= s.fullTil {
 				return s
 			}
