--- a/decide/admit.go
+++ b/decide/admit.go
@@ -14,17 +14,10 @@
 	waiting []fleet.Ref
 }
 
-func (k *stock) start(n *Node) {
-	k.window = 4
-	k.rt = n.lim.sloMin / 4
-}
-
 func (k *stock) room(n *Node) bool {
 	return n.origin != nil && float64(n.origin.out) < k.window
 }
 
-func (k *stock) crowded(n *Node) bool { return !k.room(n) }
-
 // learn widens the window while answers come in time and cuts it, once per answer time, when they do not.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
 	slow := o.Result == fleet.TimedOut || o.Result == fleet.Failed || o.Result == fleet.Full ||
@@ -74,8 +67,8 @@
 
 // worth orders the wait at the origin: importance first, then the time left.
 func (n *Node) worth(q *fleet.Query) float64 {
-	w := &n.lim.Workloads[q.Workload]
-	return w.Importance / (1 + (q.Deadline-n.now)/w.StatementTimeout)
+	w := &n.lim.workloads[q.Workload]
+	return w.rank / (1 + (q.Deadline-n.now)/w.total)
 }
 
 // toOrigin sends q to the origin when there is room, queues it while an answer in time is likely, or gives it up.
@@ -104,14 +97,6 @@
 	return n.hold(q, q.Deadline-n.lim.slack-min(rt, left/2))
 }
 
-// bearable is the wait up to which q is let in: what would come late only takes the place of what would not.
-// The less important a workload is among the others, the sooner it is turned away.
-func (n *Node) bearable(q *fleet.Query) float64 {
-	w := &n.lim.Workloads[q.Workload]
-	left := q.Arrived + w.SLOTime*(1+w.LateShare) - n.now
-	return min(left, q.Deadline-n.now) * (0.15 + 0.1*w.Importance/n.lim.topImportance)
-}
-
 // meter keeps this node's share of what a cold server can bear.
 type meter struct {
 	rate  float64 // work this node sends to all caches, per ms
@@ -123,10 +108,10 @@
 // warmth is the share of its capacity that a server is sure to have: it grows evenly from its start.
 func (s *server) warmth(n *Node) float64 {
 	age := n.now - s.started
-	if s.started <= 0 || n.lim.WarmWithin <= 0 || age >= n.lim.WarmWithin {
+	if s.started <= 0 || n.lim.warmWithin <= 0 || age >= n.lim.warmWithin {
 		return 1
 	}
-	return n.lim.StartCapacity + (1-n.lim.StartCapacity)*max(0, age)/n.lim.WarmWithin
+	return n.lim.coldFrom + (1-n.lim.coldFrom)*max(0, age)/n.lim.warmWithin
 }
 
 // coldPart gives a cold server the part of its arc next to its predecessor, growing as it warms; the rest of the
@@ -149,8 +134,8 @@
 
 // refill lets a cold server's budget grow: half of what it bears before it falls, divided as traffic is.
 func (m *meter) refill(n *Node, s *server) float64 {
-	rate := n.lim.FallMultiple / 2 * s.warmth(n) * m.rate / float64(max(1, len(n.ring)))
-	most := max(1, rate*n.lim.TipAfter/2)
+	rate := n.lim.coldRate * s.warmth(n) * m.rate / float64(max(1, len(n.ring)))
+	most := max(1, rate*n.lim.coldBurst)
 	s.tokens = min(most, s.tokens+rate*(n.now-s.tokenAt))
 	s.tokenAt = n.now
 	return most
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -9,7 +9,6 @@
 package decide
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"hash/fnv"
 	"math"
@@ -39,10 +38,11 @@
 	origin   *server
 	ready    []fleet.Ref // to be asked about now
 	next     int
-	alarms   alarms
+	alarms   fleet.Alarms
 	fetches  map[fleet.Key]fleet.Ref
 	follows  []fleet.Ref
-	list     follower
+	askAt    float64 // when the next call for the list is due; +Inf: the subscription stands
+	asks     int     // calls that failed in a row
 	gate4    meter
 	store    stock
 	moveAt   float64
@@ -52,45 +52,80 @@
 	late     float64 // recent share of cache answers that were late or nearly so
 }
 
-// limits are the derived figures that decisions use.
+// workload is what decisions need of one kind of query.
+type workload struct {
+	effect   fleet.Effect
+	scope    fleet.Scope
+	span     float64 // repeats are dropped for so long
+	slo      float64
+	bearable float64 // wait up to which it is let in while the node is overloaded
+	rank     float64 // importance per unit of the longest wait
+	total    float64 // statement timeout
+}
+
+// limits are the figures derived from the settings; the settings themselves are not kept.
 type limits struct {
-	fleet.Limits
-	sloMin  float64 // shortest SLO time
-	slack   float64 // kept before a deadline
-	period  float64 // between moves of the ring
-	through bool
+	workloads  []workload
+	origin     fleet.KindID
+	through    bool // servers fetch for themselves
+	maxExecs   int
+	copies     bool // two executions of a query may be out
+	cancels    bool
+	copyRate   float64 // second copies per execution
+	longest    float64 // most that a client may be told to stay away; 0: it is not told
+	sloMin     float64 // shortest SLO time
+	slack      float64 // kept before a deadline
+	period     float64 // between moves of the ring
+	askWithin  float64 // a call for the list is due by then; 0: changes come unasked
+	coldFrom   float64 // share of its capacity that a server has when it starts
+	warmWithin float64
+	coldRate   float64 // work for a cold server, as a multiple of what it can do
+	coldBurst  float64 // of that, in one go
+}
 
-	topImportance float64
-	maxExecs      int
-	copyRate      float64 // further executions per first one
+// derive turns settings into the figures that decisions use.
+func derive(l fleet.Limits) limits {
+	d := limits{origin: l.OriginKind, through: l.OriginKind < 0, maxExecs: min(max(l.MaxExecutions, 1), fleet.MaxExecs),
+		copies: l.SecondCopies, cancels: l.Cancelling, copyRate: 0.05 / (0.5 + 2*l.WasteCost), sloMin: math.Inf(1),
+		coldFrom: l.StartCapacity, warmWithin: l.WarmWithin, coldRate: l.FallMultiple / 2, coldBurst: l.TipAfter / 2}
+	top := 0.0
+	for _, w := range l.Workloads {
+		d.sloMin = min(d.sloMin, w.SLOTime)
+		top = max(top, w.Importance)
+	}
+	if len(l.Workloads) == 0 || d.sloMin <= 0 {
+		d.sloMin = 1000
+	}
+	for _, w := range l.Workloads {
+		d.workloads = append(d.workloads, workload{effect: w.Effect, scope: w.Scope, span: w.DedupSpan, slo: w.SLOTime,
+			// What would come late only takes the place of what would not, and a crowded server loses capacity:
+			// in overload waits are kept short, the shorter the less important a workload is.
+			bearable: w.SLOTime * (1 + w.LateShare) * (0.15 + 0.1*w.Importance/max(top, 1e-9)),
+			rank:     w.Importance, total: max(w.StatementTimeout, 1)})
+	}
+	d.slack = l.Quantum + d.sloMin/100
+	if d.period = d.sloMin; l.WarmWithin > 0 {
+		d.period = l.WarmWithin / 20
+	}
+	if l.RetryAfter {
+		d.longest = l.MaxRetryAfter
+	}
+	if l.Subscribe {
+		if d.askWithin = l.MustAskIn; d.askWithin <= 0 {
+			d.askWithin = 10 * d.sloMin
+		}
+	}
+	return d
 }
 
 // New starts a node that knows nothing but its limits.
-func New(now float64, lim fleet.Limits, slab *fleet.Slab) *Node {
-	n := &Node{slab: slab, now: now, seed: lim.Seed, fetches: map[fleet.Key]fleet.Ref{}}
-	n.lim.Limits = lim
-	n.lim.sloMin = math.Inf(1)
-	for _, w := range lim.Workloads {
-		n.lim.sloMin = min(n.lim.sloMin, w.SLOTime)
-		n.lim.topImportance = max(n.lim.topImportance, w.Importance)
-	}
-	if math.IsInf(n.lim.sloMin, 1) {
-		n.lim.sloMin = 1000
-	}
-	n.lim.slack = lim.Quantum + n.lim.sloMin/100
-	n.lim.period = n.lim.sloMin
-	if lim.WarmWithin > 0 {
-		n.lim.period = lim.WarmWithin / 20
-	}
-	n.lim.through = lim.OriginKind < 0
-	n.lim.maxExecs = min(max(lim.MaxExecutions, 1), fleet.MaxExecs)
-	n.lim.copyRate = 0.05 / (0.5 + 2*lim.WasteCost)
-	if n.lim.MustAskIn <= 0 {
-		n.lim.MustAskIn = 10 * n.lim.sloMin
-	}
+func New(now float64, l fleet.Limits, slab *fleet.Slab) *Node {
+	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed, fetches: map[fleet.Key]fleet.Ref{}}
 	n.typical = n.lim.sloMin / 8
-	n.store.start(n)
-	n.list.start(n)
+	n.store = stock{window: 4, rt: n.lim.sloMin / 4}
+	if n.askAt = math.Inf(1); n.lim.askWithin > 0 {
+		n.askAt = now
+	}
 	n.moveAt = now + n.lim.period*(0.5+0.5*n.chance())
 	return n
 }
@@ -160,19 +195,18 @@
 	if r := n.store.best(n); r != fleet.NoQuery {
 		return r, 0
 	}
-	due := min(n.moveAt, n.list.askAt)
+	due := min(n.moveAt, n.askAt)
 	for len(n.alarms) > 0 {
 		a := n.alarms[0]
-		if q := n.slab.Get(a.ref); q == nil || q.Closed || q.Wake != a.at {
-			n.alarms.drop()
+		if q := n.slab.Get(a.Ref); q == nil || q.Closed || q.Wake != a.At || a.At <= now {
+			n.alarms.Drop()
+			if q != nil && !q.Closed && q.Wake == a.At {
+				return a.Ref, 0
+			}
 			continue
 		}
-		if a.at <= now {
-			n.alarms.drop()
-			return a.ref, 0
-		}
-		if a.at < due {
-			return a.ref, a.at - now
+		if a.At < due {
+			return a.Ref, a.At - now
 		}
 		break
 	}
@@ -227,7 +261,7 @@
 
 // cancelLoser stops an execution that nobody waits for any more, where that frees work.
 func (n *Node) cancelLoser(q *fleet.Query) fleet.Move {
-	if q.Out > 0 && n.lim.Cancelling && !q.Streamed {
+	if q.Out > 0 && n.lim.cancels && !q.Streamed {
 		for i := range q.Execs[:q.N] {
 			if e := &q.Execs[i]; e.Result == fleet.Pending && !e.Quit {
 				e.Quit = true
@@ -270,8 +304,8 @@
 		}
 		return n.giveUp(q, n.typical)
 	}
-	if n.late > 0.15 && s.est(n) > n.bearable(q) {
-		if s = n.quickest(q); s.est(n) > n.bearable(q) {
+	if most := n.lim.workloads[q.Workload].bearable; n.late > overload && s.est(n) > most {
+		if s = n.quickest(q); s.est(n) > most {
 			return n.giveUp(q, s.est(n))
 		}
 	}
@@ -300,23 +334,19 @@
 // hold keeps q and asks again at the given time.
 func (n *Node) hold(q *fleet.Query, at float64) fleet.Move {
 	q.Wake = at
-	n.alarms.add(alarm{at, q.Ref})
+	n.alarms.Add(fleet.Alarm{At: at, Ref: q.Ref})
 	return fleet.Move{Action: fleet.Hold}
 }
 
 // giveUp answers q at once, with a time to come back where the client may be told one.
 func (n *Node) giveUp(q *fleet.Query, wait float64) fleet.Move {
-	m := fleet.Move{Action: fleet.Reject}
-	if n.lim.RetryAfter {
-		m.Wait = min(wait, n.lim.MaxRetryAfter)
-	}
-	return m
+	return fleet.Move{Action: fleet.Reject, Wait: min(wait, n.lim.longest)}
 }
 
 // gate is the one place that every send, rejection, abort and cancel passes. It keeps the four rules:
 // what they forbid becomes the nearest thing that they allow.
 func (n *Node) gate(q *fleet.Query, m fleet.Move) fleet.Move {
-	if m.Action == fleet.Send && (q.Out > 0 && !n.lim.SecondCopies || !n.maySend(q, n.servers[m.Server])) {
+	if m.Action == fleet.Send && (q.Out > 0 && !n.lim.copies || !n.maySend(q, n.servers[m.Server])) {
 		if q.Out > 0 {
 			return n.hold(q, q.Deadline)
 		}
@@ -357,16 +387,16 @@
 	if s.state != fleet.Ready || !n.gate4.room(n, s, q) {
 		return false
 	}
-	w := &n.lim.Workloads[q.Workload]
+	w := &n.lim.workloads[q.Workload]
 	for i := range q.Execs[:q.N] {
 		e := &q.Execs[i]
-		if w.Effect == fleet.Idempotent || e.Result.NeverRan() {
+		if w.effect == fleet.Idempotent || e.Result.NeverRan() {
 			continue
 		}
 		first := n.servers[e.Server]
-		if w.Effect == fleet.NonIdempotent || n.now+n.lim.slack > e.Sent+w.DedupSpan ||
-			w.Scope == fleet.ScopeZone && first.zone != s.zone ||
-			w.Scope == fleet.ScopeCell && first.cell != s.cell {
+		if w.effect == fleet.NonIdempotent || n.now+n.lim.slack > e.Sent+w.span ||
+			w.scope == fleet.ScopeZone && first.zone != s.zone ||
+			w.scope == fleet.ScopeCell && first.cell != s.cell {
 			return false
 		}
 	}
@@ -375,42 +405,14 @@
 
 // mayReject tells whether the client may safely try q again.
 func (n *Node) mayReject(q *fleet.Query) bool {
-	w := &n.lim.Workloads[q.Workload]
+	w := &n.lim.workloads[q.Workload]
 	for i := range q.Execs[:q.N] {
-		if q.Execs[i].Result.NeverRan() || w.Effect == fleet.Idempotent {
+		if q.Execs[i].Result.NeverRan() || w.effect == fleet.Idempotent {
 			continue
 		}
-		if w.Effect == fleet.NonIdempotent || w.Scope != fleet.ScopeAll {
+		if w.effect == fleet.NonIdempotent || w.scope != fleet.ScopeAll {
 			return false
 		}
 	}
 	return true
 }
-
-type alarm struct {
-	at  float64
-	ref fleet.Ref
-}
-
-// alarms is a heap by time. Entries that no longer match their query's Wake are dropped when they surface.
-type alarms []alarm
-
-func (a alarms) Len() int           { return len(a) }
-func (a alarms) Less(i, j int) bool { return a[i].at < a[j].at }
-func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *alarms) Push(any)          {} // add and drop use heap.Fix, which boxes nothing
-func (a *alarms) Pop() any          { return nil }
-
-func (a *alarms) add(x alarm) {
-	*a = append(*a, x)
-	heap.Fix(a, len(*a)-1)
-}
-
-func (a *alarms) drop() {
-	last := len(*a) - 1
-	a.Swap(0, last)
-	*a = (*a)[:last]
-	if last > 0 {
-		heap.Fix(a, 0)
-	}
-}
--- a/decide/health.go
+++ b/decide/health.go
@@ -49,6 +49,7 @@
 	failWeight = 0.25 // of one outcome in the recent share of failures
 	failLimit  = 0.4
 	trialsBack = 3
+	overload   = 0.15 // share of late answers above which queries are turned away
 )
 
 // ahead counts what a new query would find at s: own executions and the reported queue, the less the older it is.
@@ -114,7 +115,7 @@
 	heardSince := s.quiet > e.Sent
 	if s != n.origin && !o.Result.NeverRan() && (heardSince || o.Result == fleet.Completed) {
 		late := 0.0
-		if n.now-q.Arrived > n.lim.Workloads[q.Workload].SLOTime*0.8 {
+		if n.now-q.Arrived > n.lim.workloads[q.Workload].slo*0.8 {
 			late = 1
 		}
 		n.late += 0.05 * (late - n.late)
@@ -208,7 +209,7 @@
 		}
 	}
 	if s.ejected && (!own || s.out > 0 || n.now < s.tryAt || q.N > 0 ||
-		n.lim.Workloads[q.Workload].Effect != fleet.Idempotent) {
+		n.lim.workloads[q.Workload].effect != fleet.Idempotent) {
 		return false
 	}
 	return n.coldPart(s, p) && n.maySend(q, s)
@@ -218,11 +219,11 @@
 // a time-out kills heavy queries on sound servers, which take as long again elsewhere.
 func (n *Node) allowed(q *fleet.Query, s *server) float64 {
 	left := q.Deadline - n.now
-	w := &n.lim.Workloads[q.Workload]
-	if w.Effect == fleet.NonIdempotent || q.N+1 >= n.lim.maxExecs || s == n.origin || n.looksBack(q) {
+	w := &n.lim.workloads[q.Workload]
+	if w.effect == fleet.NonIdempotent || q.N+1 >= n.lim.maxExecs || s == n.origin || n.looksBack(q) {
 		return left
 	}
-	if need := max(w.SLOTime/2, 4*s.est(n), 3*q.Work); need < left*0.7 {
+	if need := max(w.slo/2, 4*s.est(n), 3*q.Work); need < left*0.7 {
 		return need
 	}
 	return left
@@ -230,12 +231,12 @@
 
 // looksBack tells whether an execution of q can be joined or replaced while it is out.
 func (n *Node) looksBack(q *fleet.Query) bool {
-	return n.lim.Workloads[q.Workload].Effect == fleet.Idempotent && (n.lim.SecondCopies || n.lim.Cancelling)
+	return n.lim.workloads[q.Workload].effect == fleet.Idempotent && (n.lim.copies || n.lim.cancels)
 }
 
 // patience is how long a server may be silent before its queries are taken elsewhere.
 func (n *Node) patience(q *fleet.Query, s *server) float64 {
-	return max(n.lim.Workloads[q.Workload].SLOTime/4, 3*s.pace)
+	return max(n.lim.workloads[q.Workload].slo/4, 3*s.pace)
 }
 
 // stuckAfter is when a query whose work is told must be waiting behind others, for its own work is done by then.
@@ -243,7 +244,7 @@
 	if q.Work <= 0 || n.gate4.mean <= 0 {
 		return math.Inf(1)
 	}
-	return max(n.lim.Workloads[q.Workload].SLOTime/2, 4*s.pace*q.Work/n.gate4.mean)
+	return max(n.lim.workloads[q.Workload].slo/2, 4*s.pace*q.Work/n.gate4.mean)
 }
 
 // lookBack decides on a query whose execution is out for long. Only silence counts: a server that answers others
@@ -256,10 +257,10 @@
 		return fleet.Move{Action: fleet.Hold}
 	}
 	silent := n.now - max(s.quiet, e.Sent)
-	stuck := n.now-e.Sent >= n.stuckAfter(q, s) && n.lim.Cancelling
+	stuck := n.now-e.Sent >= n.stuckAfter(q, s) && n.lim.cancels
 	if silent >= n.patience(q, s) || stuck {
 		if t := n.route(q); (n.copies >= 1 || stuck) && t != nil && t != s && t.est(n) < (n.now-e.Sent)/2 {
-			if n.lim.SecondCopies && !stuck {
+			if n.lim.copies && !stuck {
 				n.copies--
 				return fleet.Move{Action: fleet.Send, Server: t.id, Limit: q.Deadline - n.now}
 			}
@@ -267,7 +268,7 @@
 			return fleet.Move{Action: fleet.Cancel, Exec: last}
 		}
 	}
-	if next := n.now + n.lim.Workloads[q.Workload].SLOTime/8; next < q.Deadline-n.lim.slack {
+	if next := n.now + n.lim.workloads[q.Workload].slo/8; next < q.Deadline-n.lim.slack {
 		return n.hold(q, next)
 	}
 	return fleet.Move{Action: fleet.Hold}
--- a/decide/list.go
+++ b/decide/list.go
@@ -6,24 +6,11 @@
 	"mintspring/fleet"
 )
 
-// follower keeps the subscription to the list alive.
-type follower struct {
-	askAt float64 // when the next call is due; +Inf while one is out or the subscription stands
-	fails int
-}
-
-func (f *follower) start(n *Node) {
-	f.askAt = math.Inf(1)
-	if n.lim.Subscribe {
-		f.askAt = n.now
-	}
-}
-
 // upkeep does what is due for the node itself: it moves the ring and renews the subscription.
 func (n *Node) upkeep() fleet.Move {
-	if n.now >= n.list.askAt {
+	if n.now >= n.askAt {
 		// One call answers once; should that answer never come, ask again within the time allowed.
-		n.list.askAt = n.now + n.lim.MustAskIn
+		n.askAt = n.now + n.lim.askWithin
 		return fleet.Move{Action: fleet.Subscribe}
 	}
 	if n.now >= n.moveAt {
@@ -38,16 +25,16 @@
 func (n *Node) Members(now float64, mode fleet.ListMode, entries []fleet.Member) {
 	n.now = now
 	if mode == fleet.ListFailed {
-		if n.lim.Subscribe {
+		if n.lim.askWithin > 0 {
 			// Back off, but stay well inside the time after which the rules treat the node as told.
-			wait := min(n.lim.sloMin*float64(int(1)<<min(n.list.fails, 6)), n.lim.MustAskIn/2)
-			n.list.askAt = now + wait*(0.5+0.5*n.chance())
-			n.list.fails++
+			wait := min(n.lim.sloMin*float64(int(1)<<min(n.asks, 6)), n.lim.askWithin/2)
+			n.askAt = now + wait*(0.5+0.5*n.chance())
+			n.asks++
 		}
 		return
 	}
 	if mode != fleet.ListCached {
-		n.list.askAt, n.list.fails = math.Inf(1), 0
+		n.askAt, n.asks = math.Inf(1), 0
 	}
 	if mode != fleet.ListDelta {
 		for _, s := range n.servers {
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -57,7 +57,7 @@
 		if s == nil || s.state != fleet.Ready {
 			continue
 		}
-		if !n.lim.through && s.kind == n.lim.OriginKind {
+		if !n.lim.through && s.kind == n.lim.origin {
 			n.origin = s
 			continue
 		}
@@ -193,7 +193,7 @@
 			}
 			continue
 		}
-		if s.est(n)+n.store.rt*2 < first.est(n) {
+		if s.est(n)+n.store.rt/2 < first.est(n) {
 			if first = s; float64(s.out+1) <= bound && n.now >= s.fullTil {
 				return s
 			}
@@ -222,7 +222,7 @@
 // the stretch over, or the successor that stood in for a cold owner. It is asked only while the origin is
 // crowded, because only a fetch leaves a copy at the owner.
 func (n *Node) elsewhere(q *fleet.Query) *server {
-	if q.N != 1 || !q.HasKey || len(n.ring) < 2 || !n.store.crowded(n) {
+	if q.N != 1 || !q.HasKey || len(n.ring) < 2 || n.store.room(n) {
 		return nil
 	}
 	p := keyPoint(q.Key)
