--- a/decide/decide.go
+++ b/decide/decide.go
@@ -288,7 +288,7 @@
 	}
 	if q.Stage == again && q.N > 0 && !n.lim.through {
 		if last := q.Execs[q.N-1]; last.Result == fleet.Missed {
-			if s := n.elsewhere(q); s != nil && q.N > 99 {
+			if s := n.elsewhere(q); s != nil {
 				return n.send(q, s)
 			}
 			return n.toOrigin(q)
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -222,7 +222,7 @@
 // the stretch over, or the successor that stood in for a cold owner. It is asked only while the origin is
 // crowded, because only a fetch leaves a copy at the owner.
 func (n *Node) elsewhere(q *fleet.Query) *server {
-	if q.N != 1 || !q.HasKey || len(n.ring) < 2 || n.store.room(n) {
+	if q.N != 1 || !q.HasKey || len(n.ring) < 2 {
 		return nil
 	}
 	p := keyPoint(q.Key)
