--- a/decide/decide.go
+++ b/decide/decide.go
@@ -150,6 +150,9 @@
 	if q.Closed || q.Streamed {
 		return fleet.Move{}
 	}
+	if !q.HasKey && q.N == 0 {
+		q.Key = fleet.Key(n.chance() * (1 << 53)) // a place on the ring for a query that names none
+	}
 	return n.gate(q, n.place(q))
 }
 
@@ -218,7 +221,7 @@
 	n.now = now
 	q.Streamed = true
 	if exec >= 0 && exec < q.N {
-		n.servers[q.Execs[exec].Server].hear(n)
+		n.servers[q.Execs[exec].Server].quiet = now
 	}
 }
 
@@ -304,9 +307,12 @@
 		}
 		return n.giveUp(q, n.typical)
 	}
-	if most := n.lim.workloads[q.Workload].bearable; n.late > overload && s.est(n) > most {
-		if s = n.quickest(q); s.est(n) > most {
-			return n.giveUp(q, s.est(n))
+	if n.late > overload {
+		if t := n.quickest(q); t != nil {
+			s = t
+		}
+		if e := s.est(n); e > n.lim.workloads[q.Workload].bearable {
+			return n.giveUp(q, e)
 		}
 	}
 	return n.send(q, s)
@@ -366,7 +372,7 @@
 			q.Stage = out
 		}
 		if s != n.origin && n.looksBack(q) {
-			n.hold(q, n.now+n.patience(q, s))
+			n.hold(q, n.now+max(n.lim.workloads[q.Workload].slo/4, 3*s.pace))
 		}
 	case fleet.Reject:
 		if q.Out > 0 || !n.mayReject(q) {
--- a/decide/health.go
+++ b/decide/health.go
@@ -19,7 +19,7 @@
 	point, was float64 // on the ring now, and before the recent moves
 	wasAt      float64
 	at         int
-	moved      bool
+	used       bool // its reports moved it this time
 	stride     float64
 
 	report   fleet.Report
@@ -82,8 +82,6 @@
 	return e
 }
 
-func (s *server) hear(n *Node) { s.quiet = n.now }
-
 // sent books one more execution at s.
 func (n *Node) sent(s *server, q *fleet.Query) {
 	if s.out == 0 {
@@ -106,9 +104,7 @@
 	if s != n.origin {
 		n.atCaches--
 	}
-	if o.Report.Told {
-		n.takeReport(s, o.Report)
-	}
+	n.takeReport(s, o.Report)
 	if s == n.origin {
 		n.store.learn(n, q, e, o)
 	}
@@ -158,10 +154,10 @@
 		}
 	case fleet.Full:
 		s.fullTil = n.now + n.typical
-		s.hear(n)
+		s.quiet = n.now
 	}
 	if fail >= 0 && o.Result != fleet.TimedOut && o.Result != fleet.Cancelled {
-		s.hear(n)
+		s.quiet = n.now
 	}
 	if fail >= 0 && s != n.origin {
 		n.judge(s, fail)
@@ -215,36 +211,21 @@
 	return n.coldPart(s, p) && n.maySend(q, s)
 }
 
+// looksBack tells whether an execution of q can be joined or replaced while it is out.
+func (n *Node) looksBack(q *fleet.Query) bool {
+	return n.lim.workloads[q.Workload].effect == fleet.Idempotent && (n.lim.copies || n.lim.cancels)
+}
+
 // allowed is the time an execution gets. Where a silent one can be looked at again before, it gets all that is left:
 // a time-out kills heavy queries on sound servers, which take as long again elsewhere.
 func (n *Node) allowed(q *fleet.Query, s *server) float64 {
 	left := q.Deadline - n.now
 	w := &n.lim.workloads[q.Workload]
-	if w.effect == fleet.NonIdempotent || q.N+1 >= n.lim.maxExecs || s == n.origin || n.looksBack(q) {
+	need := max(w.slo/2, 4*s.est(n), 3*q.Work)
+	if w.effect == fleet.NonIdempotent || s == n.origin || n.looksBack(q) || need > left*0.7 {
 		return left
 	}
-	if need := max(w.slo/2, 4*s.est(n), 3*q.Work); need < left*0.7 {
-		return need
-	}
-	return left
-}
-
-// looksBack tells whether an execution of q can be joined or replaced while it is out.
-func (n *Node) looksBack(q *fleet.Query) bool {
-	return n.lim.workloads[q.Workload].effect == fleet.Idempotent && (n.lim.copies || n.lim.cancels)
-}
-
-// patience is how long a server may be silent before its queries are taken elsewhere.
-func (n *Node) patience(q *fleet.Query, s *server) float64 {
-	return max(n.lim.workloads[q.Workload].slo/4, 3*s.pace)
-}
-
-// stuckAfter is when a query whose work is told must be waiting behind others, for its own work is done by then.
-func (n *Node) stuckAfter(q *fleet.Query, s *server) float64 {
-	if q.Work <= 0 || n.gate4.mean <= 0 {
-		return math.Inf(1)
-	}
-	return max(n.lim.workloads[q.Workload].slo/2, 4*s.pace*q.Work/n.gate4.mean)
+	return need
 }
 
 // lookBack decides on a query whose execution is out for long. Only silence counts: a server that answers others
@@ -256,10 +237,12 @@
 	if q.Stage != out || q.Out != 1 || e.Result != fleet.Pending || e.Quit || q.N >= n.lim.maxExecs {
 		return fleet.Move{Action: fleet.Hold}
 	}
-	silent := n.now - max(s.quiet, e.Sent)
-	stuck := n.now-e.Sent >= n.stuckAfter(q, s) && n.lim.cancels
-	if silent >= n.patience(q, s) || stuck {
-		if t := n.route(q); (n.copies >= 1 || stuck) && t != nil && t != s && t.est(n) < (n.now-e.Sent)/2 {
+	slo, took := n.lim.workloads[q.Workload].slo, n.now-e.Sent
+	silent := n.now-max(s.quiet, e.Sent) >= max(slo/4, 3*s.pace)
+	// A query whose work is told and must be done by now is stuck behind others; its own work is still to come.
+	stuck := n.lim.cancels && q.Work > 0 && took >= max(slo/2, 4*s.pace*q.Work/n.gate4.mean)
+	if silent || stuck {
+		if t := n.route(q); (n.copies >= 1 || stuck) && t != nil && t != s && t.est(n) < took/2 {
 			if n.lim.copies && !stuck {
 				n.copies--
 				return fleet.Move{Action: fleet.Send, Server: t.id, Limit: q.Deadline - n.now}
@@ -268,16 +251,17 @@
 			return fleet.Move{Action: fleet.Cancel, Exec: last}
 		}
 	}
-	if next := n.now + n.lim.workloads[q.Workload].slo/8; next < q.Deadline-n.lim.slack {
+	if next := n.now + slo/8; next < q.Deadline-n.lim.slack {
 		return n.hold(q, next)
 	}
 	return fleet.Move{Action: fleet.Hold}
 }
 
-// takeReport keeps a server's report, and remembers its recent peaks.
+// takeReport keeps a server's report, which rides on every answer until the server makes a new one.
 func (n *Node) takeReport(s *server, r fleet.Report) {
-	if !differs(r.Util, s.report.Util) && !differs(r.Queue, s.report.Queue) && !differs(r.X0, s.report.X0) {
-		return // the same report again: it rides on every answer until the server refreshes it
+	same := func(a, b float64) bool { return a == b || a != a && b != b }
+	if !r.Told || same(r.Util, s.report.Util) && same(r.Queue, s.report.Queue) && same(r.X0, s.report.X0) {
+		return
 	}
 	s.news = true
 	if !math.IsNaN(r.Queue) {
@@ -289,13 +273,8 @@
 	s.report, s.reportAt = r, n.now
 }
 
-func differs(a, b float64) bool { return a != b && !(math.IsNaN(a) && math.IsNaN(b)) }
-
 // Probed reports the result of a probe.
 func (n *Node) Probed(now float64, id fleet.ServerID, res fleet.Result, took float64, r fleet.Report) {
 	n.now = now
-	s := n.servers[id]
-	if r.Told {
-		n.takeReport(s, r)
-	}
+	n.takeReport(n.servers[id], r)
 }
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -10,14 +10,15 @@
 
 // The move's figures as the thesis gives them (section 3.1, MOVE).
 const (
-	gamma  = 5.0
-	alpha  = 3.0
-	slope  = (gamma - 1) / alpha
-	beta   = 0.1
-	margin = 0.05 * gamma
-	stride = 0.7 // share of x taken in a first move, since reports lag behind it
-	spread = 1.25
-	settle = 0.85 // by which each move shortens the next, so that rings come to rest and keys stay
+	gamma    = 5.0
+	alpha    = 3.0
+	slope    = (gamma - 1) / alpha
+	beta     = 0.1
+	margin   = 0.05 * gamma
+	stride   = 0.7 // share of x taken in a first move, since reports lag behind it
+	spread   = 1.25
+	handover = 10   // periods for which a server is asked for keys it handed over
+	settle   = 0.85 // by which each move shortens the next, so that rings come to rest and keys stay
 )
 
 // mix spreads the bits of an fnv sum, whose high ones hardly differ for names that are alike.
@@ -95,31 +96,31 @@
 	return span(n.neighbour(i, -1).point, n.ring[i].point)
 }
 
+func loadCPU(c float64) float64 {
+	if c > alpha {
+		return gamma
+	}
+	return 1 + slope*c
+}
+
+func loadMemory(free float64) float64 {
+	if free > beta {
+		return 1
+	}
+	return gamma - (gamma-1)/beta*free
+}
+
 // level is a server's load as the thesis sums it: CPU, utilisation and memory, each 1 to gamma, equally weighted.
-// Values that are not reported leave the sum.
+// A hit share below the server's own recent level stands for memory running short. What is not reported is NaN
+// and leaves the sum.
 func (s *server) level() float64 {
 	sum, k := 0.0, 0.0
-	add := func(v float64) { sum, k = sum+min(max(v, 1), gamma), k+1 }
-	if u := s.report.Util; !math.IsNaN(u) {
-		if c := alpha * u; c > alpha {
-			add(gamma)
-		} else {
-			add(1 + slope*c)
-		}
-	}
-	if q := s.report.Queue; !math.IsNaN(q) && s.peak > 0 {
-		add(1 + (gamma-1)*q/s.peak)
-	}
-	if x := s.report.X0; !math.IsNaN(x) && s.hits > 0 {
-		if free := beta * x / s.hits; free <= beta {
-			add(gamma - (gamma-1)/beta*free)
-		} else {
-			add(1)
+	for _, v := range [...]float64{loadCPU(alpha * s.report.Util), 1 + (gamma-1)*s.report.Queue/s.peak,
+		loadMemory(beta * s.report.X0 / s.hits)} {
+		if !math.IsNaN(v) {
+			sum, k = sum+min(max(v, 1), gamma), k+1
 		}
 	}
-	if k == 0 {
-		return math.NaN()
-	}
 	return sum / k
 }
 
@@ -131,115 +132,75 @@
 // moveRing moves every point whose server is loaded above its successor by the margin, each on reports
 // not used before: an old number must not move a point twice.
 func (n *Node) moveRing() {
-	if len(n.ring) < 2 {
-		return
-	}
 	for i, s := range n.ring {
 		next := n.neighbour(i, 1)
-		if !s.news || !next.news || s.ejected || next.ejected {
-			continue
-		}
-		own, succ := s.level(), next.level()
-		if !(own > succ+margin) {
+		if !s.news || !next.news || s.ejected || next.ejected || !(s.level() > next.level()+margin) {
 			continue
 		}
-		x := shift(own, succ, n.arc(i), n.arc(next.at)) * s.stride
-		if x <= 0 {
+		x := shift(s.level(), next.level(), n.arc(i), n.arc(next.at)) * s.stride
+		if x = min(x, n.arc(i)/2); x <= 0 || s == next {
 			continue
 		}
-		x = min(x, n.arc(i)/2)
-		if n.now-s.wasAt > n.lim.period*10 {
+		if n.now-s.wasAt > handover*n.lim.period {
 			s.was, s.wasAt = s.point, n.now
 		}
 		if s.point -= x; s.point < 0 {
 			s.point++
 		}
-		s.moved = true
 		s.stride = max(s.stride*settle, 0.05)
+		s.used = true
 	}
 	for _, s := range n.ring {
-		if s.moved {
-			s.news, s.moved = false, false
-		}
+		s.news, s.used = s.news && !s.used, false
 	}
 	n.rebuild()
 }
 
-// route walks from the key's owner along its successors to the first server that can take q.
+// route walks from the key's owner along its successors. Departure: an owner that holds more than its share of
+// this node's queries hands the next one on, when the wait that saves is longer than what a miss costs more.
 func (n *Node) route(q *fleet.Query) *server {
-	if len(n.ring) == 0 {
-		return nil
-	}
-	p := 0.0
-	if q.HasKey {
-		p = keyPoint(q.Key)
-	} else {
-		p = n.chance()
-	}
-	i := n.owner(p)
-	var first *server
 	bound := math.Ceil(spread * float64(n.atCaches+1) / float64(len(n.ring)))
-	for k := range n.ring {
-		s := n.neighbour(i, k)
-		if !n.takes(s, q, p, k == 0) {
-			continue
-		}
-		// Departure: an owner that holds more than its share of this node's queries hands the next one to its
-		// successor, when the wait that saves is longer than what a miss there costs more.
-		if first == nil {
-			first = s
-			if float64(s.out+1) <= bound && n.now >= s.fullTil {
-				return s
-			}
-			continue
-		}
-		if s.est(n)+n.store.rt/2 < first.est(n) {
-			if first = s; float64(s.out+1) <= bound && n.now >= s.fullTil {
-				return s
-			}
-		}
-	}
-	return first
+	return n.walk(q, len(n.ring), bound, n.store.rt/2)
 }
 
-// quickest is the server with the shortest expected wait among those that can take q; route has found one.
-func (n *Node) quickest(q *fleet.Query) *server {
+// quickest is the owner or one of its two successors, whichever answers soonest.
+func (n *Node) quickest(q *fleet.Query) *server { return n.walk(q, min(3, len(n.ring)), 0, 0) }
+
+// walk takes the first server that can take q and holds less than bound, and on the way there leaves each choice
+// only for one that is quicker by more than gain.
+func (n *Node) walk(q *fleet.Query, reach int, bound, gain float64) *server {
 	p := keyPoint(q.Key)
 	i := n.owner(p)
-	var best *server
-	for k := range min(3, len(n.ring)) {
-		if s := n.neighbour(i, k); n.takes(s, q, p, k == 0) && (best == nil || s.est(n) < best.est(n)) {
-			best = s
+	var pick *server
+	for k := range reach {
+		s := n.neighbour(i, k)
+		if !n.takes(s, q, p, k == 0) || pick != nil && s.est(n)+gain >= pick.est(n) {
+			continue
+		}
+		if pick = s; float64(s.out+1) <= bound && n.now >= s.fullTil {
+			break
 		}
 	}
-	if best == nil {
-		return n.route(q)
-	}
-	return best
+	return pick
 }
 
 // elsewhere names the server that may still hold a key after a miss at its owner: the predecessor that handed
 // the stretch over, or the successor that stood in for a cold owner. It is asked only while the origin is
 // crowded, because only a fetch leaves a copy at the owner.
 func (n *Node) elsewhere(q *fleet.Query) *server {
-	if q.N != 1 || !q.HasKey || len(n.ring) < 2 {
+	if q.N != 1 || len(n.ring) < 2 || n.store.room(n) {
 		return nil
 	}
 	p := keyPoint(q.Key)
 	i := n.owner(p)
-	o := n.ring[i]
-	if q.Execs[0].Server != o.id {
-		return nil
-	}
+	o, s := n.ring[i], n.neighbour(i, -1)
 	if o.warmth(n) < 1 {
-		if s := n.neighbour(i, 1); n.takes(s, q, p, false) {
-			return s
-		}
+		s = n.neighbour(i, 1)
+	} else if n.now-s.wasAt > handover*n.lim.period || span(s.point, p) > span(s.point, s.was) {
 		return nil
 	}
-	s := n.neighbour(i, -1)
-	if n.now-s.wasAt < n.lim.period*10 && span(s.point, p) <= span(s.point, s.was) && n.takes(s, q, p, false) {
-		return s
+	if q.Execs[0].Server != o.id || !n.takes(s, q, p, false) {
+		return nil
 	}
-	return nil
+	return s
 }
