--- a/decide/admit.go
+++ b/decide/admit.go
@@ -20,17 +20,16 @@
 
 // learn widens the window while answers come in time and cuts it, once per answer time, when they do not.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
-	slow := o.Result == fleet.TimedOut || o.Result == fleet.Failed || o.Result == fleet.Full ||
-		o.Result == fleet.Reset || o.Result == fleet.ConnectFailed
 	if o.Result == fleet.Completed {
 		k.rt += 0.1 * (o.Took - k.rt)
-		slow = o.Took > n.lim.sloMin
 	}
-	if slow && e.Sent >= k.cutAt {
-		k.window = max(1, k.window*0.7)
-		k.cutAt = n.now
-	}
-	if o.Result == fleet.Completed && !slow && float64(n.origin.out+1) >= k.window-1 {
+	switch {
+	case o.Result == fleet.Cancelled || o.Result == fleet.NotSent:
+	case o.Result != fleet.Completed || o.Took > n.lim.sloMin:
+		if e.Sent >= k.cutAt {
+			k.window, k.cutAt = max(1, k.window*0.7), n.now
+		}
+	case float64(n.origin.out+1) >= k.window-1:
 		k.window = min(64, k.window+1/k.window)
 	}
 }
@@ -40,29 +39,24 @@
 	if len(k.waiting) == 0 || !k.room(n) {
 		return fleet.NoQuery
 	}
-	pick, top := fleet.NoQuery, math.Inf(-1)
+	at, top := -1, math.Inf(-1)
 	kept := k.waiting[:0]
 	for _, r := range k.waiting {
 		q := n.slab.Get(r)
 		if q == nil || q.Closed || q.Stage != queued {
 			continue
 		}
-		kept = append(kept, r)
 		if v := n.worth(q); v > top {
-			pick, top = r, v
+			at, top = len(kept), v
 		}
+		kept = append(kept, r)
 	}
-	k.waiting = kept
-	if pick == fleet.NoQuery {
-		return pick
-	}
-	for i, r := range kept {
-		if r == pick {
-			k.waiting = append(kept[:i], kept[i+1:]...)
-			break
-		}
+	if k.waiting = kept; at < 0 {
+		return fleet.NoQuery
 	}
-	return pick
+	r := kept[at]
+	k.waiting = append(kept[:at], kept[at+1:]...)
+	return r
 }
 
 // worth orders the wait at the origin: importance first, then the time left.
@@ -78,8 +72,8 @@
 		return n.giveUp(q, n.lim.sloMin)
 	}
 	if q.HasKey && !q.Write {
-		if m, ok := n.follow(q); ok {
-			return m
+		if n.leads(q) {
+			return n.follow(q)
 		}
 		n.fetches[q.Key] = q.Ref
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,6 +23,7 @@
 	following       // waits for another query's fetch of the same key
 	queued          // waits for room at the origin
 	fetching        // an execution is out at the origin
+	missed          // the last cache asked had no copy
 	again           // is to be routed anew
 )
 
@@ -174,13 +175,20 @@
 	if q.Streamed {
 		return fleet.Move{}
 	}
-	if s == n.origin || q.Stage == fetching && o.Result != fleet.Missed {
+	if s == n.origin {
 		n.release(q) // the fetch is over and brought nothing; its followers look for themselves
 	}
 	if q.Out > 0 {
 		return fleet.Move{Action: fleet.Hold}
 	}
-	q.Stage = again
+	switch {
+	case o.Result == fleet.Missed && s != n.origin:
+		q.Stage = missed
+	case s == n.origin:
+		q.Stage = queued
+	default:
+		q.Stage = again
+	}
 	return n.gate(q, n.place(q))
 }
 
@@ -277,34 +285,27 @@
 
 // place chooses for an open query; gate has the last word.
 func (n *Node) place(q *fleet.Query) fleet.Move {
-	if q.Out > 0 {
+	switch {
+	case q.Out > 0:
 		return n.lookBack(q)
-	}
-	if q.Deadline-n.now <= n.lim.slack || q.N >= n.lim.maxExecs {
+	case q.Deadline-n.now <= n.lim.slack || q.N >= n.lim.maxExecs:
 		return n.giveUp(q, n.lim.sloMin)
-	}
-	if !n.lim.through && q.Write {
+	case n.lim.through:
+	case q.Write || q.Stage == queued:
 		return n.toOrigin(q)
-	}
-	if q.Stage == queued {
-		return n.toOrigin(q)
-	}
-	if q.Stage == again && q.N > 0 && !n.lim.through {
-		if last := q.Execs[q.N-1]; last.Result == fleet.Missed {
-			if s := n.elsewhere(q); s != nil {
-				return n.send(q, s)
-			}
-			return n.toOrigin(q)
+	case q.Stage == missed:
+		if s := n.elsewhere(q); s != nil {
+			return n.send(q, s)
 		}
-	}
-	if m, ok := n.follow(q); ok {
-		return m
+		return n.toOrigin(q)
+	case n.leads(q):
+		return n.follow(q)
 	}
 	s := n.route(q)
+	if s == nil && n.origin != nil {
+		return n.toOrigin(q)
+	}
 	if s == nil {
-		if !n.lim.through && n.origin != nil {
-			return n.toOrigin(q)
-		}
 		return n.giveUp(q, n.typical)
 	}
 	if n.late > overload {
@@ -318,18 +319,17 @@
 	return n.send(q, s)
 }
 
-// follow makes q wait for a fetch of its key that this node already has under way.
-func (n *Node) follow(q *fleet.Query) (fleet.Move, bool) {
-	if n.lim.through || !q.HasKey || q.Write {
-		return fleet.Move{}, false
-	}
-	r, there := n.fetches[q.Key]
-	if lead := n.slab.Get(r); !there || lead == nil || lead == q || lead.Closed {
-		return fleet.Move{}, false
-	}
-	q.Stage, q.Leader = following, r
+// leads tells whether another query of this node has a fetch of q's key under way.
+func (n *Node) leads(q *fleet.Query) bool {
+	lead := n.slab.Get(n.fetches[q.Key])
+	return q.HasKey && !q.Write && lead != nil && lead != q && !lead.Closed
+}
+
+// follow makes q wait for that fetch.
+func (n *Node) follow(q *fleet.Query) fleet.Move {
+	q.Stage, q.Leader = following, n.fetches[q.Key]
 	n.follows = append(n.follows, q.Ref)
-	return n.hold(q, q.Deadline-n.lim.slack), true
+	return n.hold(q, q.Deadline-n.lim.slack)
 }
 
 // send proposes an execution at s and says how long it may take.
