--- a/decide/health.go
+++ b/decide/health.go
@@ -109,9 +109,11 @@
 		n.store.learn(n, q, e, o)
 	}
 	heardSince := s.quiet > e.Sent
-	if s != n.origin && !o.Result.NeverRan() && (heardSince || o.Result == fleet.Completed) {
+	if full := o.Result == fleet.Full; s != n.origin && (full || !o.Result.NeverRan() && (heardSince || o.Result == fleet.Completed)) {
 		late := 0.0
-		if n.now-q.Arrived > n.lim.workloads[q.Workload].slo*0.8 {
+		if full {
+			late = 0.4
+		} else if n.now-q.Arrived > n.lim.workloads[q.Workload].slo*0.8 {
 			late = 1
 		}
 		n.late += 0.05 * (late - n.late)
