--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,278 @@
+package decide
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+
+	"mintspring/fleet"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "11", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil { // the verdict must not vary
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// The module and the plain model must agree on what is allowed, whatever happens.
+func TestRulesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lim := plainLimits()
+		lim.Seed = rapid.Uint64().Draw(t, "seed")
+		lim.SecondCopies = rapid.Bool().Draw(t, "copies")
+		lim.Cancelling = rapid.Bool().Draw(t, "cancels")
+		lim.MaxExecutions = rapid.IntRange(1, 5).Draw(t, "executions")
+		if rapid.Bool().Draw(t, "through") {
+			lim.OriginKind = -1
+		}
+		for i := range lim.Workloads {
+			lim.Workloads[i].Scope = fleet.Scope(rapid.IntRange(0, 2).Draw(t, "scope"))
+			lim.Workloads[i].DedupSpan = rapid.Float64Range(50, 1000).Draw(t, "span")
+		}
+		w := newWorld(lim)
+		n := rapid.IntRange(1, 6).Draw(t, "servers")
+		w.servers(n)
+		results := []fleet.Result{fleet.Completed, fleet.Completed, fleet.Missed, fleet.Missed, fleet.Failed, fleet.Full,
+			fleet.ConnectFailed, fleet.Reset, fleet.NotSent}
+		for range rapid.IntRange(5, 80).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1, 2:
+				w.ask(rapid.IntRange(0, 2).Draw(t, "load"), fleet.Key(rapid.IntRange(1, 12).Draw(t, "key")),
+					rapid.Bool().Draw(t, "write"), rapid.Float64Range(1, 900).Draw(t, "allowed"))
+			case 3, 4, 5:
+				if len(w.open) > 0 {
+					tr := rapid.SampledFrom(w.open).Draw(t, "query")
+					for i := range tr.runs {
+						if tr.runs[i].result == fleet.Pending {
+							w.end(tr, i, rapid.SampledFrom(results).Draw(t, "result"), fleet.NoteHit)
+							break
+						}
+					}
+				}
+			case 6, 7:
+				w.pass(rapid.Float64Range(1, 400).Draw(t, "time"))
+			case 8:
+				m := w.list[fleet.ServerID(rapid.IntRange(0, n).Draw(t, "server"))]
+				m.State = fleet.State(rapid.IntRange(0, 2).Draw(t, "state"))
+				if rapid.Bool().Draw(t, "restart") {
+					m.Started = w.now
+				}
+				w.tell(fleet.ListDelta, m)
+			case 9:
+				if len(w.open) > 0 {
+					tr := rapid.SampledFrom(w.open).Draw(t, "leaver")
+					if q := w.slab.Get(tr.ref); q != nil && tr.answers == 0 && !tr.left {
+						tr.left = true
+						w.node.Left(w.now, q)
+						w.settle()
+					}
+				}
+			}
+		}
+		w.pass(1500)
+		if w.failed != "" {
+			t.Fatal(w.failed)
+		}
+	})
+}
+
+func TestMoveFormula(t *testing.T) {
+	near := func(what string, got, want float64) {
+		t.Helper()
+		if math.Abs(got-want) > 1e-9 {
+			t.Errorf("%s: got %v, want %v", what, got, want)
+		}
+	}
+	// 4 on an arc of 0.3 beside 2 on 0.1: x = (1.2-0.2)/6, and the arcs come out as 2 to 4.
+	x := shift(4, 2, 0.3, 0.1)
+	near("x", x, 1.0/6)
+	near("ratio after the move", (0.3-x)/(0.1+x), 2.0/4)
+	near("negative x", shift(4, 3, 0.1, 0.3), -0.5/7)
+	near("CPU at rest", loadCPU(0), 1)
+	near("CPU below alpha", loadCPU(1.5), 3)
+	near("CPU at alpha", loadCPU(3), 5)
+	near("CPU above alpha", loadCPU(3.1), 5)
+	near("memory above beta", loadMemory(0.11), 1)
+	near("memory at beta", loadMemory(0.1), 1)
+	near("memory half of beta", loadMemory(0.05), 3)
+	near("memory used up", loadMemory(0), 5)
+	s := server{report: fleet.NewReport(), peak: 1}
+	if !math.IsNaN(s.level()) {
+		t.Error("a server without reports has a level")
+	}
+	s.report.Util = 0.5
+	near("level by utilisation alone", s.level(), 3)
+	s.report.Queue, s.peak = 5, 10
+	s.report.X0, s.hits = 0.3, 0.6
+	near("all three levels", s.level(), 3)
+}
+
+func report(util float64) fleet.Report {
+	r := fleet.NewReport()
+	r.Told, r.Util = true, util
+	return r
+}
+
+// A report moves a point once, only backwards, never past its predecessor, and not while the margin is kept.
+func TestMoveUsesAReportOnce(t *testing.T) {
+	w := newWorld(plainLimits())
+	w.servers(4)
+	n := w.node
+	for _, s := range n.ring {
+		n.takeReport(s, report(0.3))
+	}
+	s := n.ring[2]
+	n.takeReport(s, report(0.9))
+	before, arc := s.point, n.arc(2)
+	s.point, n.neighbour(2, 1).point = before, n.neighbour(2, 1).point
+	x := shift(s.level(), n.neighbour(2, 1).level(), arc, n.arc(3))
+	n.moveRing()
+	if want := min(max(0, x*stride), arc/2); math.Abs(span(s.point, before)-want) > 1e-9 {
+		t.Errorf("moved by %v, want %v", span(s.point, before), want)
+	}
+	after := s.point
+	n.moveRing()
+	if s.point != after {
+		t.Error("an old report moved the point again")
+	}
+}
+
+// Joining takes keys only for the joiner; leaving gives keys only to the successor.
+func TestRemap(t *testing.T) {
+	w := newWorld(plainLimits())
+	w.servers(8)
+	owners := func() (o [2000]fleet.ServerID) {
+		for k := range o {
+			o[k] = w.node.ring[w.node.owner(keyPoint(fleet.Key(k)))].id
+		}
+		return o
+	}
+	full := owners()
+	m := w.list[3]
+	next := w.node.neighbour(w.node.servers[3].at, 1).id
+	m.State = fleet.Draining
+	w.tell(fleet.ListDelta, m)
+	for k, o := range owners() {
+		if full[k] != o && (full[k] != 3 || o != next) {
+			t.Fatalf("key %d went from %d to %d when 3 left", k, full[k], o)
+		}
+	}
+	m.State = fleet.Ready
+	w.tell(fleet.ListDelta, m)
+	if owners() != full {
+		t.Error("the ring is another after leaving and joining")
+	}
+}
+
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	w := newWorld(plainLimits())
+	w.servers(8)
+	k := fleet.Key(0)
+	one := func() {
+		k++
+		q := w.slab.Take()
+		q.Key, q.HasKey, q.Arrived, q.Deadline = k%50, true, w.now, w.now+500
+		w.node.Where(w.now, q)
+		w.now += 2
+		w.node.After(w.now, q, fleet.Outcome{Result: fleet.Completed, Took: 2, Over: true, Report: report(0.3)})
+		w.slab.Free(q)
+		w.node.Wait(w.now)
+	}
+	for range 1000 {
+		one()
+	}
+	if a := testing.AllocsPerRun(2000, one); a > 0 {
+		t.Errorf("%v allocations a query", a)
+	}
+}
+
+// A server that hangs is left for its successor, and comes back after trials that went well.
+func TestHangingServerIsLeftAndTriedAgain(t *testing.T) {
+	w := newWorld(plainLimits())
+	w.servers(6)
+	key := fleet.Key(7)
+	own := w.node.ring[w.node.owner(keyPoint(key))].id
+	answer := func(all bool) {
+		for _, tr := range w.open {
+			for i := range tr.runs {
+				if tr.runs[i].result == fleet.Pending && (all || tr.runs[i].server != own) {
+					w.end(tr, i, fleet.Completed, fleet.NoteHit)
+				}
+			}
+		}
+	}
+	for range 60 {
+		w.ask(0, key, false, 900)
+		w.pass(40)
+		answer(false)
+	}
+	if !w.node.servers[own].ejected {
+		t.Fatal("the hanging server was not ejected")
+	}
+	for range 400 {
+		w.ask(0, key, false, 900)
+		w.pass(40)
+		answer(true)
+	}
+	if w.node.servers[own].ejected {
+		t.Error("the sound server was not taken back")
+	}
+	if w.failed != "" {
+		t.Error(w.failed)
+	}
+}
+
+// A cold server gets a growing part of its arc, within its budget.
+func TestColdServerGetsAGrowingPart(t *testing.T) {
+	w := newWorld(plainLimits())
+	w.servers(5)
+	sent := map[fleet.ServerID]int{}
+	load := func(queries int) {
+		clear(sent)
+		for i := range queries {
+			tr := w.ask(0, fleet.Key(1000+i), false, 900)
+			sent[tr.runs[0].server]++
+			w.pass(2)
+			w.end(tr, 0, fleet.Completed, fleet.NoteHit)
+		}
+	}
+	load(2000)
+	m := w.list[2]
+	arc := w.node.arc(w.node.servers[2].at)
+	m.Started = w.now
+	w.tell(fleet.ListDelta, m)
+	load(500)
+	if most := 500 * min(arc, 0.2) * 0.3; float64(sent[2]) > most+10 {
+		t.Errorf("a cold server got %d of 500 queries, at most %.0f wanted", sent[2], most)
+	}
+	w.pass(20000)
+	load(2000)
+	if sent[2] == 0 {
+		t.Error("a warm server got nothing")
+	}
+}
+
+// One node's misses of a key share one fetch; the others are answered by the copy it leaves.
+func TestMissesShareAFetch(t *testing.T) {
+	w := newWorld(plainLimits())
+	w.servers(4)
+	first := w.ask(0, 9, false, 900)
+	w.end(first, 0, fleet.Missed, fleet.NoteMiss)
+	second := w.ask(0, 9, false, 900)
+	if len(first.runs) != 2 || first.runs[1].server != 4 || len(second.runs) != 0 {
+		t.Fatalf("first %v, second %v", first.runs, second.runs)
+	}
+	w.end(first, 1, fleet.Completed, fleet.NoteNone)
+	if len(second.runs) != 1 || second.runs[0].server != first.runs[0].server {
+		t.Errorf("the second query went to %v", second.runs)
+	}
+}
--- a/decide/health.go
+++ b/decide/health.go
@@ -150,8 +150,9 @@
 			s.ah += 0.3 * (e.Ahead - s.ah)
 			s.rtAt = n.now
 		}
-		// Slow is not dead: only a server that answered nothing since the execution left is held for silent.
-		if !heardSince && !(e.Quit && q.Closed) {
+		// Slow is not dead: only a server that answered nothing since the execution left is held for silent,
+		// be it that the client got its answer from a second copy.
+		if !heardSince && o.Took >= n.lim.workloads[q.Workload].slo/4 {
 			fail = 1
 		}
 	case fleet.Full:
--- /dev/null
+++ b/simwire/simwire_test.go
@@ -0,0 +1,56 @@
+package simwire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+const env = `{"Workloads":[{"Effect":"pure","SloTime":300000,"StatementTimeout":900000,"Importance":1}],` +
+	`"Discovery":"subscribe","Later":{"x":[1]},"PolicyLimits":{"MaxExecutions":3},"Guarantees":{"MustAskIn":9000000}}`
+
+func play(t *testing.T, in string) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	err := NewHost(strings.NewReader(in), &out).Run()
+	return out.String(), err
+}
+
+func TestRound(t *testing.T) {
+	out, err := play(t, "ROUND Moment=1000\nOVER_TO_YOU\n"+
+		"ROUND Moment=5000000\nSPAWN Who=3 Prng=9 New=1 Env="+env+"\n"+
+		"LEDGER Elements=1 Slot=0\nSERVER Server=10.0.0.1:11211 Mode=2 Size=1.5\n"+
+		"ANNOUNCE Slot=0 Stamp=4 Mode=2 Who=3\n"+
+		"LEDGER Slot=0 Elements=0\nOVER_TO_YOU\n"+
+		"ROUND Moment=5001000\nKNOCK PathKey=91f03b7c55d20a64 Job=77 Who=3 DropDead=5400000 Odd=x\nELAPSED Who=9 KeyBack=1\nOVER_TO_YOU\n"+
+		"ROUND Moment=5020000\nVERDICT Who=3 Job=77 Go=0 Server=10.0.0.1:11211 Result=ok CostTime=18500 Over=1 "+
+		"Usage=cpu:0.5,novel:3\nDROPPED Who=3 Job=77\nEXIT Who=3\nOVER_TO_YOU\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"END\nKEEP_INFORMED Who=3 Active=1\n", "SEND Who=3 Job=77 Server=10.0.0.1:11211 Limit=150000\n"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("reply lacks %q:\n%s", want, out)
+		}
+	}
+	if strings.Count(out, "END\n") != 4 {
+		t.Errorf("replies: %s", out)
+	}
+}
+
+func TestMalformedInputNamesTheLine(t *testing.T) {
+	for _, c := range []struct{ in, want string }{
+		{"HELLO\n", "line 1: message \"HELLO\""},
+		{"ROUND Moment=1\nKNOCK Who=1 Job=x\nOVER_TO_YOU\n", "line 2: bad value \"x\" for Job"},
+		{"ROUND Moment=1\nWAVE Who=1\nOVER_TO_YOU\n", "line 2: message \"WAVE\""},
+		{"ROUND Moment=1\nKNOCK Who=1 Job\n", "line 2: part \"Job\""},
+		{"ROUND Moment=1\nEXIT Who=1\n", "line 2: input ends within a batch"},
+		{"ROUND Moment=1\nEXIT Wh", "line 2: input ends within a line"},
+		{"ROUND Moment=1\nSPAWN Who=1 Prng=1 Env={\nOVER_TO_YOU\n", "line 2: settings"},
+		{"ROUND Moment=1\nLEDGER Slot=16 Elements=0\n", "line 2: list 16"},
+	} {
+		if out, err := play(t, c.in); err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(out, "END") {
+			t.Errorf("%q: error %v, output %q, want %q", c.in, err, out, c.want)
+		}
+	}
+}
