--- a/decide/admit.go
+++ b/decide/admit.go
@@ -46,7 +46,8 @@
 		if q == nil || q.Closed || q.Stage != queued {
 			continue
 		}
-		if v := n.worth(q); v > top {
+		w := &n.lim.workloads[q.Workload]
+		if v := w.rank / (1 + (q.Deadline-n.now)/w.slo); v > top { // importance first, then the time left
 			at, top = len(kept), v
 		}
 		kept = append(kept, r)
@@ -59,22 +60,16 @@
 	return r
 }
 
-// worth orders the wait at the origin: importance first, then the time left.
-func (n *Node) worth(q *fleet.Query) float64 {
-	w := &n.lim.workloads[q.Workload]
-	return w.rank / (1 + (q.Deadline-n.now)/w.total)
-}
-
 // toOrigin sends q to the origin when there is room, queues it while an answer in time is likely, or gives it up.
 func (n *Node) toOrigin(q *fleet.Query) fleet.Move {
 	k := &n.store
 	if n.origin == nil {
 		return n.giveUp(q, n.lim.sloMin)
 	}
+	if n.leads(q) {
+		return n.follow(q)
+	}
 	if q.HasKey && !q.Write {
-		if n.leads(q) {
-			return n.follow(q)
-		}
 		n.fetches[q.Key] = q.Ref
 	}
 	if k.room(n) || q.Write && float64(n.origin.out) < k.window+2 {
@@ -116,7 +111,7 @@
 		return true
 	}
 	pred := n.neighbour(s.at, -1)
-	return span(pred.point, p) <= min(n.arc(s.at), 1/float64(len(n.ring)))*g
+	return fleet.Span(pred.point, p) <= min(n.arc(s.at), 1/float64(len(n.ring)))*g
 }
 
 func (m *meter) cost(q *fleet.Query) float64 {
@@ -126,21 +121,15 @@
 	return 1
 }
 
-// refill lets a cold server's budget grow: half of what it bears before it falls, divided as traffic is.
-func (m *meter) refill(n *Node, s *server) float64 {
-	rate := n.lim.coldRate * s.warmth(n) * m.rate / float64(max(1, len(n.ring)))
-	most := max(1, rate*n.lim.coldBurst)
-	s.tokens = min(most, s.tokens+rate*(n.now-s.tokenAt))
-	s.tokenAt = n.now
-	return most
-}
-
-// room tells whether a cold server may be given q.
+// room tells whether a cold server may be given q. Its budget grows with half of what it bears before it falls,
+// divided over the nodes as traffic is.
 func (m *meter) room(n *Node, s *server, q *fleet.Query) bool {
 	if s == n.origin || s.warmth(n) >= 1 {
 		return true
 	}
-	most := m.refill(n, s)
+	rate := n.lim.coldRate * s.warmth(n) * m.rate / float64(max(1, len(n.ring)))
+	most := max(1, rate*n.lim.coldBurst)
+	s.tokens, s.tokenAt = min(most, s.tokens+rate*(n.now-s.tokenAt)), n.now
 	return s.tokens >= min(m.cost(q), most)
 }
 
@@ -149,23 +138,17 @@
 	if s == n.origin {
 		return
 	}
+	if m.mean == 0 {
+		m.mean = q.Work
+	}
 	if q.Work > 0 {
-		if m.mean == 0 {
-			m.mean = q.Work
-		}
 		m.mean += 0.02 * (q.Work - m.mean)
 	}
 	c := m.cost(q)
-	if s.warmth(n) < 1 {
-		s.tokens -= c
-	}
+	s.tokens -= c // means something while s is cold only
 	m.sum += c
 	if d := n.now - m.since; d >= n.lim.period {
-		f := 0.3
-		if m.rate == 0 {
-			f = 1
-		}
-		m.rate += f * (m.sum/d - m.rate)
+		m.rate += 0.3 * (m.sum/d - m.rate)
 		m.sum, m.since = 0, n.now
 	}
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -60,15 +60,13 @@
 	span     float64 // repeats are dropped for so long
 	slo      float64
 	bearable float64 // wait up to which it is let in while the node is overloaded
-	rank     float64 // importance per unit of the longest wait
-	total    float64 // statement timeout
+	rank     float64 // importance
 }
 
 // limits are the figures derived from the settings; the settings themselves are not kept.
 type limits struct {
 	workloads  []workload
-	origin     fleet.KindID
-	through    bool // servers fetch for themselves
+	origin     fleet.KindID // below 0: servers fetch for themselves
 	maxExecs   int
 	copies     bool // two executions of a query may be out
 	cancels    bool
@@ -86,7 +84,7 @@
 
 // derive turns settings into the figures that decisions use.
 func derive(l fleet.Limits) limits {
-	d := limits{origin: l.OriginKind, through: l.OriginKind < 0, maxExecs: min(max(l.MaxExecutions, 1), fleet.MaxExecs),
+	d := limits{origin: l.OriginKind, maxExecs: min(max(l.MaxExecutions, 1), fleet.MaxExecs),
 		copies: l.SecondCopies, cancels: l.Cancelling, copyRate: 0.05 / (0.5 + 2*l.WasteCost), sloMin: math.Inf(1),
 		coldFrom: l.StartCapacity, warmWithin: l.WarmWithin, coldRate: l.FallMultiple / 2, coldBurst: l.TipAfter / 2}
 	top := 0.0
@@ -102,7 +100,7 @@
 			// What would come late only takes the place of what would not, and a crowded server loses capacity:
 			// in overload waits are kept short, the shorter the less important a workload is.
 			bearable: w.SLOTime * (1 + w.LateShare) * (0.15 + 0.1*w.Importance/max(top, 1e-9)),
-			rank:     w.Importance, total: max(w.StatementTimeout, 1)})
+			rank:     w.Importance})
 	}
 	d.slack = l.Quantum + d.sloMin/100
 	if d.period = d.sloMin; l.WarmWithin > 0 {
@@ -124,8 +122,9 @@
 	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed, fetches: map[fleet.Key]fleet.Ref{}}
 	n.typical = n.lim.sloMin / 8
 	n.store = stock{window: 4, rt: n.lim.sloMin / 4}
-	if n.askAt = math.Inf(1); n.lim.askWithin > 0 {
-		n.askAt = now
+	n.askAt = now
+	if n.lim.askWithin == 0 {
+		n.askAt = math.Inf(1)
 	}
 	n.moveAt = now + n.lim.period*(0.5+0.5*n.chance())
 	return n
@@ -139,7 +138,7 @@
 	binary.LittleEndian.PutUint64(b[8:], n.draws)
 	h := fnv.New64a()
 	h.Write(b[:])
-	return float64(mix(h.Sum64())>>11) / (1 << 53)
+	return fleet.Unit(h.Sum64())
 }
 
 // Where says where to send q now, to hold it, or to answer it finally. With no query it does the node's upkeep.
@@ -226,11 +225,7 @@
 
 // Begun reports that the answer of q streams: it belongs to the client now.
 func (n *Node) Begun(now float64, q *fleet.Query, exec int) {
-	n.now = now
-	q.Streamed = true
-	if exec >= 0 && exec < q.N {
-		n.servers[q.Execs[exec].Server].quiet = now
-	}
+	n.now, q.Streamed = now, true
 }
 
 // Left reports that the client of q is gone.
@@ -272,12 +267,10 @@
 
 // cancelLoser stops an execution that nobody waits for any more, where that frees work.
 func (n *Node) cancelLoser(q *fleet.Query) fleet.Move {
-	if q.Out > 0 && n.lim.cancels && !q.Streamed {
-		for i := range q.Execs[:q.N] {
-			if e := &q.Execs[i]; e.Result == fleet.Pending && !e.Quit {
-				e.Quit = true
-				return fleet.Move{Action: fleet.Cancel, Exec: i}
-			}
+	for i := range q.Execs[:q.N] {
+		if e := &q.Execs[i]; n.lim.cancels && !q.Streamed && e.Result == fleet.Pending && !e.Quit {
+			e.Quit = true
+			return fleet.Move{Action: fleet.Cancel, Exec: i}
 		}
 	}
 	return fleet.Move{}
@@ -290,7 +283,7 @@
 		return n.lookBack(q)
 	case q.Deadline-n.now <= n.lim.slack || q.N >= n.lim.maxExecs:
 		return n.giveUp(q, n.lim.sloMin)
-	case n.lim.through:
+	case n.lim.origin < 0:
 	case q.Write || q.Stage == queued:
 		return n.toOrigin(q)
 	case q.Stage == missed:
@@ -309,7 +302,8 @@
 		return n.giveUp(q, n.typical)
 	}
 	if n.late > overload {
-		if t := n.quickest(q); t != nil {
+		// The owner or one of its two successors, whichever answers soonest, if any is quick enough.
+		if t := n.walk(q, min(3, len(n.ring)), 0, 0); t != nil {
 			s = t
 		}
 		if e := s.est(n); e > n.lim.workloads[q.Workload].bearable {
@@ -332,9 +326,16 @@
 	return n.hold(q, q.Deadline-n.lim.slack)
 }
 
-// send proposes an execution at s and says how long it may take.
+// send proposes an execution at s. Where a silent one can be looked at again before, it gets all the time there is:
+// a time-out kills heavy queries on sound servers, which take as long again elsewhere.
 func (n *Node) send(q *fleet.Query, s *server) fleet.Move {
-	return fleet.Move{Action: fleet.Send, Server: s.id, Limit: n.allowed(q, s)}
+	m := fleet.Move{Action: fleet.Send, Server: s.id, Limit: q.Deadline - n.now}
+	w := &n.lim.workloads[q.Workload]
+	if need := max(w.slo/2, 4*s.est(n), 3*q.Work); need < m.Limit*0.7 && s != n.origin &&
+		w.effect != fleet.NonIdempotent && !n.looksBack(q) {
+		m.Limit = need
+	}
+	return m
 }
 
 // hold keeps q and asks again at the given time.
@@ -375,7 +376,7 @@
 			n.hold(q, n.now+max(n.lim.workloads[q.Workload].slo/4, 3*s.pace))
 		}
 	case fleet.Reject:
-		if q.Out > 0 || !n.mayReject(q) {
+		if n.twice(q, nil) {
 			m = fleet.Move{Action: fleet.Abort}
 		}
 		n.close(q)
@@ -393,32 +394,24 @@
 	if s.state != fleet.Ready || !n.gate4.room(n, s, q) {
 		return false
 	}
-	w := &n.lim.workloads[q.Workload]
-	for i := range q.Execs[:q.N] {
-		e := &q.Execs[i]
-		if w.effect == fleet.Idempotent || e.Result.NeverRan() {
-			continue
-		}
-		first := n.servers[e.Server]
-		if w.effect == fleet.NonIdempotent || n.now+n.lim.slack > e.Sent+w.span ||
-			w.scope == fleet.ScopeZone && first.zone != s.zone ||
-			w.scope == fleet.ScopeCell && first.cell != s.cell {
-			return false
-		}
-	}
-	return true
+	return !n.twice(q, s)
 }
 
-// mayReject tells whether the client may safely try q again.
-func (n *Node) mayReject(q *fleet.Query) bool {
+// twice tells whether one more execution of q at s could repeat an effect. With no server it answers for the client,
+// who may send q again anywhere once it is rejected.
+func (n *Node) twice(q *fleet.Query, s *server) bool {
 	w := &n.lim.workloads[q.Workload]
 	for i := range q.Execs[:q.N] {
-		if q.Execs[i].Result.NeverRan() || w.effect == fleet.Idempotent {
-			continue
-		}
-		if w.effect == fleet.NonIdempotent || w.scope != fleet.ScopeAll {
-			return false
+		e := &q.Execs[i]
+		was := n.servers[e.Server]
+		switch {
+		case w.effect == fleet.Idempotent || e.Result.NeverRan():
+		case w.effect == fleet.NonIdempotent || s == nil && w.scope != fleet.ScopeAll:
+			return true
+		case s != nil && (n.now+n.lim.slack > e.Sent+w.span || w.scope == fleet.ScopeZone && was.zone != s.zone ||
+			w.scope == fleet.ScopeCell && was.cell != s.cell):
+			return true
 		}
 	}
-	return true
+	return false
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -136,8 +136,8 @@
 	s.point, n.neighbour(2, 1).point = before, n.neighbour(2, 1).point
 	x := shift(s.level(), n.neighbour(2, 1).level(), arc, n.arc(3))
 	n.moveRing()
-	if want := min(max(0, x*stride), arc/2); math.Abs(span(s.point, before)-want) > 1e-9 {
-		t.Errorf("moved by %v, want %v", span(s.point, before), want)
+	if want := min(max(0, x*stride), arc/2); math.Abs(fleet.Span(s.point, before)-want) > 1e-9 {
+		t.Errorf("moved by %v, want %v", fleet.Span(s.point, before), want)
 	}
 	after := s.point
 	n.moveRing()
@@ -152,7 +152,7 @@
 	w.servers(8)
 	owners := func() (o [2000]fleet.ServerID) {
 		for k := range o {
-			o[k] = w.node.ring[w.node.owner(keyPoint(fleet.Key(k)))].id
+			o[k] = w.node.ring[w.node.owner(fleet.Key(k).Point())].id
 		}
 		return o
 	}
@@ -200,7 +200,7 @@
 	w := newWorld(plainLimits())
 	w.servers(6)
 	key := fleet.Key(7)
-	own := w.node.ring[w.node.owner(keyPoint(key))].id
+	own := w.node.ring[w.node.owner(key.Point())].id
 	answer := func(all bool) {
 		for _, tr := range w.open {
 			for i := range tr.runs {
--- a/decide/health.go
+++ b/decide/health.go
@@ -109,20 +109,21 @@
 		n.store.learn(n, q, e, o)
 	}
 	heardSince := s.quiet > e.Sent
-	if full := o.Result == fleet.Full; s != n.origin && (full || !o.Result.NeverRan() && (heardSince || o.Result == fleet.Completed)) {
-		late := 0.0
-		if full {
-			late = 0.4
-		} else if n.now-q.Arrived > n.lim.workloads[q.Workload].slo*0.8 {
-			late = 1
+	if s != n.origin {
+		switch done := o.Result == fleet.Completed || heardSince && !o.Result.NeverRan(); {
+		case o.Result == fleet.Full:
+			n.late += 0.05 * (0.4 - n.late)
+		case done && n.now-q.Arrived > 0.8*n.lim.workloads[q.Workload].slo:
+			n.late += 0.05 * (1 - n.late)
+		case done:
+			n.late -= 0.05 * n.late
 		}
-		n.late += 0.05 * (late - n.late)
 	}
-	fail := -1.0
+	fail := -1.0 // says nothing of health
 	switch o.Result {
 	case fleet.Completed:
 		fail = 0
-		if s == n.origin || o.Note <= fleet.NoteHit || n.lim.through {
+		if s == n.origin || o.Note <= fleet.NoteHit || n.lim.origin < 0 {
 			took := min(o.Took, 4*s.est(n)) // one heavy query says little of the server
 			// The pace is near the shortest seen: waits behind other nodes' queries must not pass for slowness.
 			if one := took / (1 + e.Ahead); one < s.pace {
@@ -170,34 +171,27 @@
 // judge weighs one good or bad outcome and ejects or restores its server.
 func (n *Node) judge(s *server, fail float64) {
 	s.bad += min(1, failWeight*max(1, fail)) * (min(fail, 1) - s.bad)
-	if s.ejected {
-		if fail > 0 {
-			s.goods = 0
-			s.pause = min(2*s.pause, 4*n.lim.period)
-			s.tryAt = n.now + s.pause
-			return
-		}
+	switch {
+	case s.ejected && fail > 0:
+		s.goods, s.pause = 0, min(2*s.pause, 4*n.lim.period)
+		s.tryAt = n.now + s.pause
+	case s.ejected:
+		s.tryAt = n.now
 		if s.goods++; s.goods >= trialsBack {
 			s.ejected, s.bad = false, 0
 		}
-		s.tryAt = n.now
-		return
-	}
-	if s.bad < failLimit {
-		return
-	}
-	gone := 1
-	for _, r := range n.ring {
-		if r.ejected {
-			gone++
+	case s.bad >= failLimit:
+		gone := 1
+		for _, r := range n.ring {
+			if r.ejected {
+				gone++
+			}
+		}
+		if 2*gone <= len(n.ring) { // beyond that the rest could not carry more
+			s.ejected, s.goods, s.pause = true, 0, n.lim.period
+			s.tryAt = n.now + s.pause
 		}
 	}
-	if 2*gone > len(n.ring) { // the rest could not carry more
-		return
-	}
-	s.ejected, s.goods = true, 0
-	s.pause = n.lim.period
-	s.tryAt = n.now + s.pause
 }
 
 // takes tells whether s can be given q. An ejected server gets single trials of queries that may run again.
@@ -219,18 +213,6 @@
 	return n.lim.workloads[q.Workload].effect == fleet.Idempotent && (n.lim.copies || n.lim.cancels)
 }
 
-// allowed is the time an execution gets. Where a silent one can be looked at again before, it gets all that is left:
-// a time-out kills heavy queries on sound servers, which take as long again elsewhere.
-func (n *Node) allowed(q *fleet.Query, s *server) float64 {
-	left := q.Deadline - n.now
-	w := &n.lim.workloads[q.Workload]
-	need := max(w.slo/2, 4*s.est(n), 3*q.Work)
-	if w.effect == fleet.NonIdempotent || s == n.origin || n.looksBack(q) || need > left*0.7 {
-		return left
-	}
-	return need
-}
-
 // lookBack decides on a query whose execution is out for long. Only silence counts: a server that answers others
 // is at work, and the query in hand is heavy or waits its turn.
 func (n *Node) lookBack(q *fleet.Query) fleet.Move {
--- a/decide/list.go
+++ b/decide/list.go
@@ -36,40 +36,36 @@
 	if mode != fleet.ListCached {
 		n.askAt, n.asks = math.Inf(1), 0
 	}
-	if mode != fleet.ListDelta {
-		for _, s := range n.servers {
-			if s != nil {
-				s.listed = false
-			}
+	for _, s := range n.servers {
+		if s != nil {
+			s.listed = mode == fleet.ListDelta
 		}
 	}
 	for i := range entries {
 		n.member(&entries[i])
 	}
-	if mode != fleet.ListDelta {
-		for _, s := range n.servers {
-			if s != nil && !s.listed {
-				s.state = fleet.Gone
-			}
+	for _, s := range n.servers {
+		if s != nil && !s.listed {
+			s.state = fleet.Gone
 		}
 	}
 	n.rebuild()
 }
 
+// member takes one entry in. A new start makes a new server of it: what was learnt of the old process does not
+// hold, and it takes its own arc again. Executions still out at the old one are counted on.
 func (n *Node) member(m *fleet.Member) {
 	for int(m.ID) >= len(n.servers) {
 		n.servers = append(n.servers, nil)
 	}
 	s := n.servers[m.ID]
-	if s == nil {
-		s = &server{id: m.ID, report: fleet.NewReport(), stride: stride, pace: n.typical, rt: n.typical, point: homePoint(m.Name), wasAt: math.Inf(-1)}
-		s.state, s.started = m.State, m.Started
-		n.servers[m.ID] = s
-	}
-	if m.State == fleet.Ready && (s.state != fleet.Ready || m.Started != s.started) {
-		// A new start: what was learnt of the old process does not hold. It takes its own arc again.
-		*s = server{id: s.id, report: fleet.NewReport(), stride: stride, pace: n.typical, rt: n.typical, point: homePoint(m.Name),
-			wasAt: math.Inf(-1), out: s.out, quiet: s.quiet, tokenAt: n.now}
+	if s == nil || m.State == fleet.Ready && (s.state != fleet.Ready || m.Started != s.started) {
+		fresh := &server{id: m.ID, report: fleet.NewReport(), stride: stride, pace: n.typical, rt: n.typical,
+			point: fleet.Home(m.Name), wasAt: math.Inf(-1), tokenAt: n.now}
+		if s != nil {
+			fresh.out, fresh.quiet = s.out, s.quiet
+		}
+		n.servers[m.ID], s = fresh, fresh
 	}
 	s.listed = true
 	s.state, s.kind, s.zone, s.cell, s.started = m.State, m.Kind, m.Zone, m.Cell, m.Started
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"hash/fnv"
 	"math"
 	"sort"
 
@@ -21,35 +20,6 @@
 	settle   = 0.85 // by which each move shortens the next, so that rings come to rest and keys stay
 )
 
-// mix spreads the bits of an fnv sum, whose high ones hardly differ for names that are alike.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
-
-func unit(h uint64) float64 { return float64(h>>11) / (1 << 53) }
-
-// homePoint is where a server starts on the ring: the hash of its id.
-func homePoint(name string) float64 {
-	h := fnv.New64a()
-	h.Write([]byte(name))
-	return unit(mix(h.Sum64()))
-}
-
-// keyPoint places a key on the ring.
-func keyPoint(k fleet.Key) float64 { return unit(mix(uint64(k))) }
-
-// span is the way from a forward to b on the ring.
-func span(a, b float64) float64 {
-	if d := b - a; d >= 0 {
-		return d
-	}
-	return b - a + 1
-}
-
 // rebuild sorts the servers that own arcs. Those that drain or are gone own none: their arcs fall to their successors.
 func (n *Node) rebuild() {
 	n.ring = n.ring[:0]
@@ -58,18 +28,13 @@
 		if s == nil || s.state != fleet.Ready {
 			continue
 		}
-		if !n.lim.through && s.kind == n.lim.origin {
+		if n.lim.origin >= 0 && s.kind == n.lim.origin {
 			n.origin = s
 			continue
 		}
 		n.ring = append(n.ring, s)
 	}
-	sort.Slice(n.ring, func(i, j int) bool {
-		if n.ring[i].point != n.ring[j].point {
-			return n.ring[i].point < n.ring[j].point
-		}
-		return n.ring[i].id < n.ring[j].id
-	})
+	sort.SliceStable(n.ring, func(i, j int) bool { return n.ring[i].point < n.ring[j].point })
 	for i, s := range n.ring {
 		s.at = i
 	}
@@ -93,7 +58,7 @@
 	if len(n.ring) == 1 {
 		return 1
 	}
-	return span(n.neighbour(i, -1).point, n.ring[i].point)
+	return fleet.Span(n.neighbour(i, -1).point, n.ring[i].point)
 }
 
 func loadCPU(c float64) float64 {
@@ -163,13 +128,10 @@
 	return n.walk(q, len(n.ring), bound, n.store.rt/2)
 }
 
-// quickest is the owner or one of its two successors, whichever answers soonest.
-func (n *Node) quickest(q *fleet.Query) *server { return n.walk(q, min(3, len(n.ring)), 0, 0) }
-
 // walk takes the first server that can take q and holds less than bound, and on the way there leaves each choice
 // only for one that is quicker by more than gain.
 func (n *Node) walk(q *fleet.Query, reach int, bound, gain float64) *server {
-	p := keyPoint(q.Key)
+	p := q.Key.Point()
 	i := n.owner(p)
 	var pick *server
 	for k := range reach {
@@ -191,12 +153,12 @@
 	if q.N != 1 || len(n.ring) < 2 || n.store.room(n) {
 		return nil
 	}
-	p := keyPoint(q.Key)
+	p := q.Key.Point()
 	i := n.owner(p)
 	o, s := n.ring[i], n.neighbour(i, -1)
 	if o.warmth(n) < 1 {
 		s = n.neighbour(i, 1)
-	} else if n.now-s.wasAt > handover*n.lim.period || span(s.point, p) > span(s.point, s.was) {
+	} else if n.now-s.wasAt > handover*n.lim.period || fleet.Span(s.point, p) > fleet.Span(s.point, s.was) {
 		return nil
 	}
 	if q.Execs[0].Server != o.id || !n.takes(s, q, p, false) {
--- /dev/null
+++ b/fleet/point.go
@@ -0,0 +1,33 @@
+package fleet
+
+import "hash/fnv"
+
+// Mix spreads the bits of an fnv sum, whose high ones hardly differ for names that are alike.
+func Mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// Unit turns a hash into a point of [0,1).
+func Unit(h uint64) float64 { return float64(Mix(h)>>11) / (1 << 53) }
+
+// Home is where a server starts on the ring: the hash of its id.
+func Home(name string) float64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return Unit(h.Sum64())
+}
+
+// Point is the place of a key on the ring.
+func (k Key) Point() float64 { return Unit(uint64(k)) }
+
+// Span is the way from a forward to b on the ring.
+func Span(a, b float64) float64 {
+	if b < a {
+		b++
+	}
+	return b - a
+}
