--- a/decide/admit.go
+++ b/decide/admit.go
@@ -60,7 +60,8 @@
 	return r
 }
 
-// toOrigin sends q to the origin when there is room, queues it while an answer in time is likely, or gives it up.
+// toOrigin sends q to the origin when there is room, queues it while an answer in time is likely, or
+// gives it up.
 func (n *Node) toOrigin(q *fleet.Query) fleet.Move {
 	k := &n.store
 	if n.origin == nil {
@@ -103,8 +104,8 @@
 	return n.lim.coldFrom + (1-n.lim.coldFrom)*max(0, age)/n.lim.warmWithin
 }
 
-// coldPart gives a cold server the part of its arc next to its predecessor, growing as it warms; the rest of the
-// arc stays with its successor, who held it before.
+// coldPart gives a cold server the part of its arc next to its predecessor, growing as it warms; the rest
+// of the arc stays with its successor, who held it before.
 func (n *Node) coldPart(s *server, p float64) bool {
 	g := s.warmth(n)
 	if g >= 1 || len(n.ring) < 2 {
@@ -121,8 +122,8 @@
 	return 1
 }
 
-// room tells whether a cold server may be given q. Its budget grows with half of what it bears before it falls,
-// divided over the nodes as traffic is.
+// room tells whether a cold server may be given q. Its budget grows with half of what it bears before it
+// falls, divided over the nodes as traffic is.
 func (m *meter) room(n *Node, s *server, q *fleet.Query) bool {
 	if s == n.origin || s.warmth(n) >= 1 {
 		return true
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -85,8 +85,9 @@
 // derive turns settings into the figures that decisions use.
 func derive(l fleet.Limits) limits {
 	d := limits{origin: l.OriginKind, maxExecs: min(max(l.MaxExecutions, 1), fleet.MaxExecs),
-		copies: l.SecondCopies, cancels: l.Cancelling, copyRate: 0.05 / (0.5 + 2*l.WasteCost), sloMin: math.Inf(1),
-		coldFrom: l.StartCapacity, warmWithin: l.WarmWithin, coldRate: l.FallMultiple / 2, coldBurst: l.TipAfter / 2}
+		copies: l.SecondCopies, cancels: l.Cancelling, copyRate: 0.05 / (0.5 + 2*l.WasteCost),
+		coldFrom: l.StartCapacity, warmWithin: l.WarmWithin, coldRate: l.FallMultiple / 2,
+		coldBurst: l.TipAfter / 2, sloMin: math.Inf(1)}
 	top := 0.0
 	for _, w := range l.Workloads {
 		d.sloMin = min(d.sloMin, w.SLOTime)
@@ -96,11 +97,11 @@
 		d.sloMin = 1000
 	}
 	for _, w := range l.Workloads {
-		d.workloads = append(d.workloads, workload{effect: w.Effect, scope: w.Scope, span: w.DedupSpan, slo: w.SLOTime,
-			// What would come late only takes the place of what would not, and a crowded server loses capacity:
-			// in overload waits are kept short, the shorter the less important a workload is.
-			bearable: w.SLOTime * (1 + w.LateShare) * (0.15 + 0.1*w.Importance/max(top, 1e-9)),
-			rank:     w.Importance})
+		d.workloads = append(d.workloads, workload{effect: w.Effect, scope: w.Scope, span: w.DedupSpan,
+			slo: w.SLOTime, rank: w.Importance,
+			// What would come late only takes the place of what would not, and a crowded server loses
+			// capacity: in overload waits are kept short, the shorter the less important a workload is.
+			bearable: w.SLOTime * (1 + w.LateShare) * (0.15 + 0.1*w.Importance/max(top, 1e-9))})
 	}
 	d.slack = l.Quantum + d.sloMin/100
 	if d.period = d.sloMin; l.WarmWithin > 0 {
@@ -141,7 +142,8 @@
 	return fleet.Unit(h.Sum64())
 }
 
-// Where says where to send q now, to hold it, or to answer it finally. With no query it does the node's upkeep.
+// Where says where to send q now, to hold it, or to answer it finally. With no query it does the node's
+// upkeep.
 func (n *Node) Where(now float64, q *fleet.Query) fleet.Move {
 	n.now = now
 	if q == nil {
@@ -326,8 +328,8 @@
 	return n.hold(q, q.Deadline-n.lim.slack)
 }
 
-// send proposes an execution at s. Where a silent one can be looked at again before, it gets all the time there is:
-// a time-out kills heavy queries on sound servers, which take as long again elsewhere.
+// send proposes an execution at s. Where a silent one can be looked at again before, it gets all the time
+// there is: a time-out kills heavy queries on sound servers, which take as long again elsewhere.
 func (n *Node) send(q *fleet.Query, s *server) fleet.Move {
 	m := fleet.Move{Action: fleet.Send, Server: s.id, Limit: q.Deadline - n.now}
 	w := &n.lim.workloads[q.Workload]
@@ -397,8 +399,8 @@
 	return !n.twice(q, s)
 }
 
-// twice tells whether one more execution of q at s could repeat an effect. With no server it answers for the client,
-// who may send q again anywhere once it is rejected.
+// twice tells whether one more execution of q at s could repeat an effect. With no server it answers for
+// the client, who may send q again anywhere once it is rejected.
 func (n *Node) twice(q *fleet.Query, s *server) bool {
 	w := &n.lim.workloads[q.Workload]
 	for i := range q.Execs[:q.N] {
@@ -408,8 +410,8 @@
 		case w.effect == fleet.Idempotent || e.Result.NeverRan():
 		case w.effect == fleet.NonIdempotent || s == nil && w.scope != fleet.ScopeAll:
 			return true
-		case s != nil && (n.now+n.lim.slack > e.Sent+w.span || w.scope == fleet.ScopeZone && was.zone != s.zone ||
-			w.scope == fleet.ScopeCell && was.cell != s.cell):
+		case s != nil && (n.now+n.lim.slack > e.Sent+w.span ||
+			w.scope == fleet.ScopeZone && was.zone != s.zone || w.scope == fleet.ScopeCell && was.cell != s.cell):
 			return true
 		}
 	}
--- a/decide/health.go
+++ b/decide/health.go
@@ -52,7 +52,8 @@
 	overload   = 0.15 // share of late answers above which queries are turned away
 )
 
-// ahead counts what a new query would find at s: own executions and the reported queue, the less the older it is.
+// ahead counts what a new query would find at s: own executions and the reported queue, the less the
+// older it is.
 func (s *server) ahead(n *Node) float64 {
 	a := float64(s.out)
 	if q := s.report.Queue; !math.IsNaN(q) {
@@ -63,9 +64,9 @@
 	return a
 }
 
-// est is the answer time to expect at s: the recent one, corrected by how much more or less is ahead now than was
-// then. What reports always get wrong so cancels out. An old answer time counts less; silence counts as it grows,
-// since a server that hangs has no bad outcomes yet.
+// est is the answer time to expect at s: the recent one, corrected by how much more or less is ahead now
+// than was then. What reports always get wrong so cancels out. An old answer time counts less; silence
+// counts as it grows, since a server that hangs has no bad outcomes yet.
 func (s *server) est(n *Node) float64 {
 	a := s.ahead(n)
 	e := s.pace * (1 + a)
@@ -125,7 +126,8 @@
 		fail = 0
 		if s == n.origin || o.Note <= fleet.NoteHit || n.lim.origin < 0 {
 			took := min(o.Took, 4*s.est(n)) // one heavy query says little of the server
-			// The pace is near the shortest seen: waits behind other nodes' queries must not pass for slowness.
+			// The pace is near the shortest seen: waits behind other nodes' queries must not pass for
+			// slowness.
 			if one := took / (1 + e.Ahead); one < s.pace {
 				s.pace += 0.1 * (one - s.pace)
 			} else {
@@ -145,7 +147,8 @@
 	case fleet.ConnectFailed:
 		fail = 2
 	case fleet.TimedOut, fleet.Cancelled:
-		// It would have taken longer still: an overloaded server must not look quick because its slow answers are cut off.
+		// It would have taken longer still: an overloaded server must not look quick because its slow
+		// answers are cut off.
 		if s != n.origin && o.Took > s.rt {
 			s.rt += 0.3 * (o.Took - s.rt)
 			s.ah += 0.3 * (e.Ahead - s.ah)
@@ -213,8 +216,8 @@
 	return n.lim.workloads[q.Workload].effect == fleet.Idempotent && (n.lim.copies || n.lim.cancels)
 }
 
-// lookBack decides on a query whose execution is out for long. Only silence counts: a server that answers others
-// is at work, and the query in hand is heavy or waits its turn.
+// lookBack decides on a query whose execution is out for long. Only silence counts: a server that answers
+// others is at work, and the query in hand is heavy or waits its turn.
 func (n *Node) lookBack(q *fleet.Query) fleet.Move {
 	last := q.N - 1
 	e := &q.Execs[last]
@@ -224,7 +227,8 @@
 	}
 	slo, took := n.lim.workloads[q.Workload].slo, n.now-e.Sent
 	silent := n.now-max(s.quiet, e.Sent) >= max(slo/4, 3*s.pace)
-	// A query whose work is told and must be done by now is stuck behind others; its own work is still to come.
+	// A query whose work is told and must be done by now is stuck behind others; its own work is still to
+	// come.
 	stuck := n.lim.cancels && q.Work > 0 && took >= max(slo/2, 4*s.pace*q.Work/n.gate4.mean)
 	if silent || stuck {
 		if t := n.route(q); (n.copies >= 1 || stuck) && t != nil && t != s && t.est(n) < took/2 {
--- a/decide/list.go
+++ b/decide/list.go
@@ -15,13 +15,14 @@
 	}
 	if n.now >= n.moveAt {
 		n.moveAt = n.now + n.lim.period*(0.9+0.2*n.chance())
-		n.late *= 0.8 // a node that turns most away sees few answers: without new evidence it lets queries in again
+		n.late *= 0.8 // a node that turns most away sees few answers; it must find out when it may stop
 		n.moveRing()
 	}
 	return fleet.Move{}
 }
 
-// Members reports what the list says. Entries are applied on top of what is known; a full list removes what it lacks.
+// Members reports what the list says. Entries are applied on top of what is known; a full list removes
+// what it lacks.
 func (n *Node) Members(now float64, mode fleet.ListMode, entries []fleet.Member) {
 	n.now = now
 	if mode == fleet.ListFailed {
@@ -52,8 +53,8 @@
 	n.rebuild()
 }
 
-// member takes one entry in. A new start makes a new server of it: what was learnt of the old process does not
-// hold, and it takes its own arc again. Executions still out at the old one are counted on.
+// member takes one entry in. A new start makes a new server of it: what was learnt of the old process
+// does not hold, and it takes its own arc again. Executions still out at the old one are counted on.
 func (n *Node) member(m *fleet.Member) {
 	for int(m.ID) >= len(n.servers) {
 		n.servers = append(n.servers, nil)
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -20,7 +20,8 @@
 	settle   = 0.85 // by which each move shortens the next, so that rings come to rest and keys stay
 )
 
-// rebuild sorts the servers that own arcs. Those that drain or are gone own none: their arcs fall to their successors.
+// rebuild sorts the servers that own arcs. Those that drain or are gone own none: their arcs fall to
+// their successors.
 func (n *Node) rebuild() {
 	n.ring = n.ring[:0]
 	n.origin = nil
@@ -75,9 +76,9 @@
 	return gamma - (gamma-1)/beta*free
 }
 
-// level is a server's load as the thesis sums it: CPU, utilisation and memory, each 1 to gamma, equally weighted.
-// A hit share below the server's own recent level stands for memory running short. What is not reported is NaN
-// and leaves the sum.
+// level is a server's load as the thesis sums it: CPU, utilisation and memory, each 1 to gamma, equally
+// weighted. A hit share below the server's own recent level stands for memory running short. What is not
+// reported is NaN and leaves the sum.
 func (s *server) level() float64 {
 	sum, k := 0.0, 0.0
 	for _, v := range [...]float64{loadCPU(alpha * s.report.Util), 1 + (gamma-1)*s.report.Queue/s.peak,
@@ -121,15 +122,16 @@
 	n.rebuild()
 }
 
-// route walks from the key's owner along its successors. Departure: an owner that holds more than its share of
-// this node's queries hands the next one on, when the wait that saves is longer than what a miss costs more.
+// route walks from the key's owner along its successors. Departure: an owner that holds more than its
+// share of this node's queries hands the next one on, when the wait that saves is longer than what a miss
+// costs more.
 func (n *Node) route(q *fleet.Query) *server {
 	bound := math.Ceil(spread * float64(n.atCaches+1) / float64(len(n.ring)))
 	return n.walk(q, len(n.ring), bound, n.store.rt/2)
 }
 
-// walk takes the first server that can take q and holds less than bound, and on the way there leaves each choice
-// only for one that is quicker by more than gain.
+// walk takes the first server that can take q and holds less than bound, and on the way there leaves each
+// choice only for one that is quicker by more than gain.
 func (n *Node) walk(q *fleet.Query, reach int, bound, gain float64) *server {
 	p := q.Key.Point()
 	i := n.owner(p)
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -7,8 +7,8 @@
 	"mintspring/fleet"
 )
 
-// world is a slow, plain model of the four rules around one node: it plays the adapter, keeps the whole history
-// of every query, and works out from that history alone what each move may be.
+// world is a slow, plain model of the four rules around one node: it plays the adapter, keeps the whole
+// history of every query, and works out from that history alone what each move may be.
 type world struct {
 	lim    fleet.Limits
 	node   *Node
@@ -43,7 +43,8 @@
 }
 
 func plainLimits() fleet.Limits {
-	return fleet.Limits{Seed: 5, Nodes: 1, OriginKind: 1, MaxExecutions: 4, SecondCopies: true, Cancelling: true,
+	return fleet.Limits{Seed: 5, Nodes: 1, OriginKind: 1, MaxExecutions: 4, SecondCopies: true,
+		Cancelling: true,
 		RetryAfter: true, MaxRetryAfter: 1000, StopSendingWithin: 500, StartCapacity: 0.2, WarmWithin: 20000,
 		FallMultiple: 4, TipAfter: 2000, AnswerSlack: 20, Quantum: 5, Workloads: []fleet.Workload{
 			{SLOTime: 300, StatementTimeout: 900, Importance: 1},
@@ -153,8 +154,8 @@
 	if over {
 		t.answers++
 	}
-	o := fleet.Outcome{Exec: i, Result: res, Took: w.now - r.sent, Over: over || t.answers > 0 || t.left, Note: note,
-		Report: fleet.NewReport()}
+	o := fleet.Outcome{Exec: i, Result: res, Took: w.now - r.sent, Over: over || t.answers > 0 || t.left,
+		Note: note, Report: fleet.NewReport()}
 	if q := w.slab.Get(t.ref); q != nil {
 		w.obey(t, w.node.After(w.now, q, o))
 	}
--- a/simwire/env.go
+++ b/simwire/env.go
@@ -32,7 +32,8 @@
 		Penalties           struct{ CrossZone, Probe, Waste float64 }
 		Stats               struct{ How string }
 		Guarantees          struct {
-			AnswerSlack, MustAskIn, StartCapacity, WarmWithin, StopSendingWithin, FallMultiple, TipAfter float64
+			AnswerSlack, MustAskIn, StopSendingWithin         float64
+			StartCapacity, WarmWithin, FallMultiple, TipAfter float64
 		}
 		Tenants []struct{ QuotaRps, Share float64 }
 		Quantum float64
@@ -43,15 +44,17 @@
 	const ms = 1.0 / 1000
 	g, p := &env.Guarantees, &env.PolicyLimits
 	l := fleet.Limits{
-		Seed: seed, Nodes: max(env.NInstances, 1), Self: fleet.NodeID(env.SelfIndex), Zone: fleet.ZoneID(env.Locality),
-		OriginKind: -1, OriginFallOver: env.FamilyInfo.OriginFallMultiple, OriginFallTime: env.FamilyInfo.OriginFall * ms,
+		Seed: seed, Nodes: max(env.NInstances, 1), Self: fleet.NodeID(env.SelfIndex),
+		Zone: fleet.ZoneID(env.Locality), OriginKind: -1,
+		OriginFallOver: env.FamilyInfo.OriginFallMultiple, OriginFallTime: env.FamilyInfo.OriginFall * ms,
 		SurplusShare: env.SurplusImportance, MaxExecutions: p.MaxExecutions, SecondCopies: p.SecondCopies,
 		Cancelling: p.Cancelling, Probes: p.Probes, Peers: p.Peers, RetryAfter: p.RetryAfter,
 		MaxRetryAfter: p.MaxRetryAfter * ms, ConnectTimeout: p.ConnectTimeout * ms,
-		Subscribe: env.Discovery == "subscribe", MustAskIn: g.MustAskIn * ms, StopSendingWithin: g.StopSendingWithin * ms,
-		StartCapacity: g.StartCapacity, WarmWithin: g.WarmWithin * ms, FallMultiple: g.FallMultiple,
-		TipAfter: g.TipAfter * ms, AnswerSlack: g.AnswerSlack * ms, Quantum: env.Quantum * ms,
-		WasteCost: env.Penalties.Waste, ProbeCost: env.Penalties.Probe, CrossZoneCost: env.Penalties.CrossZone,
+		Subscribe: env.Discovery == "subscribe", MustAskIn: g.MustAskIn * ms,
+		StopSendingWithin: g.StopSendingWithin * ms, StartCapacity: g.StartCapacity,
+		WarmWithin: g.WarmWithin * ms, FallMultiple: g.FallMultiple, TipAfter: g.TipAfter * ms,
+		AnswerSlack: g.AnswerSlack * ms, Quantum: env.Quantum * ms, WasteCost: env.Penalties.Waste,
+		ProbeCost: env.Penalties.Probe, CrossZoneCost: env.Penalties.CrossZone,
 	}
 	if env.FamilyInfo.Mode == "aside" && env.FamilyInfo.OriginKind != nil {
 		l.OriginKind = fleet.KindID(*env.FamilyInfo.OriginKind)
@@ -63,8 +66,9 @@
 		l.ReportsIn = fleet.ReportsInProbes
 	}
 	for _, w := range env.Workloads {
-		v := fleet.Workload{SLOTime: w.SloTime * ms, SLOStretch: w.AimStretch, StatementTimeout: w.StatementTimeout * ms,
-			DedupSpan: w.MemorySpan * ms, Importance: w.Importance, LateShare: w.TardyImportance, Stream: w.Stream}
+		v := fleet.Workload{SLOTime: w.SloTime * ms, SLOStretch: w.AimStretch,
+			StatementTimeout: w.StatementTimeout * ms, DedupSpan: w.MemorySpan * ms,
+			Importance: w.Importance, LateShare: w.TardyImportance, Stream: w.Stream}
 		switch w.Effect {
 		case "pure":
 			v.Effect = fleet.Idempotent
--- a/simwire/line.go
+++ b/simwire/line.go
@@ -16,7 +16,8 @@
 	err  error // the first bad value met
 }
 
-// cut splits off the message name and checks that every part has a name. A text field runs to the end of the line.
+// cut splits off the message name and checks that every part has a name. A text field runs to the end of
+// the line.
 func (l *line) cut(b []byte) {
 	l.err = nil
 	l.name, l.rest, _ = bytes.Cut(b, space)
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -55,7 +55,8 @@
 
 // NewHost reads batches from in and answers on out.
 func NewHost(in io.Reader, out io.Writer) *Host {
-	return &Host{in: bufio.NewReaderSize(in, 1<<18), out: bufio.NewWriterSize(out, 1<<16), nodes: map[int64]*node{}}
+	return &Host{in: bufio.NewReaderSize(in, 1<<18), out: bufio.NewWriterSize(out, 1<<16),
+		nodes: map[int64]*node{}}
 }
 
 // Run serves until the input ends. A line that cannot be read ends it with an error that names the line.
@@ -244,9 +245,9 @@
 		if state < 0 || state > 2 {
 			return fmt.Errorf("bad value %d for Mode", state)
 		}
-		list = append(list, entry{string(name), fleet.Member{State: fleet.State(state), Kind: fleet.KindID(l.whole("Flavor")),
-			Zone: fleet.ZoneID(l.whole("Campus")), Cell: fleet.CellID(l.whole("UnitGroup")), Size: l.real("Size"),
-			Started: l.ms("OnlineSince")}})
+		list = append(list, entry{string(name), fleet.Member{State: fleet.State(state),
+			Kind: fleet.KindID(l.whole("Flavor")), Zone: fleet.ZoneID(l.whole("Campus")),
+			Cell: fleet.CellID(l.whole("UnitGroup")), Size: l.real("Size"), Started: l.ms("OnlineSince")}})
 		if l.err != nil {
 			return l.err
 		}
@@ -331,8 +332,8 @@
 func (h *Host) verdict(n *node) error {
 	l := &h.line
 	job := fleet.QueryID(l.must("Job"))
-	o := fleet.Outcome{Exec: int(l.whole("Go")), Result: l.result(), Took: l.ms("CostTime"), Over: l.flag("Over"),
-		Report: l.report()}
+	o := fleet.Outcome{Exec: int(l.whole("Go")), Result: l.result(), Took: l.ms("CostTime"),
+		Over: l.flag("Over"), Report: l.report()}
 	if d := l.whole("Detail"); d >= 0 && d <= 3 {
 		o.Note = fleet.Note(d)
 	}
