--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,7 +47,6 @@
 	gate4    meter
 	store    stock
 	moveAt   float64
-	speeds   float64 // sum of 1/pace over the ring
 	copies   float64 // budget for further executions
 	atCaches int     // executions out at caches
 	typical  float64 // usual answer time over all caches
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -36,10 +36,8 @@
 		n.ring = append(n.ring, s)
 	}
 	sort.SliceStable(n.ring, func(i, j int) bool { return n.ring[i].point < n.ring[j].point })
-	n.speeds = 0
 	for i, s := range n.ring {
 		s.at = i
-		n.speeds += 1 / s.pace
 	}
 }
 
@@ -128,7 +126,12 @@
 // share of this node's queries hands the next one on, when the wait that saves is longer than what a miss
 // costs more.
 func (n *Node) route(q *fleet.Query) *server {
-	return n.walk(q, len(n.ring), spread*float64(n.atCaches+1)/n.speeds, n.store.rt/2)
+	bound := math.Ceil(spread * float64(n.atCaches+1) / float64(len(n.ring)))
+	gain := n.store.rt / 2
+	if !n.store.room(n) && n.origin != nil {
+		gain += float64(len(n.store.waiting)+1) * n.store.rt / n.store.window
+	}
+	return n.walk(q, len(n.ring), bound, gain)
 }
 
 // walk takes the first server that can take q and holds less than bound, and on the way there leaves each
@@ -142,7 +145,7 @@
 		if !n.takes(s, q, p, k == 0) || pick != nil && s.est(n)+gain >= pick.est(n) {
 			continue
 		}
-		if pick = s; float64(s.out+1) <= math.Ceil(bound/s.pace) && n.now >= s.fullTil {
+		if pick = s; float64(s.out+1) <= bound && n.now >= s.fullTil {
 			break
 		}
 	}
