--- a/decide/decide.go
+++ b/decide/decide.go
@@ -304,10 +304,6 @@
 		return n.giveUp(q, n.typical)
 	}
 	if n.late > overload {
-		// The owner or one of its two successors, whichever answers soonest, if any is quick enough.
-		if t := n.walk(q, min(3, len(n.ring)), 0, 0); t != nil {
-			s = t
-		}
 		if e := s.est(n); e > n.lim.workloads[q.Workload].bearable {
 			return n.giveUp(q, e)
 		}
