--- a/decide/ring.go
+++ b/decide/ring.go
@@ -129,7 +129,7 @@
 	bound := math.Ceil(spread * float64(n.atCaches+1) / float64(len(n.ring)))
 	gain := n.store.rt / 2
 	if n.late > overload {
-		gain += n.lim.sloMin
+		gain += n.lim.sloMin / 4
 	}
 	if !n.store.room(n) && n.origin != nil {
 		gain += float64(len(n.store.waiting)+1) * n.store.rt / n.store.window
