Send what crowded caches cannot take to the origin while it has room

Cause: in overload the caches were full while the origin, sized for a multiple of the usual misses, had room.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -305,6 +305,9 @@
 	}
 	if n.late > overload {
 		if e := s.est(n); e > n.lim.workloads[q.Workload].bearable {
+			if n.origin != nil && n.store.room(n) {
+				return n.toOrigin(q)
+			}
 			return n.giveUp(q, e)
 		}
 	}
