--- a/decide/admit.go
+++ b/decide/admit.go
@@ -25,7 +25,7 @@
 	}
 	switch {
 	case o.Result == fleet.Cancelled || o.Result == fleet.NotSent:
-	case o.Result != fleet.Completed || o.Took > n.lim.sloMin:
+	case o.Result != fleet.Completed || o.Took > n.lim.sloMin/2:
 		if e.Sent >= k.cutAt {
 			k.window, k.cutAt = max(1, k.window*0.7), n.now
 		}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -305,7 +305,7 @@
 	}
 	if n.late > overload {
 		if e := s.est(n); e > n.lim.workloads[q.Workload].bearable {
-			if n.origin != nil && float64(n.origin.out) < n.store.window/2 {
+			if n.origin != nil && float64(n.origin.out) < n.store.window*0.8 {
 				return n.toOrigin(q)
 			}
 			return n.giveUp(q, e)
