--- a/decide/decide.go
+++ b/decide/decide.go
@@ -303,13 +303,12 @@
 	if s == nil {
 		return n.giveUp(q, n.typical)
 	}
-	if n.late > overload {
-		if e := s.est(n); e > n.lim.workloads[q.Workload].bearable {
-			if n.origin != nil && float64(n.origin.out) < n.store.window*0.8 {
-				return n.toOrigin(q)
-			}
-			return n.giveUp(q, e)
-		}
+	w, e := &n.lim.workloads[q.Workload], s.est(n)
+	if n.origin != nil && (e > w.slo/2 && n.originBusy() < 0.5 || n.late > overload && e > w.bearable && n.originBusy() < 0.8) {
+		return n.toOrigin(q)
+	}
+	if n.late > overload && e > w.bearable {
+		return n.giveUp(q, e)
 	}
 	return n.send(q, s)
 }
