--- a/decide/decide.go
+++ b/decide/decide.go
@@ -304,7 +304,7 @@
 		return n.giveUp(q, n.typical)
 	}
 	w, e := &n.lim.workloads[q.Workload], s.est(n)
-	if n.origin != nil && (e > w.slo/5 && n.originBusy() < 0.5 || n.late > overload && e > w.bearable && n.originBusy() < 0.8) {
+	if n.origin != nil && (e > max(w.slo/4, n.store.rt) && n.originBusy() < 0.5 || n.late > overload && e > w.bearable && n.originBusy() < 0.8) {
 		return n.toOrigin(q)
 	}
 	if n.late > overload && e > w.bearable {
