--- a/decide/ring.go
+++ b/decide/ring.go
@@ -134,7 +134,7 @@
 	if !n.store.room(n) && n.origin != nil {
 		gain += float64(len(n.store.waiting)+1) * n.store.rt / n.store.window
 	}
-	return n.walk(q, len(n.ring), bound, gain)
+	return n.walk(q, len(n.ring), bound+1e9, gain)
 }
 
 // walk takes the first server that can take q and holds less than bound, and on the way there leaves each
