--- a/decide/ring.go
+++ b/decide/ring.go
@@ -15,7 +15,7 @@
 	beta     = 0.1
 	margin   = 0.05 * gamma
 	stride   = 0.7 // share of x taken in a first move, since reports lag behind it
-	spread   = 1.25
+	spread   = 2
 	handover = 10   // periods for which a server is asked for keys it handed over
 	settle   = 0.85 // by which each move shortens the next, so that rings come to rest and keys stay
 )
@@ -134,7 +134,7 @@
 	if !n.store.room(n) && n.origin != nil {
 		gain += float64(len(n.store.waiting)+1) * n.store.rt / n.store.window
 	}
-	return n.walk(q, len(n.ring), bound+1e9, gain)
+	return n.walk(q, len(n.ring), bound, gain)
 }
 
 // walk takes the first server that can take q and holds less than bound, and on the way there leaves each
