--- a/decide/admit.go
+++ b/decide/admit.go
@@ -18,9 +18,6 @@
 	return n.origin != nil && float64(n.origin.out) < k.window
 }
 
-// originBusy is the share of the window in use.
-func (n *Node) originBusy() float64 { return float64(n.origin.out) / n.store.window }
-
 // learn widens the window while answers come in time and cuts it, once per answer time, when they do not.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
 	if o.Result == fleet.Completed {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,26 +29,27 @@
 
 // Node is the state of one balancer. Nodes share nothing.
 type Node struct {
-	lim      limits
-	slab     *fleet.Slab
-	now      float64
-	seed     uint64
-	draws    uint64
-	servers  []*server // by ServerID
-	ring     []*server // by point
-	origin   *server
-	ready    []fleet.Ref // to be asked about now
-	next     int
-	alarms   fleet.Alarms
-	fetches  map[fleet.Key]fleet.Ref
-	follows  []fleet.Ref
-	askAt    float64 // when the next call for the list is due; +Inf: the subscription stands
-	asks     int     // calls that failed in a row
-	gate4    meter
-	store    stock
-	moveAt   float64
-	copies   float64 // budget for further executions
+	lim         limits
+	slab        *fleet.Slab
+	now         float64
+	seed, draws uint64
+
+	servers []*server // by ServerID; nil where a number was never listed
+	ring    []*server // by point
+	origin  *server
+	askAt   float64 // when the next call for the list is due; +Inf: the subscription stands
+	asks    int     // calls that failed in a row
+	moveAt  float64
+
+	ready   []fleet.Ref // to be asked about now
+	alarms  fleet.Alarms
+	fetches map[fleet.Key]fleet.Ref // who fetches a key
+	follows []fleet.Ref             // who waits for them
+	store   stock
+	cold    meter
+
 	atCaches int     // executions out at caches
+	copies   float64 // budget for second copies
 	typical  float64 // usual answer time over all caches
 	late     float64 // recent share of cache answers that were late or nearly so
 }
@@ -196,14 +197,13 @@
 // Wait says how long to wait and which query Where is to be asked about then.
 func (n *Node) Wait(now float64) (fleet.Ref, float64) {
 	n.now = now
-	for n.next < len(n.ready) {
-		r := n.ready[n.next]
-		n.next++
+	for k := len(n.ready) - 1; k >= 0; k-- {
+		r := n.ready[k]
+		n.ready = n.ready[:k]
 		if q := n.slab.Get(r); q != nil && !q.Closed {
 			return r, 0
 		}
 	}
-	n.ready, n.next = n.ready[:0], 0
 	if r := n.store.best(n); r != fleet.NoQuery {
 		return r, 0
 	}
@@ -303,11 +303,17 @@
 	if s == nil {
 		return n.giveUp(q, n.typical)
 	}
-	w, e := &n.lim.workloads[q.Workload], s.est(n)
-	if n.origin != nil && (e > max(w.slo/4, n.store.rt) && n.originBusy() < 0.5 || n.late > overload && e > w.bearable && n.originBusy() < 0.8) {
+	// Departure: what its owner would answer late goes to the origin while that has room and is quicker; the
+	// owner keeps its other keys and copies. In overload, what is left is turned away at once.
+	w, e, busy := &n.lim.workloads[q.Workload], s.est(n), math.Inf(1)
+	if n.origin != nil {
+		busy = float64(n.origin.out) / n.store.window
+	}
+	crowded := n.late > overload && e > w.bearable
+	if crowded && busy < 0.8 || e > max(w.slo/4, n.store.rt) && busy < 0.5 {
 		return n.toOrigin(q)
 	}
-	if n.late > overload && e > w.bearable {
+	if crowded {
 		return n.giveUp(q, e)
 	}
 	return n.send(q, s)
@@ -391,7 +397,7 @@
 	if q.Closed || q.Streamed || q.N >= n.lim.maxExecs || n.now >= q.Deadline {
 		return false
 	}
-	if s.state != fleet.Ready || !n.gate4.room(n, s, q) {
+	if s.state != fleet.Ready || !n.cold.room(n, s, q) {
 		return false
 	}
 	return !n.twice(q, s)
@@ -408,8 +414,8 @@
 		case w.effect == fleet.Idempotent || e.Result.NeverRan():
 		case w.effect == fleet.NonIdempotent || s == nil && w.scope != fleet.ScopeAll:
 			return true
-		case s != nil && (n.now+n.lim.slack > e.Sent+w.span ||
-			w.scope == fleet.ScopeZone && was.zone != s.zone || w.scope == fleet.ScopeCell && was.cell != s.cell):
+		case s != nil && (n.now+n.lim.slack > e.Sent+w.span || w.scope == fleet.ScopeZone &&
+			was.zone != s.zone || w.scope == fleet.ScopeCell && was.cell != s.cell):
 			return true
 		}
 	}
--- a/decide/health.go
+++ b/decide/health.go
@@ -14,34 +14,24 @@
 	zone    fleet.ZoneID
 	cell    fleet.CellID
 	started float64
-	listed  bool
 
-	point, was float64 // on the ring now, and before the recent moves
-	wasAt      float64
-	at         int
-	used       bool // its reports moved it this time
-	stride     float64
-
-	report   fleet.Report
-	news     bool // the report was not yet used for a move
-	reportAt float64
-	peak     float64 // recent peak of the reported queue
-	hits     float64 // recent level of the hit share
-
-	out     int     // own executions there
-	quiet   float64 // since when something is out and nothing was heard
-	pace    float64 // answer time per query ahead
-	rt      float64 // recent answer time
-	ah      float64 // what the executions behind rt found ahead of them
-	rtAt    float64
-	bad     float64 // recent share of failures
-	ejected bool
-	tryAt   float64 // when the next trial may go
-	pause   float64 // between trials
-	goods   int     // trials in a row that went well
-	fullTil float64
-	tokens  float64 // cold: work that may still be sent
-	tokenAt float64
+	listed, news, used, ejected bool // news: its report is new; used: it moved the point
+
+	at              int     // place on the ring
+	point, was      float64 // on the ring now, and before the recent moves
+	wasAt, stride   float64
+	report          fleet.Report
+	reportAt        float64
+	peak, hits      float64 // recent peak of the reported queue, and level of the hit share
+	out             int     // own executions there
+	quiet           float64 // since when something is out and nothing was heard
+	pace            float64 // answer time per query ahead
+	rt, ah, rtAt    float64 // recent answer time, what was ahead then, and when
+	bad             float64 // recent share of failures
+	tryAt, pause    float64 // when the next trial may go, and how long from one to the next
+	goods           int     // trials in a row that went well
+	fullTil         float64
+	tokens, tokenAt float64 // cold: work that may still be sent, and when that was reckoned
 }
 
 // Ratios of the health rules.
@@ -92,29 +82,26 @@
 	if s.ejected {
 		s.tryAt = n.now + s.pause
 	}
-	n.gate4.spend(n, s, q)
+	n.cold.spend(n, s, q)
 	if s != n.origin {
 		n.atCaches++
 		n.copies = min(n.copies+n.lim.copyRate, 10)
 	}
 }
 
-// learn takes in what an outcome says of its server.
+// learn takes in what an outcome says of its server: how fast it is, and whether it is well.
 func (n *Node) learn(s *server, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
 	s.out--
-	if s != n.origin {
-		n.atCaches--
-	}
 	n.takeReport(s, o.Report)
+	slo, answered := n.lim.workloads[q.Workload].slo, s.quiet > e.Sent
 	if s == n.origin {
 		n.store.learn(n, q, e, o)
-	}
-	heardSince := s.quiet > e.Sent
-	if s != n.origin {
-		switch done := o.Result == fleet.Completed || heardSince && !o.Result.NeverRan(); {
+	} else {
+		n.atCaches--
+		switch done := o.Result == fleet.Completed || answered && !o.Result.NeverRan(); {
 		case o.Result == fleet.Full:
 			n.late += 0.05 * (0.4 - n.late)
-		case done && n.now-q.Arrived > 0.8*n.lim.workloads[q.Workload].slo:
+		case done && n.now-q.Arrived > 0.8*slo:
 			n.late += 0.05 * (1 - n.late)
 		case done:
 			n.late -= 0.05 * n.late
@@ -123,19 +110,15 @@
 	fail := -1.0 // says nothing of health
 	switch o.Result {
 	case fleet.Completed:
-		fail = 0
-		if s == n.origin || o.Note <= fleet.NoteHit || n.lim.origin < 0 {
+		if fail = 0; o.Note <= fleet.NoteHit {
 			took := min(o.Took, 4*s.est(n)) // one heavy query says little of the server
-			// The pace is near the shortest seen: waits behind other nodes' queries must not pass for
-			// slowness.
+			// The pace is near the shortest seen: waits behind other nodes' queries are not slowness.
 			if one := took / (1 + e.Ahead); one < s.pace {
 				s.pace += 0.1 * (one - s.pace)
 			} else {
 				s.pace += 0.02 * (one - s.pace)
 			}
-			s.rt += 0.3 * (took - s.rt)
-			s.ah += 0.3 * (e.Ahead - s.ah)
-			s.rtAt = n.now
+			s.sample(n, took, e.Ahead)
 			if s != n.origin {
 				n.typical += 0.02 * (o.Took - n.typical)
 			}
@@ -147,28 +130,29 @@
 	case fleet.ConnectFailed:
 		fail = 2
 	case fleet.TimedOut, fleet.Cancelled:
-		// It would have taken longer still: an overloaded server must not look quick because its slow
-		// answers are cut off.
-		if s != n.origin && o.Took > s.rt {
-			s.rt += 0.3 * (o.Took - s.rt)
-			s.ah += 0.3 * (e.Ahead - s.ah)
-			s.rtAt = n.now
-		}
+		// It would have taken longer still: a server must not look quick because slow answers are cut off.
+		s.sample(n, max(o.Took, s.rt), e.Ahead)
 		// Slow is not dead: only a server that answered nothing since the execution left is held for silent,
 		// be it that the client got its answer from a second copy.
-		if !heardSince && o.Took >= n.lim.workloads[q.Workload].slo/4 {
-			fail = 1
+		if !answered && o.Took >= slo/4 && s != n.origin {
+			n.judge(s, 1)
 		}
 	case fleet.Full:
-		s.fullTil = n.now + n.typical
-		s.quiet = n.now
+		s.quiet, s.fullTil = n.now, n.now+n.typical
 	}
-	if fail >= 0 && o.Result != fleet.TimedOut && o.Result != fleet.Cancelled {
+	if fail >= 0 {
 		s.quiet = n.now
+		if s != n.origin {
+			n.judge(s, fail)
+		}
 	}
-	if fail >= 0 && s != n.origin {
-		n.judge(s, fail)
-	}
+}
+
+// sample takes in one answer time and what was ahead of it.
+func (s *server) sample(n *Node, took, ahead float64) {
+	s.rt += 0.3 * (took - s.rt)
+	s.ah += 0.3 * (ahead - s.ah)
+	s.rtAt = n.now
 }
 
 // judge weighs one good or bad outcome and ejects or restores its server.
@@ -198,7 +182,7 @@
 }
 
 // takes tells whether s can be given q. An ejected server gets single trials of queries that may run again.
-func (n *Node) takes(s *server, q *fleet.Query, p float64, own bool) bool {
+func (n *Node) takes(s *server, q *fleet.Query, own bool) bool {
 	for i := range q.Execs[:q.N] {
 		if e := &q.Execs[i]; e.Server == s.id && e.Result != fleet.Missed && e.Result != fleet.NotSent {
 			return false
@@ -208,7 +192,7 @@
 		n.lim.workloads[q.Workload].effect != fleet.Idempotent) {
 		return false
 	}
-	return n.coldPart(s, p) && n.maySend(q, s)
+	return n.coldPart(s, q.Key.Point()) && n.maySend(q, s)
 }
 
 // looksBack tells whether an execution of q can be joined or replaced while it is out.
@@ -229,7 +213,7 @@
 	silent := n.now-max(s.quiet, e.Sent) >= max(slo/4, 3*s.pace)
 	// A query whose work is told and must be done by now is stuck behind others; its own work is still to
 	// come.
-	stuck := n.lim.cancels && q.Work > 0 && took >= max(slo/2, 4*s.pace*q.Work/n.gate4.mean)
+	stuck := n.lim.cancels && q.Work > 0 && took >= max(slo/2, 4*s.pace*q.Work/n.cold.mean)
 	if silent || stuck {
 		if t := n.route(q); (n.copies >= 1 || stuck) && t != nil && t != s && t.est(n) < took/2 {
 			if n.lim.copies && !stuck {
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -122,30 +122,24 @@
 	n.rebuild()
 }
 
-// route walks from the key's owner along its successors. Departure: an owner that holds more than its
-// share of this node's queries hands the next one on, when the wait that saves is longer than what a miss
-// costs more.
+// route walks from the key's owner along its successors to a server that can take q. Departure: an owner that
+// holds more than twice its share of this node's queries hands the next one on, when the wait that saves is
+// longer than what a miss costs more: half a fetch, the wait for room at the origin, and in overload, where
+// only hits carry the load, part of the SLO time.
 func (n *Node) route(q *fleet.Query) *server {
 	bound := math.Ceil(spread * float64(n.atCaches+1) / float64(len(n.ring)))
 	gain := n.store.rt / 2
 	if n.late > overload {
 		gain += n.lim.sloMin / 4
 	}
-	if !n.store.room(n) && n.origin != nil {
+	if !n.store.room(n) {
 		gain += float64(len(n.store.waiting)+1) * n.store.rt / n.store.window
 	}
-	return n.walk(q, len(n.ring), bound, gain)
-}
-
-// walk takes the first server that can take q and holds less than bound, and on the way there leaves each
-// choice only for one that is quicker by more than gain.
-func (n *Node) walk(q *fleet.Query, reach int, bound, gain float64) *server {
-	p := q.Key.Point()
-	i := n.owner(p)
+	i := n.owner(q.Key.Point())
 	var pick *server
-	for k := range reach {
+	for k := range n.ring {
 		s := n.neighbour(i, k)
-		if !n.takes(s, q, p, k == 0) || pick != nil && s.est(n)+gain >= pick.est(n) {
+		if !n.takes(s, q, k == 0) || pick != nil && s.est(n)+gain >= pick.est(n) {
 			continue
 		}
 		if pick = s; float64(s.out+1) <= bound && n.now >= s.fullTil {
@@ -170,7 +164,7 @@
 	} else if n.now-s.wasAt > handover*n.lim.period || fleet.Span(s.point, p) > fleet.Span(s.point, s.was) {
 		return nil
 	}
-	if q.Execs[0].Server != o.id || !n.takes(s, q, p, false) {
+	if q.Execs[0].Server != o.id || !n.takes(s, q, false) {
 		return nil
 	}
 	return s
