--- a/decide/ring.go
+++ b/decide/ring.go
@@ -127,7 +127,7 @@
 // longer than what a miss costs more: half a fetch, the wait for room at the origin, and in overload, where
 // only hits carry the load, part of the SLO time.
 func (n *Node) route(q *fleet.Query) *server {
-	bound := math.Ceil(spread * float64(n.atCaches+1) / float64(len(n.ring)))
+	bound := max(2, math.Ceil(spread*float64(n.atCaches+1)/float64(len(n.ring))))
 	gain := n.store.rt / 2
 	if n.late > overload {
 		gain += n.lim.sloMin / 4
