--- a/decide/ring.go
+++ b/decide/ring.go
@@ -17,7 +17,7 @@
 	stride   = 0.7 // share of x taken in a first move, since reports lag behind it
 	spread   = 2
 	handover = 10   // periods for which a server is asked for keys it handed over
-	settle   = 0.85 // by which each move shortens the next, so that rings come to rest and keys stay
+	settle   = 0.7 // by which each move shortens the next, so that rings come to rest and keys stay
 )
 
 // rebuild sorts the servers that own arcs. Those that drain or are gone own none: their arcs fall to
@@ -113,7 +113,7 @@
 		if s.point -= x; s.point < 0 {
 			s.point++
 		}
-		s.stride = max(s.stride*settle, 0.05)
+		s.stride = max(s.stride*settle, 0.02)
 		s.used = true
 	}
 	for _, s := range n.ring {
