--- a/decide/admit.go
+++ b/decide/admit.go
@@ -11,6 +11,7 @@
 	window  float64
 	cutAt   float64
 	rt      float64 // usual answer time
+	slow    float64 // recent share of late answers
 	waiting []fleet.Ref
 }
 
@@ -18,18 +19,26 @@
 	return n.origin != nil && float64(n.origin.out) < k.window
 }
 
-// learn widens the window while answers come in time and cuts it, once per answer time, when they do not.
+// learn widens the window while answers come in time, and cuts it when a fair share does not. One late answer says
+// little: the origin's times spread widely, and writes take a multiple of what reads take. Judging writes by the
+// reads' time once closed the window for good on a large fleet that wrote much.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
+	if o.Result == fleet.Cancelled || o.Result == fleet.NotSent {
+		return
+	}
+	most, slow := n.lim.workloads[q.Workload].slo, 1.0
+	if !q.Write {
+		most = n.lim.sloMin / 2
+	}
 	if o.Result == fleet.Completed {
 		k.rt += 0.1 * (o.Took - k.rt)
-	}
-	switch {
-	case o.Result == fleet.Cancelled || o.Result == fleet.NotSent:
-	case o.Result != fleet.Completed || o.Took > n.lim.sloMin/2:
-		if e.Sent >= k.cutAt {
-			k.window, k.cutAt = max(1, k.window*0.7), n.now
+		if o.Took <= most {
+			slow = 0
 		}
-	case float64(n.origin.out+1) >= k.window-1:
+	}
+	if k.slow += 0.15 * (slow - k.slow); k.slow > 0.3 && e.Sent >= k.cutAt {
+		k.window, k.cutAt = max(1, k.window*0.7), n.now
+	} else if slow == 0 && float64(n.origin.out+1) >= k.window-1 {
 		k.window = min(64, k.window+1/k.window)
 	}
 }
