Keep a copy of popular keys at the first server of the node's zone

A key counted above 2.5 (fading) goes to the first own-zone server on its way round the ring. Affinity falls where keys change in and out.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,10 +48,11 @@
 	store   stock
 	cold    meter
 
-	atCaches int     // executions out at caches
-	copies   float64 // budget for second copies
-	typical  float64 // usual answer time over all caches
-	late     float64 // recent share of cache answers that were late or nearly so
+	heat     [2048]float32 // fading count of queries by key
+	atCaches int           // executions out at caches
+	copies   float64       // budget for second copies
+	typical  float64       // usual answer time over all caches
+	late     float64       // recent share of cache answers that were late or nearly so
 }
 
 // workload is what decisions need of one kind of query.
@@ -67,6 +68,7 @@
 // limits are the figures derived from the settings; the settings themselves are not kept.
 type limits struct {
 	workloads  []workload
+	zone       fleet.ZoneID
 	origin     fleet.KindID // below 0: servers fetch for themselves
 	maxExecs   int
 	copies     bool // two executions of a query may be out
@@ -85,7 +87,7 @@
 
 // derive turns settings into the figures that decisions use.
 func derive(l fleet.Limits) limits {
-	d := limits{origin: l.OriginKind, maxExecs: min(max(l.MaxExecutions, 1), fleet.MaxExecs),
+	d := limits{zone: l.Zone, origin: l.OriginKind, maxExecs: min(max(l.MaxExecutions, 1), fleet.MaxExecs),
 		copies: l.SecondCopies, cancels: l.Cancelling, copyRate: 0.05 / (0.5 + 2*l.WasteCost),
 		coldFrom: l.StartCapacity, warmWithin: l.WarmWithin, coldRate: l.FallMultiple / 2,
 		coldBurst: l.TipAfter / 2, sloMin: math.Inf(1)}
@@ -156,6 +158,9 @@
 	if !q.HasKey && q.N == 0 {
 		q.Key = fleet.Key(n.chance() * (1 << 53)) // a place on the ring for a query that names none
 	}
+	if q.Stage == fresh && q.HasKey {
+		n.heat[uint64(q.Key)%uint64(len(n.heat))]++
+	}
 	return n.gate(q, n.place(q))
 }
 
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -16,6 +16,7 @@
 	margin   = 0.05 * gamma
 	stride   = 0.7 // share of x taken in a first move, since reports lag behind it
 	spread   = 2
+	popular  = 2.5 // fading count of a key's queries above which it has a copy nearby
 	handover = 10  // periods for which a server is asked for keys it handed over
 	settle   = 0.7 // by which each move shortens the next, so that rings come to rest and keys stay
 )
@@ -137,6 +138,9 @@
 	}
 	i := n.owner(q.Key.Point())
 	var pick *server
+	if s := n.nearby(i, q.Key); s != nil && n.takes(s, q, true) && s.est(n) <= n.ring[i].est(n)+n.store.rt/2 {
+		return s
+	}
 	for k := range n.ring {
 		s := n.neighbour(i, k)
 		if !n.takes(s, q, k == 0) || pick != nil && s.est(n)+gain >= pick.est(n) {
@@ -149,6 +153,21 @@
 	return pick
 }
 
+// nearby is the first server of this node's own zone on the way from a popular key's owner. Departure: a key that
+// this node asks for often enough to keep a second copy warm has one there, which saves the way between zones and
+// spreads hot keys.
+func (n *Node) nearby(i int, key fleet.Key) *server {
+	if n.heat[uint64(key)%uint64(len(n.heat))] < popular {
+		return nil
+	}
+	for k := range n.ring {
+		if s := n.neighbour(i, k); s.zone == n.lim.zone {
+			return s
+		}
+	}
+	return nil
+}
+
 // elsewhere names the server that may still hold a key after a miss at its owner: the predecessor that handed
 // the stretch over, or the successor that stood in for a cold owner. It is asked only while the origin is
 // crowded, because only a fetch leaves a copy at the owner.
