--- a/decide/list.go
+++ b/decide/list.go
@@ -17,7 +17,7 @@
 		n.moveAt = n.now + n.lim.period*(0.9+0.2*n.chance())
 		n.late *= 0.8 // a node that turns most away sees few answers; it must find out when it may stop
 		for i := range n.heat {
-			n.heat[i] *= 0.8
+			n.heat[i] *= 0.95
 		}
 		n.moveRing()
 	}
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -16,7 +16,7 @@
 	margin   = 0.05 * gamma
 	stride   = 0.7 // share of x taken in a first move, since reports lag behind it
 	spread   = 2
-	popular  = 2.5 // fading count of a key's queries above which it has a copy nearby
+	popular  = 10 // fading count of a key's queries above which it has a copy nearby
 	handover = 10  // periods for which a server is asked for keys it handed over
 	settle   = 0.7 // by which each move shortens the next, so that rings come to rest and keys stay
 )
