--- a/decide/admit.go
+++ b/decide/admit.go
@@ -19,9 +19,9 @@
 	return n.origin != nil && float64(n.origin.out) < k.window
 }
 
-// learn widens the window while answers come in time, and cuts it when a fair share does not. One late answer says
-// little: the origin's times spread widely, and writes take a multiple of what reads take. Judging writes by the
-// reads' time once closed the window for good on a large fleet that wrote much.
+// learn widens the window while answers come in time, and cuts it when a fair share does not. One late
+// answer says little: the origin's times spread widely, and writes take a multiple of what reads take.
+// Judging writes by the reads' time once closed the window for good on a large fleet that wrote much.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
 	if o.Result == fleet.Cancelled || o.Result == fleet.NotSent {
 		return
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,7 +23,6 @@
 	following       // waits for another query's fetch of the same key
 	queued          // waits for room at the origin
 	fetching        // an execution is out at the origin
-	missed          // the last cache asked had no copy
 	again           // is to be routed anew
 )
 
@@ -188,13 +187,8 @@
 	if q.Out > 0 {
 		return fleet.Move{Action: fleet.Hold}
 	}
-	switch {
-	case o.Result == fleet.Missed && s != n.origin:
-		q.Stage = missed
-	case s == n.origin:
+	if q.Stage = again; s == n.origin || o.Result == fleet.Missed && n.origin != nil {
 		q.Stage = queued
-	default:
-		q.Stage = again
 	}
 	return n.gate(q, n.place(q))
 }
@@ -293,11 +287,6 @@
 	case n.lim.origin < 0:
 	case q.Write || q.Stage == queued:
 		return n.toOrigin(q)
-	case q.Stage == missed:
-		if s := n.elsewhere(q); s != nil {
-			return n.send(q, s)
-		}
-		return n.toOrigin(q)
 	case n.leads(q):
 		return n.follow(q)
 	}
--- a/decide/health.go
+++ b/decide/health.go
@@ -18,8 +18,7 @@
 	listed, news, used, ejected bool // news: its report is new; used: it moved the point
 
 	at              int     // place on the ring
-	point, was      float64 // on the ring now, and before the recent moves
-	wasAt, stride   float64
+	point, stride   float64 // on the ring, and the share of x that its next move takes
 	report          fleet.Report
 	reportAt        float64
 	peak, hits      float64 // recent peak of the reported queue, and level of the hit share
@@ -210,14 +209,10 @@
 		return fleet.Move{Action: fleet.Hold}
 	}
 	slo, took := n.lim.workloads[q.Workload].slo, n.now-e.Sent
-	silent := n.now-max(s.quiet, e.Sent) >= max(slo/4, 3*s.pace)
-	// A query whose work is told and must be done by now is stuck behind others; its own work is still to
-	// come.
-	stuck := n.lim.cancels && q.Work > 0 && took >= max(slo/2, 4*s.pace*q.Work/n.cold.mean)
-	if silent || stuck {
-		if t := n.route(q); (n.copies >= 1 || stuck) && t != nil && t != s && t.est(n) < took/2 {
-			if n.lim.copies && !stuck {
-				n.copies--
+	if n.now-max(s.quiet, e.Sent) >= max(slo/4, 3*s.pace) {
+		if t := n.route(q); n.copies >= 1 && t != nil && t != s && t.est(n) < took/2 {
+			n.copies--
+			if n.lim.copies {
 				return fleet.Move{Action: fleet.Send, Server: t.id, Limit: q.Deadline - n.now}
 			}
 			e.Quit = true
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -9,16 +9,15 @@
 
 // The move's figures as the thesis gives them (section 3.1, MOVE).
 const (
-	gamma    = 5.0
-	alpha    = 3.0
-	slope    = (gamma - 1) / alpha
-	beta     = 0.1
-	margin   = 0.05 * gamma
-	stride   = 0.7 // share of x taken in a first move, since reports lag behind it
-	spread   = 2
-	popular  = 10 // fading count of a key's queries above which it has a copy nearby
-	handover = 10  // periods for which a server is asked for keys it handed over
-	settle   = 0.7 // by which each move shortens the next, so that rings come to rest and keys stay
+	gamma   = 5.0
+	alpha   = 3.0
+	slope   = (gamma - 1) / alpha
+	beta    = 0.1
+	margin  = 0.05 * gamma
+	stride  = 0.7 // share of x taken in a first move, since reports lag behind it
+	spread  = 2
+	popular = 10  // fading count of a key's queries above which it has a copy nearby
+	settle  = 0.7 // by which each move shortens the next, so that rings come to rest and keys stay
 )
 
 // rebuild sorts the servers that own arcs. Those that drain or are gone own none: their arcs fall to
@@ -108,9 +107,6 @@
 		if x = min(x, n.arc(i)/2); x <= 0 || s == next {
 			continue
 		}
-		if n.now-s.wasAt > handover*n.lim.period {
-			s.was, s.wasAt = s.point, n.now
-		}
 		if s.point -= x; s.point < 0 {
 			s.point++
 		}
@@ -153,9 +149,9 @@
 	return pick
 }
 
-// nearby is the first server of this node's own zone on the way from a popular key's owner. Departure: a key that
-// this node asks for often enough to keep a second copy warm has one there, which saves the way between zones and
-// spreads hot keys.
+// nearby is the first server of this node's own zone on the way from a popular key's owner. Departure: a
+// key that this node asks for often enough to keep a second copy warm has one there, which saves the way
+// between zones and spreads hot keys.
 func (n *Node) nearby(i int, key fleet.Key) *server {
 	if n.heat[uint64(key)%uint64(len(n.heat))] < popular {
 		return nil
@@ -167,24 +163,3 @@
 	}
 	return nil
 }
-
-// elsewhere names the server that may still hold a key after a miss at its owner: the predecessor that handed
-// the stretch over, or the successor that stood in for a cold owner. It is asked only while the origin is
-// crowded, because only a fetch leaves a copy at the owner.
-func (n *Node) elsewhere(q *fleet.Query) *server {
-	if q.N != 1 || len(n.ring) < 2 || n.store.room(n) {
-		return nil
-	}
-	p := q.Key.Point()
-	i := n.owner(p)
-	o, s := n.ring[i], n.neighbour(i, -1)
-	if o.warmth(n) < 1 {
-		s = n.neighbour(i, 1)
-	} else if n.now-s.wasAt > handover*n.lim.period || fleet.Span(s.point, p) > fleet.Span(s.point, s.was) {
-		return nil
-	}
-	if q.Execs[0].Server != o.id || !n.takes(s, q, false) {
-		return nil
-	}
-	return s
-}
