--- a/decide/health.go
+++ b/decide/health.go
@@ -38,7 +38,7 @@
 	failWeight = 0.25 // of one outcome in the recent share of failures
 	failLimit  = 0.4
 	trialsBack = 3
-	overload   = 0.15 // share of late answers above which queries are turned away
+	overload   = 0.1 // share of late answers above which queries are turned away
 )
 
 // ahead counts what a new query would find at s: own executions and the reported queue, the less the
