--- a/decide/admit.go
+++ b/decide/admit.go
@@ -96,17 +96,6 @@
 	return n.hold(q, q.Deadline-n.lim.slack-min(rt, left/2))
 }
 
-// inShare tells how far q's tenant keeps to its share of this node's queries, as the mix of one node is the best
-// guess at that of all: below 1 for one that asks for more, whose queries beyond the share are worth little.
-func (n *Node) inShare(q *fleet.Query) float64 {
-	t := int(q.Tenant)
-	if t >= len(n.asked) || n.asked[t] < 1 {
-		return 1
-	}
-	r := n.lim.shares[t] * n.askedAll / n.asked[t]
-	return min(max(r*r, 0.3), 1.5)
-}
-
 // meter keeps this node's share of what a cold server can bear.
 type meter struct {
 	rate  float64 // work this node sends to all caches, per ms
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,12 +48,10 @@
 	cold    meter
 
 	heat     [2048]float32 // fading count of queries by key
-	asked    []float64     // fading count of queries by tenant
-	askedAll float64
-	atCaches int     // executions out at caches
-	copies   float64 // budget for second copies
-	typical  float64 // usual answer time over all caches
-	late     float64 // recent share of cache answers that were late or nearly so
+	atCaches int           // executions out at caches
+	copies   float64       // budget for second copies
+	typical  float64       // usual answer time over all caches
+	late     float64       // recent share of cache answers that were late or nearly so
 }
 
 // workload is what decisions need of one kind of query.
@@ -70,7 +68,6 @@
 type limits struct {
 	workloads  []workload
 	zone       fleet.ZoneID
-	shares     []float64    // of the service, by tenant
 	origin     fleet.KindID // below 0: servers fetch for themselves
 	maxExecs   int
 	copies     bool // two executions of a query may be out
@@ -93,9 +90,6 @@
 		copies: l.SecondCopies, cancels: l.Cancelling, copyRate: 0.05 / (0.5 + 2*l.WasteCost),
 		coldFrom: l.StartCapacity, warmWithin: l.WarmWithin, coldRate: l.FallMultiple / 2,
 		coldBurst: l.TipAfter / 2, sloMin: math.Inf(1)}
-	for _, t := range l.Tenants {
-		d.shares = append(d.shares, t.Share)
-	}
 	top := 0.0
 	for _, w := range l.Workloads {
 		d.sloMin = min(d.sloMin, w.SLOTime)
@@ -129,7 +123,7 @@
 // New starts a node that knows nothing but its limits.
 func New(now float64, l fleet.Limits, slab *fleet.Slab) *Node {
 	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed, fetches: map[fleet.Key]fleet.Ref{}}
-	n.typical, n.asked = n.lim.sloMin/8, make([]float64, len(n.lim.shares))
+	n.typical = n.lim.sloMin / 8
 	n.store = stock{window: 4, rt: n.lim.sloMin / 4}
 	n.askAt = now
 	if n.lim.askWithin == 0 {
@@ -163,10 +157,6 @@
 	if !q.HasKey && q.N == 0 {
 		q.Key = fleet.Key(n.chance() * (1 << 53)) // a place on the ring for a query that names none
 	}
-	if t := int(q.Tenant); q.Stage == fresh && t < len(n.asked) {
-		n.asked[t]++
-		n.askedAll++
-	}
 	if q.Stage == fresh && q.HasKey {
 		n.heat[uint64(q.Key)%uint64(len(n.heat))]++
 	}
@@ -313,7 +303,7 @@
 	if n.origin != nil {
 		busy = float64(n.origin.out) / n.store.window
 	}
-	crowded := n.late > overload && e > w.bearable*n.inShare(q)
+	crowded := n.late > overload && e > w.bearable
 	if crowded && busy < 0.8 || e > max(w.slo/4, n.store.rt) && busy < 0.5 {
 		return n.toOrigin(q)
 	}
--- a/decide/list.go
+++ b/decide/list.go
@@ -16,10 +16,6 @@
 	if n.now >= n.moveAt {
 		n.moveAt = n.now + n.lim.period*(0.9+0.2*n.chance())
 		n.late *= 0.8 // a node that turns most away sees few answers; it must find out when it may stop
-		for t := range n.asked {
-			n.asked[t] *= 0.9
-		}
-		n.askedAll *= 0.9
 		for i := range n.heat {
 			n.heat[i] *= 0.95
 		}
