--- a/decide/admit.go
+++ b/decide/admit.go
@@ -19,20 +19,17 @@
 	return n.origin != nil && float64(n.origin.out) < k.window
 }
 
-// learn widens the window while answers come in time, and cuts it when a fair share does not. One late
-// answer says little: the origin's times spread widely, and writes take a multiple of what reads take.
-// Judging writes by the reads' time once closed the window for good on a large fleet that wrote much.
+// learn widens the window while answers come in time, and cuts it when a fair share does not. One late answer says
+// little, as the origin's times spread widely. Only reads are judged: writes take a multiple of their time and once
+// closed the window for good on a large fleet; on another, failing writes kept reads out of an idle origin.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
-	if o.Result == fleet.Cancelled || o.Result == fleet.NotSent {
+	if q.Write || o.Result == fleet.Cancelled || o.Result == fleet.NotSent {
 		return
 	}
-	most, slow := n.lim.workloads[q.Workload].slo, 1.0
-	if !q.Write {
-		most = n.lim.sloMin / 2
-	}
+	slow := 1.0
 	if o.Result == fleet.Completed {
 		k.rt += 0.1 * (o.Took - k.rt)
-		if o.Took <= most {
+		if o.Took <= n.lim.sloMin/2 {
 			slow = 0
 		}
 	}
