--- a/decide/admit.go
+++ b/decide/admit.go
@@ -12,27 +12,35 @@
 	cutAt   float64
 	rt      float64 // usual answer time
 	slow    float64 // recent share of late answers
+	writes  int     // of what is out there
 	waiting []fleet.Ref
 }
 
-func (k *stock) room(n *Node) bool {
-	return n.origin != nil && float64(n.origin.out) < k.window
+// room tells whether one more read may go. Writes that are out take at most half of the window from reads.
+func (k *stock) room(n *Node) bool { return n.origin != nil && k.busy(n) < 1 }
+
+func (k *stock) busy(n *Node) float64 {
+	return (float64(n.origin.out) - max(0, float64(k.writes)-k.window/2)) / k.window
 }
 
 // learn widens the window while answers come in time, and cuts it when a fair share does not. One late answer says
-// little, as the origin's times spread widely. Only reads are judged: writes take a multiple of their time and once
-// closed the window for good on a large fleet; on another, failing writes kept reads out of an idle origin.
+// little, as the origin's times spread widely, and a late write says nothing: writes take a multiple of what reads
+// take, and where they failed for a reason of their own they once closed the window to reads.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
-	if q.Write || o.Result == fleet.Cancelled || o.Result == fleet.NotSent {
-		return
+	most, slow := n.lim.sloMin/2, 1.0
+	if q.Write {
+		k.writes--
+		most = n.lim.workloads[q.Workload].slo
 	}
-	slow := 1.0
 	if o.Result == fleet.Completed {
 		k.rt += 0.1 * (o.Took - k.rt)
-		if o.Took <= n.lim.sloMin/2 {
+		if o.Took <= most {
 			slow = 0
 		}
 	}
+	if o.Result == fleet.Cancelled || o.Result == fleet.NotSent || q.Write && slow > 0 {
+		return
+	}
 	if k.slow += 0.15 * (slow - k.slow); k.slow > 0.3 && e.Sent >= k.cutAt {
 		k.window, k.cutAt = max(1, k.window*0.7), n.now
 	} else if slow == 0 && float64(n.origin.out+1) >= k.window-1 {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -301,7 +301,7 @@
 	// owner keeps its other keys and copies. In overload, what is left is turned away at once.
 	w, e, busy := &n.lim.workloads[q.Workload], s.est(n), math.Inf(1)
 	if n.origin != nil {
-		busy = float64(n.origin.out) / n.store.window
+		busy = n.store.busy(n)
 	}
 	crowded := n.late > overload && e > w.bearable
 	if crowded && busy < 0.8 || e > max(w.slo/4, n.store.rt) && busy < 0.5 {
--- a/decide/health.go
+++ b/decide/health.go
@@ -82,6 +82,9 @@
 		s.tryAt = n.now + s.pause
 	}
 	n.cold.spend(n, s, q)
+	if s == n.origin && q.Write {
+		n.store.writes++
+	}
 	if s != n.origin {
 		n.atCaches++
 		n.copies = min(n.copies+n.lim.copyRate, 10)
