--- a/decide/admit.go
+++ b/decide/admit.go
@@ -118,6 +118,16 @@
 	return n.lim.coldFrom + (1-n.lim.coldFrom)*max(0, age)/n.lim.warmWithin
 }
 
+// warm sums the warmth of the ring. A cold server's fair part is its warmth over this sum: where most of a fleet is
+// cold, the few warm servers could not carry what a part of the plain mean leaves to them.
+func (n *Node) warm() float64 {
+	sum := 0.0
+	for _, s := range n.ring {
+		sum += s.warmth(n)
+	}
+	return max(sum, 1)
+}
+
 // coldPart gives a cold server the part of its arc next to its predecessor, growing as it warms; the rest
 // of the arc stays with its successor, who held it before.
 func (n *Node) coldPart(s *server, p float64) bool {
@@ -126,7 +136,7 @@
 		return true
 	}
 	pred := n.neighbour(s.at, -1)
-	return fleet.Span(pred.point, p) <= min(n.arc(s.at), 1/float64(len(n.ring)))*g
+	return fleet.Span(pred.point, p) <= min(n.arc(s.at), g/n.warm())
 }
 
 func (m *meter) cost(q *fleet.Query) float64 {
@@ -142,7 +152,7 @@
 	if s == n.origin || s.warmth(n) >= 1 {
 		return true
 	}
-	rate := n.lim.coldRate * s.warmth(n) * m.rate / float64(max(1, len(n.ring)))
+	rate := n.lim.coldRate * s.warmth(n) * m.rate / n.warm()
 	most := max(1, rate*n.lim.coldBurst)
 	s.tokens, s.tokenAt = min(most, s.tokens+rate*(n.now-s.tokenAt)), n.now
 	return s.tokens >= min(m.cost(q), most)
