--- a/decide/decide.go
+++ b/decide/decide.go
@@ -308,11 +308,6 @@
 		return n.toOrigin(q)
 	}
 	if crowded {
-		for k := 1; k < min(4, len(n.ring)); k++ {
-			if t := n.neighbour(s.at, k); n.takes(t, q, false) && t.est(n) < w.bearable/2 {
-				return n.send(q, t)
-			}
-		}
 		return n.giveUp(q, e)
 	}
 	return n.send(q, s)
--- a/decide/health.go
+++ b/decide/health.go
@@ -30,15 +30,20 @@
 	tryAt, pause    float64 // when the next trial may go, and how long from one to the next
 	goods           int     // trials in a row that went well
 	fullTil         float64
-	tokens, tokenAt float64 // cold: work that may still be sent, and when that was reckoned
+	refusals        []refusal // by workload
+	tokens, tokenAt float64   // cold: work that may still be sent, and when that was reckoned
 }
 
+// refusal is how a server treats one workload: it may refuse some and serve the rest well.
+type refusal struct{ share, wait, until float64 }
+
 // Ratios of the health rules.
 const (
-	failWeight = 0.25 // of one outcome in the recent share of failures
-	failLimit  = 0.4
-	trialsBack = 3
-	overload   = 0.1 // share of late answers above which queries are turned away
+	failWeight  = 0.25 // of one outcome in the recent share of failures
+	failLimit   = 0.4
+	refuseLimit = 0.7 // recent share of refusals of one workload above which its queries go to the successor
+	trialsBack  = 3
+	overload    = 0.1 // share of late answers above which queries are turned away
 )
 
 // ahead counts what a new query would find at s: own executions and the reported queue, the less the
@@ -109,6 +114,14 @@
 			n.late -= 0.05 * n.late
 		}
 	}
+	if r := &s.refusals[q.Workload]; o.Result == fleet.Full || o.Result == fleet.Failed {
+		if r.share += failWeight * (1 - r.share); r.share > refuseLimit {
+			r.wait = min(max(2*r.wait, n.lim.period), 8*n.lim.period)
+			r.until = n.now + r.wait
+		}
+	} else if o.Result == fleet.Completed || o.Result == fleet.Missed {
+		r.share, r.wait = r.share*(1-failWeight), 0
+	}
 	fail := -1.0 // says nothing of health
 	switch o.Result {
 	case fleet.Completed:
@@ -190,6 +203,9 @@
 			return false
 		}
 	}
+	if n.now < s.refusals[q.Workload].until {
+		return false
+	}
 	if s.ejected && (!own || s.out > 0 || n.now < s.tryAt || q.N > 0 ||
 		n.lim.workloads[q.Workload].effect != fleet.Idempotent) {
 		return false
