--- a/decide/admit.go
+++ b/decide/admit.go
@@ -23,9 +23,10 @@
 	return (float64(n.origin.out) - max(0, float64(k.writes)-k.window/2)) / k.window
 }
 
-// learn widens the window while answers come in time, and cuts it when a fair share does not. One late answer says
-// little, as the origin's times spread widely, and a late write says nothing: writes take a multiple of what reads
-// take, and where they failed for a reason of their own they once closed the window to reads.
+// learn widens the window while answers come in time, and cuts it when a fair share does not. One late
+// answer says little, as the origin's times spread widely, and a late write says nothing: writes take a
+// multiple of what reads take, and where they failed for a reason of their own they once closed the
+// window to reads.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
 	most, slow := n.lim.sloMin/2, 1.0
 	if q.Write {
@@ -118,25 +119,16 @@
 	return n.lim.coldFrom + (1-n.lim.coldFrom)*max(0, age)/n.lim.warmWithin
 }
 
-// warm sums the warmth of the ring. A cold server's fair part is its warmth over this sum: where most of a fleet is
-// cold, the few warm servers could not carry what a part of the plain mean leaves to them.
-func (n *Node) warm() float64 {
-	sum := 0.0
-	for _, s := range n.ring {
-		sum += s.warmth(n)
-	}
-	return max(sum, 1)
-}
-
-// coldPart gives a cold server the part of its arc next to its predecessor, growing as it warms; the rest
-// of the arc stays with its successor, who held it before.
+// coldPart gives a cold server the part of its arc next to its predecessor; the rest stays with its
+// successor, who held it before. The part is its warmth over the ring's: where most of a fleet is cold,
+// the few warm servers could not carry what a part of the plain mean leaves to them.
 func (n *Node) coldPart(s *server, p float64) bool {
 	g := s.warmth(n)
 	if g >= 1 || len(n.ring) < 2 {
 		return true
 	}
 	pred := n.neighbour(s.at, -1)
-	return fleet.Span(pred.point, p) <= min(n.arc(s.at), g/n.warm())
+	return fleet.Span(pred.point, p) <= min(n.arc(s.at), g/n.warm)
 }
 
 func (m *meter) cost(q *fleet.Query) float64 {
@@ -152,7 +144,7 @@
 	if s == n.origin || s.warmth(n) >= 1 {
 		return true
 	}
-	rate := n.lim.coldRate * s.warmth(n) * m.rate / n.warm()
+	rate := n.lim.coldRate * s.warmth(n) * m.rate / n.warm
 	most := max(1, rate*n.lim.coldBurst)
 	s.tokens, s.tokenAt = min(most, s.tokens+rate*(n.now-s.tokenAt)), n.now
 	return s.tokens >= min(m.cost(q), most)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -46,6 +46,7 @@
 	follows []fleet.Ref             // who waits for them
 	store   stock
 	cold    meter
+	warm    float64 // sum of the warmth of the ring's servers
 
 	heat     [2048]float32 // fading count of queries by key
 	atCaches int           // executions out at caches
@@ -70,9 +71,9 @@
 	zone       fleet.ZoneID
 	origin     fleet.KindID // below 0: servers fetch for themselves
 	maxExecs   int
-	copies     bool // two executions of a query may be out
-	cancels    bool
+	copies     bool    // two executions of a query may be out
 	copyRate   float64 // second copies per execution
+	cancels    bool
 	longest    float64 // most that a client may be told to stay away; 0: it is not told
 	sloMin     float64 // shortest SLO time
 	slack      float64 // kept before a deadline
@@ -216,9 +217,7 @@
 			}
 			continue
 		}
-		if a.At < due {
-			return a.Ref, a.At - now
-		}
+		due = min(due, a.At)
 		break
 	}
 	return fleet.NoQuery, max(0, due-now)
@@ -252,16 +251,14 @@
 	delete(n.fetches, q.Key)
 	kept := n.follows[:0]
 	for _, r := range n.follows {
-		f := n.slab.Get(r)
-		if f == nil || f.Closed || f.Stage != following {
-			continue
-		}
-		if f.Leader != q.Ref {
+		switch f := n.slab.Get(r); {
+		case f == nil || f.Closed || f.Stage != following:
+		case f.Leader != q.Ref:
 			kept = append(kept, r)
-			continue
+		default:
+			f.Stage = again
+			n.ready = append(n.ready, r)
 		}
-		f.Stage = again
-		n.ready = append(n.ready, r)
 	}
 	n.follows = kept
 }
@@ -362,7 +359,9 @@
 	switch m.Action {
 	case fleet.Send:
 		s := n.servers[m.Server]
-		m.Exec = q.N
+		// An alarm of an earlier hold must not look at this execution: it once cancelled where that is
+		// forbidden.
+		m.Exec, q.Wake = q.N, 0
 		q.Execs[q.N] = fleet.Exec{Server: s.id, Sent: n.now, Ahead: s.ahead(n)}
 		q.N++
 		q.Out++
--- a/decide/health.go
+++ b/decide/health.go
@@ -30,20 +30,15 @@
 	tryAt, pause    float64 // when the next trial may go, and how long from one to the next
 	goods           int     // trials in a row that went well
 	fullTil         float64
-	refusals        []refusal // by workload
-	tokens, tokenAt float64   // cold: work that may still be sent, and when that was reckoned
+	tokens, tokenAt float64 // cold: work that may still be sent, and when that was reckoned
 }
 
-// refusal is how a server treats one workload: it may refuse some and serve the rest well.
-type refusal struct{ share, wait, until float64 }
-
 // Ratios of the health rules.
 const (
-	failWeight  = 0.25 // of one outcome in the recent share of failures
-	failLimit   = 0.4
-	refuseLimit = 0.7 // recent share of refusals of one workload above which its queries go to the successor
-	trialsBack  = 3
-	overload    = 0.1 // share of late answers above which queries are turned away
+	failWeight = 0.25 // of one outcome in the recent share of failures
+	failLimit  = 0.4
+	trialsBack = 3
+	overload   = 0.1 // share of late answers above which queries are turned away
 )
 
 // ahead counts what a new query would find at s: own executions and the reported queue, the less the
@@ -114,14 +109,6 @@
 			n.late -= 0.05 * n.late
 		}
 	}
-	if r := &s.refusals[q.Workload]; o.Result == fleet.Full || o.Result == fleet.Failed {
-		if r.share += failWeight * (1 - r.share); r.share > refuseLimit {
-			r.wait = min(max(2*r.wait, n.lim.period), 8*n.lim.period)
-			r.until = n.now + r.wait
-		}
-	} else if o.Result == fleet.Completed || o.Result == fleet.Missed {
-		r.share, r.wait = r.share*(1-failWeight), 0
-	}
 	fail := -1.0 // says nothing of health
 	switch o.Result {
 	case fleet.Completed:
@@ -203,9 +190,6 @@
 			return false
 		}
 	}
-	if n.now < s.refusals[q.Workload].until {
-		return false
-	}
 	if s.ejected && (!own || s.out > 0 || n.now < s.tryAt || q.N > 0 ||
 		n.lim.workloads[q.Workload].effect != fleet.Idempotent) {
 		return false
@@ -221,24 +205,22 @@
 // lookBack decides on a query whose execution is out for long. Only silence counts: a server that answers
 // others is at work, and the query in hand is heavy or waits its turn.
 func (n *Node) lookBack(q *fleet.Query) fleet.Move {
-	last := q.N - 1
-	e := &q.Execs[last]
-	s := n.servers[e.Server]
-	if q.Stage != out || q.Out != 1 || e.Result != fleet.Pending || e.Quit || q.N >= n.lim.maxExecs {
+	e := &q.Execs[q.N-1]
+	s, slo := n.servers[e.Server], n.lim.workloads[q.Workload].slo
+	took := n.now - e.Sent
+	if !n.looksBack(q) || q.Stage != out || q.Out != 1 || e.Result != fleet.Pending || q.N >= n.lim.maxExecs {
 		return fleet.Move{Action: fleet.Hold}
 	}
-	slo, took := n.lim.workloads[q.Workload].slo, n.now-e.Sent
-	if n.now-max(s.quiet, e.Sent) >= max(slo/4, 3*s.pace) {
-		if t := n.route(q); n.copies >= 1 && t != nil && t != s && t.est(n) < took/2 {
-			n.copies--
-			if n.lim.copies {
-				return fleet.Move{Action: fleet.Send, Server: t.id, Limit: q.Deadline - n.now}
-			}
-			e.Quit = true
-			return fleet.Move{Action: fleet.Cancel, Exec: last}
+	if t := n.route(q); n.now-max(s.quiet, e.Sent) >= max(slo/4, 3*s.pace) && n.copies >= 1 && t != nil &&
+		t != s && t.est(n) < took/2 {
+		n.copies--
+		if n.lim.copies {
+			return n.send(q, t)
 		}
+		e.Quit = true
+		return fleet.Move{Action: fleet.Cancel, Exec: q.N - 1}
 	}
-	if next := n.now + slo/8; next < q.Deadline-n.lim.slack {
+	if next := n.now + slo/8; next < q.Deadline-n.lim.slack && !e.Quit {
 		return n.hold(q, next)
 	}
 	return fleet.Move{Action: fleet.Hold}
--- a/decide/list.go
+++ b/decide/list.go
@@ -65,8 +65,7 @@
 	s := n.servers[m.ID]
 	if s == nil || m.State == fleet.Ready && (s.state != fleet.Ready || m.Started != s.started) {
 		fresh := &server{id: m.ID, report: fleet.NewReport(), stride: stride, pace: n.typical, rt: n.typical,
-			point: fleet.Home(m.Name), tokenAt: n.now,
-			refusals: make([]refusal, len(n.lim.workloads))}
+			point: fleet.Home(m.Name), tokenAt: n.now}
 		if s != nil {
 			fresh.out, fresh.quiet = s.out, s.quiet
 		}
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -36,8 +36,9 @@
 		n.ring = append(n.ring, s)
 	}
 	sort.SliceStable(n.ring, func(i, j int) bool { return n.ring[i].point < n.ring[j].point })
+	n.warm = 0
 	for i, s := range n.ring {
-		s.at = i
+		s.at, n.warm = i, n.warm+s.warmth(n)
 	}
 }
 
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -138,6 +138,9 @@
 			}
 		}
 	case fleet.Cancel:
+		if !w.lim.Cancelling {
+			w.fail("cancelled where that is not permitted")
+		}
 		if r := t.runs[m.Exec]; r.result == fleet.Pending {
 			w.end(t, m.Exec, fleet.Cancelled, fleet.NoteNone)
 		}
