--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -277,3 +277,74 @@
 		t.Errorf("the second query went to %v", second.runs)
 	}
 }
+
+// A late write must not close the origin to reads, nor one late read: it once left a fleet idle.
+func TestOriginWindowOutlivesLateWrites(t *testing.T) {
+	w := newWorld(plainLimits())
+	w.servers(4)
+	for i := range 40 {
+		tr := w.ask(1, fleet.Key(i), true, 900)
+		w.pass(400)
+		w.end(tr, 0, fleet.Completed, fleet.NoteNone)
+	}
+	if w.node.store.window < 4 || !w.node.store.room(w.node) {
+		t.Errorf("late writes cut the window to %v", w.node.store.window)
+	}
+	for i := range 40 {
+		tr := w.ask(0, fleet.Key(100+i), false, 900)
+		w.end(tr, 0, fleet.Missed, fleet.NoteMiss)
+		w.pass(250)
+		w.end(tr, 1, fleet.Completed, fleet.NoteNone)
+	}
+	if w.node.store.window > 2 {
+		t.Errorf("late reads left the window at %v", w.node.store.window)
+	}
+}
+
+// While most answers are late, what no server can take in time is turned away at once with a time to come back,
+// and without new evidence the node lets queries in again.
+func TestOverloadIsShedAndForgotten(t *testing.T) {
+	lim := plainLimits()
+	lim.OriginKind = -1
+	w := newWorld(lim)
+	w.servers(3)
+	for i := range 200 {
+		w.ask(0, fleet.Key(i), false, 900)
+		w.pass(30)
+		for _, tr := range w.open {
+			if k := len(tr.runs) - 1; k >= 0 && tr.answers == 0 && w.now > tr.runs[0].sent+280 {
+				w.end(tr, k, fleet.Completed, fleet.NoteHit)
+			}
+		}
+	}
+	q := w.slab.Take()
+	q.Key, q.HasKey, q.Arrived, q.Deadline = 5, true, w.now, w.now+900
+	if m := w.node.Where(w.now, q); m.Action != fleet.Reject || m.Wait <= 0 {
+		t.Fatalf("in overload the node answered %+v", m)
+	}
+	w.pass(20000)
+	if tr := w.ask(0, 5, false, 900); len(tr.runs) != 1 {
+		t.Error("the node still turns queries away")
+	}
+}
+
+// A key that is asked for often goes to the node's own zone and stays there.
+func TestPopularKeyIsServedNearby(t *testing.T) {
+	lim := plainLimits()
+	lim.Zone = 1
+	w := newWorld(lim)
+	w.servers(6)
+	key := fleet.Key(0)
+	for w.list[w.node.ring[w.node.owner(key.Point())].id].Zone == lim.Zone {
+		key++
+	}
+	var last *trace
+	for range 30 {
+		last = w.ask(0, key, false, 900)
+		w.pass(5)
+		w.end(last, 0, fleet.Completed, fleet.NoteHit)
+	}
+	if s := last.runs[0].server; w.list[s].Zone != lim.Zone {
+		t.Errorf("the popular key went to server %d in another zone", s)
+	}
+}
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -135,7 +135,7 @@
 	}
 	i := n.owner(q.Key.Point())
 	var pick *server
-	if s := n.nearby(i, q.Key); s != nil && n.takes(s, q, true) && s.est(n) <= n.ring[i].est(n)+n.store.rt/2 {
+	if s := n.nearby(i, q.Key); s != nil && n.takes(s, q, true) && s.est(n) <= n.ring[i].est(n)+n.store.rt {
 		return s
 	}
 	for k := range n.ring {
