--- a/decide/decide.go
+++ b/decide/decide.go
@@ -301,7 +301,7 @@
 		busy = n.store.busy(n)
 	}
 	crowded := n.late > overload && e > w.bearable
-	if crowded && busy < 0.8 || e > max(w.slo/4, n.store.rt, 3*s.pace) && busy < 0.5 {
+	if crowded && busy < 0.8 || e > max(w.slo/4, n.store.rt, 2.5*s.pace) && busy < 0.5 {
 		return n.toOrigin(q)
 	}
 	if crowded {
