--- a/decide/list.go
+++ b/decide/list.go
@@ -70,9 +70,6 @@
 			fresh.out, fresh.quiet = s.out, s.quiet
 		}
 		n.servers[m.ID], s = fresh, fresh
-		for _, r := range n.ring { // the ring is another: points may move far again
-			r.stride = stride
-		}
 	}
 	s.listed = true
 	s.state, s.kind, s.zone, s.cell, s.started = m.State, m.Kind, m.Zone, m.Cell, m.Started
