--- a/decide/decide.go
+++ b/decide/decide.go
@@ -300,7 +300,7 @@
 	if n.origin != nil {
 		busy = n.store.busy(n)
 	}
-	crowded := n.late > overload && e > max(w.bearable, 2.5*s.pace)
+	crowded := n.late > overload && e > max(w.bearable, 3.5*s.pace)
 	if crowded && busy < 0.8 || e > max(w.slo/4, n.store.rt, 2.5*s.pace) && busy < 0.5 {
 		return n.toOrigin(q)
 	}
