--- a/decide/ring.go
+++ b/decide/ring.go
@@ -135,8 +135,11 @@
 	}
 	i := n.owner(q.Key.Point())
 	var pick *server
-	if s := n.nearby(i, q.Key); s != nil && n.takes(s, q, true) && s.est(n) <= n.ring[i].est(n)+n.store.rt {
-		return s
+	if s := n.nearby(i, q.Key); s != nil && n.takes(s, q, true) {
+		// A copy nearby may be a fetch slower, but not where its zone is crowded.
+		if e := s.est(n); e <= n.ring[i].est(n) || n.late <= overload && e <= n.ring[i].est(n)+n.store.rt {
+			return s
+		}
 	}
 	for k := range n.ring {
 		s := n.neighbour(i, k)
