--- a/decide/ring.go
+++ b/decide/ring.go
@@ -116,7 +116,6 @@
 	}
 	for _, s := range n.ring {
 		s.news, s.used = s.news && !s.used, false
-		s.stride = min(s.stride*1.08, stride) // what stays out of balance may go on moving
 	}
 	n.rebuild()
 }
@@ -138,7 +137,7 @@
 	var pick *server
 	if s := n.nearby(i, q.Key); s != nil && n.takes(s, q, true) {
 		// A copy nearby may be a fetch slower, but not where its zone is crowded.
-		if e := s.est(n); e <= n.ring[i].est(n) || n.late <= overload && e <= n.ring[i].est(n)+n.store.rt {
+		if e := s.est(n); n.late <= overload && e <= n.ring[i].est(n)+n.store.rt {
 			return s
 		}
 	}
