--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,8 +39,6 @@
 	askAt   float64 // when the next call for the list is due; +Inf: the subscription stands
 	asks    int     // calls that failed in a row
 	moveAt  float64
-	tellAt  float64
-	lead    leader
 
 	ready   []fleet.Ref // to be asked about now
 	alarms  fleet.Alarms
@@ -71,8 +69,6 @@
 type limits struct {
 	workloads  []workload
 	zone       fleet.ZoneID
-	self       fleet.NodeID
-	peers      bool
 	origin     fleet.KindID // below 0: servers fetch for themselves
 	maxExecs   int
 	copies     bool    // two executions of a query may be out
@@ -91,7 +87,7 @@
 
 // derive turns settings into the figures that decisions use.
 func derive(l fleet.Limits) limits {
-	d := limits{zone: l.Zone, self: l.Self, peers: l.Peers && l.Nodes > 1, origin: l.OriginKind, maxExecs: min(max(l.MaxExecutions, 1), fleet.MaxExecs),
+	d := limits{zone: l.Zone, origin: l.OriginKind, maxExecs: min(max(l.MaxExecutions, 1), fleet.MaxExecs),
 		copies: l.SecondCopies, cancels: l.Cancelling, copyRate: 0.05 / (0.5 + 2*l.WasteCost),
 		coldFrom: l.StartCapacity, warmWithin: l.WarmWithin, coldRate: l.FallMultiple / 2,
 		coldBurst: l.TipAfter / 2, sloMin: math.Inf(1)}
@@ -135,9 +131,6 @@
 		n.askAt = math.Inf(1)
 	}
 	n.moveAt = now + n.lim.period*(0.5+0.5*n.chance())
-	if n.tellAt = math.Inf(1); n.lim.peers {
-		n.tellAt = n.moveAt + n.lim.period
-	}
 	return n
 }
 
@@ -214,7 +207,7 @@
 	if r := n.store.best(n); r != fleet.NoQuery {
 		return r, 0
 	}
-	due := min(n.moveAt, n.askAt, n.tellAt)
+	due := min(n.moveAt, n.askAt)
 	for len(n.alarms) > 0 {
 		a := n.alarms[0]
 		if q := n.slab.Get(a.Ref); q == nil || q.Closed || q.Wake != a.At || a.At <= now {
@@ -241,6 +234,9 @@
 	n.close(q)
 }
 
+// Heard takes a message of another node. None is in use yet: nothing may hang on their arrival.
+func (n *Node) Heard(now float64, from fleet.NodeID, body []byte) { n.now = now }
+
 // close ends q for the module; executions that are out still report.
 func (n *Node) close(q *fleet.Query) {
 	q.Closed = true
--- a/decide/health.go
+++ b/decide/health.go
@@ -17,8 +17,7 @@
 
 	listed, news, used, ejected bool // news: its report is new; used: it moved the point
 
-	at              int // place on the ring
-	home            float64
+	at              int     // place on the ring
 	point, stride   float64 // on the ring, and the share of x that its next move takes
 	report          fleet.Report
 	reportAt        float64
--- a/decide/list.go
+++ b/decide/list.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"encoding/binary"
 	"math"
 
 	"mintspring/fleet"
@@ -20,15 +19,7 @@
 		for i := range n.heat {
 			n.heat[i] *= 0.95
 		}
-		if !n.led() {
-			n.moveRing()
-		}
-	}
-	if n.now >= n.tellAt {
-		n.tellAt = n.now + 2*n.lim.period
-		if !n.led() {
-			return fleet.Move{Action: fleet.Tell, Body: n.points()}
-		}
+		n.moveRing()
 	}
 	return fleet.Move{}
 }
@@ -74,7 +65,7 @@
 	s := n.servers[m.ID]
 	if s == nil || m.State == fleet.Ready && (s.state != fleet.Ready || m.Started != s.started) {
 		fresh := &server{id: m.ID, report: fleet.NewReport(), stride: stride, pace: n.typical, rt: n.typical,
-			home: fleet.Home(m.Name), point: fleet.Home(m.Name), tokenAt: n.now}
+			point: fleet.Home(m.Name), tokenAt: n.now}
 		if s != nil {
 			fresh.out, fresh.quiet = s.out, s.quiet
 		}
@@ -83,48 +74,3 @@
 	s.listed = true
 	s.state, s.kind, s.zone, s.cell, s.started = m.State, m.Kind, m.Zone, m.Cell, m.Started
 }
-
-// leader is the node whose ring this one follows. Departure: where nodes may talk, the one with most traffic tells
-// its points, as the thesis broadcasts one ring; rings that drift apart keep copies on several servers. Nothing
-// hangs on it: a node that hears nothing for a while moves its own points again.
-type leader struct {
-	id       fleet.NodeID
-	rate, at float64
-}
-
-func (n *Node) led() bool { return n.lead.at > 0 && n.now-n.lead.at < 5*n.lim.period }
-
-// points is the message: this node's rate of work, and for each server a tag and its point.
-func (n *Node) points() []byte {
-	b := binary.BigEndian.AppendUint32(make([]byte, 0, 256), uint32(n.cold.rate*1e6))
-	for _, s := range n.ring {
-		if len(b) > 252 {
-			break
-		}
-		b = binary.BigEndian.AppendUint16(b, uint16(s.home*65536))
-		b = binary.BigEndian.AppendUint16(b, uint16(s.point*65536))
-	}
-	return b
-}
-
-// Heard takes in the points of another node, if that one sees more traffic than this one and its leader.
-func (n *Node) Heard(now float64, from fleet.NodeID, body []byte) {
-	if n.now = now; len(body) < 4 || len(body)%4 != 0 {
-		return
-	}
-	rate, own := float64(binary.BigEndian.Uint32(body))/1e6, n.cold.rate
-	more := rate > 1.2*own || rate > own/1.2 && from < n.lim.self
-	if !more || n.led() && from != n.lead.id && rate < 1.2*n.lead.rate {
-		return
-	}
-	n.lead = leader{from, rate, now}
-	for k := 4; k < len(body); k += 4 {
-		tag, point := binary.BigEndian.Uint16(body[k:]), binary.BigEndian.Uint16(body[k+2:])
-		for _, s := range n.ring {
-			if uint16(s.home*65536) == tag {
-				s.point = float64(point) / 65536
-			}
-		}
-	}
-	n.rebuild()
-}
