--- a/decide/ring.go
+++ b/decide/ring.go
@@ -137,7 +137,7 @@
 	var pick *server
 	if s := n.nearby(i, q.Key); s != nil && n.takes(s, q, true) {
 		// A copy nearby may be a fetch slower, but not where its zone is crowded.
-		if e := s.est(n); n.late <= overload && e <= n.ring[i].est(n)+n.store.rt {
+		if e := s.est(n); e <= n.ring[i].est(n) || n.late <= overload && e <= n.ring[i].est(n)+n.store.rt {
 			return s
 		}
 	}
