--- a/decide/decide.go
+++ b/decide/decide.go
@@ -372,7 +372,7 @@
 			q.Stage = out
 		}
 		if s != n.origin && n.looksBack(q) {
-			n.hold(q, n.now+max(n.lim.workloads[q.Workload].slo/4, 3*s.pace))
+			n.hold(q, n.now+max(n.lim.workloads[q.Workload].slo/2, 6*s.pace))
 		}
 	case fleet.Reject:
 		if n.twice(q, nil) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -301,8 +301,8 @@
 	}
 }
 
-// While most answers are late, what no server can take in time is turned away at once with a time to come back,
-// and without new evidence the node lets queries in again.
+// While most answers are late, what no server can take in time is turned away at once with a time to come
+// back, and without new evidence the node lets queries in again.
 func TestOverloadIsShedAndForgotten(t *testing.T) {
 	lim := plainLimits()
 	lim.OriginKind = -1
--- a/decide/health.go
+++ b/decide/health.go
@@ -211,8 +211,8 @@
 	if !n.looksBack(q) || q.Stage != out || q.Out != 1 || e.Result != fleet.Pending || q.N >= n.lim.maxExecs {
 		return fleet.Move{Action: fleet.Hold}
 	}
-	if t := n.route(q); n.now-max(s.quiet, e.Sent) >= max(slo/4, 3*s.pace) && n.copies >= 1 && t != nil &&
-		t != s && t.est(n) < took/2 {
+	silent := n.now-max(s.quiet, e.Sent) >= max(slo/2, 6*s.pace)
+	if t := n.route(q); silent && n.copies >= 1 && t != nil && t != s && t.est(n) < took/2 {
 		n.copies--
 		if n.lim.copies {
 			return n.send(q, t)
