--- a/decide/decide.go
+++ b/decide/decide.go
@@ -288,11 +288,8 @@
 		return n.follow(q)
 	}
 	s := n.route(q)
-	if s == nil && n.origin != nil {
-		return n.toOrigin(q)
-	}
 	if s == nil {
-		return n.giveUp(q, n.typical)
+		return n.toOrigin(q)
 	}
 	// Departure: what its owner would answer late goes to the origin while that has room and is quicker; the
 	// owner keeps its other keys and copies. In overload, what is left is turned away at once.
