--- a/decide/decide.go
+++ b/decide/decide.go
@@ -282,7 +282,7 @@
 	case q.Deadline-n.now <= n.lim.slack || q.N >= n.lim.maxExecs:
 		return n.giveUp(q, n.lim.sloMin)
 	case n.lim.origin < 0:
-	case q.Write || q.Stage == queued:
+	case q.Write || q.Stage == queued || q.N+1 == n.lim.maxExecs && n.store.room(n): // the last: no miss
 		return n.toOrigin(q)
 	case n.leads(q):
 		return n.follow(q)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -348,3 +348,17 @@
 		t.Errorf("the popular key went to server %d in another zone", s)
 	}
 }
+
+// Where a query has one execution only, a miss would be its end: it goes to the origin while that has room.
+func TestLastExecutionGoesToTheOrigin(t *testing.T) {
+	lim := plainLimits()
+	lim.MaxExecutions = 1
+	w := newWorld(lim)
+	w.servers(4)
+	for i := range 6 {
+		tr := w.ask(0, fleet.Key(i), false, 900)
+		if origin := tr.runs[0].server == 4; origin != (i < 4) {
+			t.Errorf("query %d went to server %d with %d out at the origin", i, tr.runs[0].server, i)
+		}
+	}
+}
