--- a/decide/admit.go
+++ b/decide/admit.go
@@ -58,7 +58,7 @@
 	kept := k.waiting[:0]
 	for _, r := range k.waiting {
 		q := n.slab.Get(r)
-		if q == nil || q.Closed || q.Stage != queued {
+		if q == nil || q.Closed || q.Stage != waiting {
 			continue
 		}
 		w := &n.lim.workloads[q.Workload]
@@ -71,6 +71,7 @@
 		return fleet.NoQuery
 	}
 	r := kept[at]
+	n.slab.Get(r).Stage = queued
 	k.waiting = append(kept[:at], kept[at+1:]...)
 	return r
 }
@@ -97,9 +98,12 @@
 	if wait+rt > left {
 		return n.giveUp(q, wait)
 	}
-	q.Stage = queued
-	k.waiting = append(k.waiting, q.Ref)
-	return n.hold(q, q.Deadline-n.lim.slack-min(rt, left/2))
+	if q.Stage != waiting {
+		k.waiting = append(k.waiting, q.Ref)
+	}
+	q.Stage = waiting
+	// Asked again halfway: what cannot make it any more is answered then, not shortly before its deadline.
+	return n.hold(q, n.now+max(left/2, min(left, rt)))
 }
 
 // meter keeps this node's share of what a cold server can bear.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,7 +21,8 @@
 	fresh     uint8 = iota
 	out             // an execution is out at a cache
 	following       // waits for another query's fetch of the same key
-	queued          // waits for room at the origin
+	queued          // is for the origin
+	waiting         // waits for room there
 	fetching        // an execution is out at the origin
 	again           // is to be routed anew
 )
@@ -124,9 +125,8 @@
 // New starts a node that knows nothing but its limits.
 func New(now float64, l fleet.Limits, slab *fleet.Slab) *Node {
 	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed, fetches: map[fleet.Key]fleet.Ref{}}
-	n.typical = n.lim.sloMin / 8
+	n.typical, n.askAt = n.lim.sloMin/8, now
 	n.store = stock{window: 4, rt: n.lim.sloMin / 4}
-	n.askAt = now
 	if n.lim.askWithin == 0 {
 		n.askAt = math.Inf(1)
 	}
@@ -282,7 +282,7 @@
 	case q.Deadline-n.now <= n.lim.slack || q.N >= n.lim.maxExecs:
 		return n.giveUp(q, n.lim.sloMin)
 	case n.lim.origin < 0:
-	case q.Write || q.Stage == queued || q.N+1 == n.lim.maxExecs && n.store.room(n): // the last: no miss
+	case q.Write || q.Stage == queued || q.Stage == waiting || q.N+1 == n.lim.maxExecs && n.store.room(n):
 		return n.toOrigin(q)
 	case n.leads(q):
 		return n.follow(q)
@@ -313,11 +313,17 @@
 	return q.HasKey && !q.Write && lead != nil && lead != q && !lead.Closed
 }
 
-// follow makes q wait for that fetch.
+// follow makes q wait for that fetch, or gives it up at once when the origin is silent for too long.
 func (n *Node) follow(q *fleet.Query) fleet.Move {
+	left := q.Deadline - n.now - n.lim.slack
+	if n.origin != nil && n.origin.out > 0 && n.now-n.origin.quiet > left {
+		return n.giveUp(q, n.store.rt)
+	}
+	if q.Stage != following {
+		n.follows = append(n.follows, q.Ref)
+	}
 	q.Stage, q.Leader = following, n.fetches[q.Key]
-	n.follows = append(n.follows, q.Ref)
-	return n.hold(q, q.Deadline-n.lim.slack)
+	return n.hold(q, n.now+max(left/2, min(left, n.store.rt)))
 }
 
 // send proposes an execution at s. Where a silent one can be looked at again before, it gets all the time
@@ -363,12 +369,9 @@
 		q.N++
 		q.Out++
 		n.sent(s, q)
-		if s == n.origin {
+		if q.Stage = out; s == n.origin {
 			q.Stage = fetching
-		} else {
-			q.Stage = out
-		}
-		if s != n.origin && n.looksBack(q) {
+		} else if n.looksBack(q) {
 			n.hold(q, n.now+max(n.lim.workloads[q.Workload].slo/2, 6*s.pace))
 		}
 	case fleet.Reject:
@@ -384,13 +387,8 @@
 
 // maySend checks rules 1 to 4 for one more execution of q at s.
 func (n *Node) maySend(q *fleet.Query, s *server) bool {
-	if q.Closed || q.Streamed || q.N >= n.lim.maxExecs || n.now >= q.Deadline {
-		return false
-	}
-	if s.state != fleet.Ready || !n.cold.room(n, s, q) {
-		return false
-	}
-	return !n.twice(q, s)
+	return !q.Closed && !q.Streamed && q.N < n.lim.maxExecs && n.now < q.Deadline &&
+		s.state == fleet.Ready && n.cold.room(n, s, q) && !n.twice(q, s)
 }
 
 // twice tells whether one more execution of q at s could repeat an effect. With no server it answers for
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -362,3 +362,23 @@
 		}
 	}
 }
+
+// When the origin goes silent, those who wait for it are answered well before their deadlines, not held to them.
+func TestNobodyIsHeldForASilentOrigin(t *testing.T) {
+	w := newWorld(plainLimits())
+	w.servers(4)
+	var held []*trace
+	for i := range 12 {
+		tr := w.ask(0, fleet.Key(i/2), false, 900)
+		if len(tr.runs) > 0 && tr.runs[0].server != 4 {
+			w.end(tr, 0, fleet.Missed, fleet.NoteMiss)
+		}
+		held = append(held, tr)
+	}
+	w.pass(700)
+	for i, tr := range held {
+		if k := len(tr.runs); tr.answers == 0 && (k == 0 || tr.runs[k-1].result != fleet.Pending) {
+			t.Errorf("query %d is still held with nothing out", i)
+		}
+	}
+}
