--- a/decide/health.go
+++ b/decide/health.go
@@ -207,12 +207,14 @@
 func (n *Node) lookBack(q *fleet.Query) fleet.Move {
 	e := &q.Execs[q.N-1]
 	s, slo := n.servers[e.Server], n.lim.workloads[q.Workload].slo
-	took := n.now - e.Sent
 	if !n.looksBack(q) || q.Stage != out || q.Out != 1 || e.Result != fleet.Pending || q.N >= n.lim.maxExecs {
 		return fleet.Move{Action: fleet.Hold}
 	}
-	silent := n.now-max(s.quiet, e.Sent) >= max(slo/2, 6*s.pace)
-	if t := n.route(q); silent && n.copies >= 1 && t != nil && t != s && t.est(n) < took/2 {
+	var t *server
+	if n.copies >= 1 && n.now-max(s.quiet, e.Sent) >= max(slo/2, 6*s.pace) {
+		t = n.route(q)
+	}
+	if t != nil && t != s && t.est(n) < (n.now-e.Sent)/2 {
 		n.copies--
 		if n.lim.copies {
 			return n.send(q, t)
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -23,8 +23,7 @@
 // rebuild sorts the servers that own arcs. Those that drain or are gone own none: their arcs fall to
 // their successors.
 func (n *Node) rebuild() {
-	n.ring = n.ring[:0]
-	n.origin = nil
+	n.ring, n.origin, n.warm = n.ring[:0], nil, 0
 	for _, s := range n.servers {
 		if s == nil || s.state != fleet.Ready {
 			continue
@@ -36,7 +35,6 @@
 		n.ring = append(n.ring, s)
 	}
 	sort.SliceStable(n.ring, func(i, j int) bool { return n.ring[i].point < n.ring[j].point })
-	n.warm = 0
 	for i, s := range n.ring {
 		s.at, n.warm = i, n.warm+s.warmth(n)
 	}
