Stop decoding settings that nothing reads

Tenants, peers, probes, prices of crossings and probes, report transport and the origin's limit were read at start and never used; the JSON reader skips them like any unknown key.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,32 +51,18 @@
 	Stream           bool
 }
 
-// Tenant is one customer organisation with its share of the service.
-type Tenant struct {
-	Quota float64 // queries a second over all nodes
-	Share float64
-}
-
 // Limits are the facts a node is started with.
 type Limits struct {
 	Seed              uint64
 	Nodes             int
-	Self              NodeID
 	Zone              ZoneID
 	OriginKind        KindID // -1: servers fetch for themselves
-	OriginFallOver    float64
-	OriginFallTime    float64
 	Workloads         []Workload
-	Tenants           []Tenant
-	SurplusShare      float64
 	MaxExecutions     int
 	SecondCopies      bool
 	Cancelling        bool
-	Probes            bool
-	Peers             bool
 	RetryAfter        bool
 	MaxRetryAfter     float64
-	ConnectTimeout    float64
 	Subscribe         bool
 	MustAskIn         float64
 	StopSendingWithin float64
@@ -87,20 +73,8 @@
 	AnswerSlack       float64
 	Quantum           float64
 	WasteCost         float64
-	ProbeCost         float64
-	CrossZoneCost     float64
-	ReportsIn         ReportsIn
 }
 
-// ReportsIn says where load reports ride.
-type ReportsIn uint8
-
-const (
-	ReportsNowhere ReportsIn = iota
-	ReportsInAnswers
-	ReportsInProbes
-)
-
 // State is what the list says of a server.
 type State uint8
 
--- a/simwire/env.go
+++ b/simwire/env.go
@@ -18,24 +18,20 @@
 		}
 		Discovery  string
 		FamilyInfo struct {
-			Mode                           string
-			OriginKind                     *int
-			OriginFall, OriginFallMultiple float64
+			Mode       string
+			OriginKind *int
 		}
 		PolicyLimits struct {
-			MaxExecutions                                       int
-			SecondCopies, Cancelling, Probes, Peers, RetryAfter bool
-			MaxRetryAfter, ConnectTimeout                       float64
+			MaxExecutions                        int
+			SecondCopies, Cancelling, RetryAfter bool
+			MaxRetryAfter                        float64
 		}
-		SelfIndex, Locality int
-		SurplusImportance   float64
-		Penalties           struct{ CrossZone, Probe, Waste float64 }
-		Stats               struct{ How string }
-		Guarantees          struct {
+		Locality   int
+		Penalties  struct{ Waste float64 }
+		Guarantees struct {
 			AnswerSlack, MustAskIn, StopSendingWithin         float64
 			StartCapacity, WarmWithin, FallMultiple, TipAfter float64
 		}
-		Tenants []struct{ QuotaRps, Share float64 }
 		Quantum float64
 	}{}
 	if err := json.Unmarshal(text, &env); err != nil {
@@ -44,27 +40,19 @@
 	const ms = 1.0 / 1000
 	g, p := &env.Guarantees, &env.PolicyLimits
 	l := fleet.Limits{
-		Seed: seed, Nodes: max(env.NInstances, 1), Self: fleet.NodeID(env.SelfIndex),
+		Seed: seed, Nodes: max(env.NInstances, 1),
 		Zone: fleet.ZoneID(env.Locality), OriginKind: -1,
-		OriginFallOver: env.FamilyInfo.OriginFallMultiple, OriginFallTime: env.FamilyInfo.OriginFall * ms,
-		SurplusShare: env.SurplusImportance, MaxExecutions: p.MaxExecutions, SecondCopies: p.SecondCopies,
-		Cancelling: p.Cancelling, Probes: p.Probes, Peers: p.Peers, RetryAfter: p.RetryAfter,
-		MaxRetryAfter: p.MaxRetryAfter * ms, ConnectTimeout: p.ConnectTimeout * ms,
-		Subscribe: env.Discovery == "subscribe", MustAskIn: g.MustAskIn * ms,
+		MaxExecutions: p.MaxExecutions, SecondCopies: p.SecondCopies,
+		Cancelling: p.Cancelling, RetryAfter: p.RetryAfter,
+		MaxRetryAfter: p.MaxRetryAfter * ms,
+		Subscribe:     env.Discovery == "subscribe", MustAskIn: g.MustAskIn * ms,
 		StopSendingWithin: g.StopSendingWithin * ms, StartCapacity: g.StartCapacity,
 		WarmWithin: g.WarmWithin * ms, FallMultiple: g.FallMultiple, TipAfter: g.TipAfter * ms,
 		AnswerSlack: g.AnswerSlack * ms, Quantum: env.Quantum * ms, WasteCost: env.Penalties.Waste,
-		ProbeCost: env.Penalties.Probe, CrossZoneCost: env.Penalties.CrossZone,
 	}
 	if env.FamilyInfo.Mode == "aside" && env.FamilyInfo.OriginKind != nil {
 		l.OriginKind = fleet.KindID(*env.FamilyInfo.OriginKind)
 	}
-	switch env.Stats.How {
-	case "answers":
-		l.ReportsIn = fleet.ReportsInAnswers
-	case "probe":
-		l.ReportsIn = fleet.ReportsInProbes
-	}
 	for _, w := range env.Workloads {
 		v := fleet.Workload{SLOTime: w.SloTime * ms, SLOStretch: w.AimStretch,
 			StatementTimeout: w.StatementTimeout * ms, DedupSpan: w.MemorySpan * ms,
@@ -87,8 +75,5 @@
 		}
 		l.Workloads = append(l.Workloads, v)
 	}
-	for _, t := range env.Tenants {
-		l.Tenants = append(l.Tenants, fleet.Tenant{Quota: t.QuotaRps, Share: t.Share})
-	}
 	return l, nil
 }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -24,8 +24,7 @@
 	jobs    map[fleet.QueryID]fleet.Ref
 	ids     map[string]fleet.ServerID
 	names   []string
-	loads   int // workloads known
-	tenants int
+	loads   int     // workloads known
 	timer   float64 // when the pending timer is due; +Inf if none
 	timerNo int64
 	touched bool
@@ -302,7 +301,7 @@
 		old.dead = true
 	}
 	n := &node{who: who, jobs: map[fleet.QueryID]fleet.Ref{}, ids: map[string]fleet.ServerID{},
-		loads: len(lim.Workloads), tenants: len(lim.Tenants), timer: math.Inf(1), touched: true}
+		loads: len(lim.Workloads), timer: math.Inf(1), touched: true}
 	n.mind = decide.New(h.now, lim, &n.slab)
 	h.nodes[who] = n
 	h.touched = append(h.touched, n)
