Send copies of silent queries to the origin while it has room

Cause: at full size a copy sent to the successor mostly misses and dies. The origin always has the key. A copy that answers first returns to the budget.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -182,6 +182,9 @@
 	s := n.servers[e.Server]
 	n.learn(s, q, e, o)
 	if o.Over || q.Closed {
+		if o.Result == fleet.Completed && o.Exec > 0 && q.Out > 0 {
+			n.copies++ // the copy was first: it was worth its place, and the budget is for those that are not
+		}
 		n.close(q)
 		return n.cancelLoser(q)
 	}
--- a/decide/health.go
+++ b/decide/health.go
@@ -214,7 +214,10 @@
 	}
 	var t *server
 	if n.copies >= 1 && n.now-max(s.quiet, e.Sent) >= max(slo/2, 6*s.pace) {
-		t = n.route(q)
+		// Another cache seldom has the key; the origin always does.
+		if t = n.origin; t == nil || n.store.busy(n) >= 0.5 {
+			t = n.route(q)
+		}
 	}
 	if t != nil && t != s && t.est(n) < (n.now-e.Sent)/2 {
 		n.copies--
