--- a/decide/decide.go
+++ b/decide/decide.go
@@ -381,7 +381,7 @@
 		if q.Stage = out; s == n.origin {
 			q.Stage = fetching
 		} else if n.looksBack(q) {
-			n.hold(q, n.now+max(n.lim.workloads[q.Workload].slo/2, 6*s.pace))
+			n.hold(q, n.now+n.patience(q, s))
 		}
 	case fleet.Reject:
 		if n.twice(q, nil) {
--- a/decide/health.go
+++ b/decide/health.go
@@ -40,6 +40,7 @@
 	failWeight = 0.25 // of one outcome in the recent share of failures
 	failLimit  = 0.4
 	trialsBack = 3
+	horizon    = 6   // periods over which what was seen of a server fades
 	overload   = 0.1 // share of late answers above which queries are turned away
 )
 
@@ -48,7 +49,7 @@
 func (s *server) ahead(n *Node) float64 {
 	a := float64(s.out)
 	if q := s.report.Queue; !math.IsNaN(q) {
-		if w := 1 - (n.now-s.reportAt)/(2*n.lim.period); w > 0 {
+		if w := 1 - (n.now-s.reportAt)/(horizon*n.lim.period); w > 0 {
 			a += q * w
 		}
 	}
@@ -61,7 +62,7 @@
 func (s *server) est(n *Node) float64 {
 	a := s.ahead(n)
 	e := s.pace * (1 + a)
-	if w := 1 - (n.now-s.rtAt)/(2*n.lim.period); w > 0 {
+	if w := 1 - (n.now-s.rtAt)/(horizon*n.lim.period); w > 0 {
 		e += w * (s.rt + s.pace*(a-s.ah) - e)
 	}
 	e = max(e, s.pace)
@@ -204,6 +205,11 @@
 	return n.lim.workloads[q.Workload].effect == fleet.Idempotent && (n.lim.copies || n.lim.cancels)
 }
 
+// patience is how long s may be silent before a query that is out there is looked at again.
+func (n *Node) patience(q *fleet.Query, s *server) float64 {
+	return max(n.lim.workloads[q.Workload].slo/3, 4*s.pace)
+}
+
 // lookBack decides on a query whose execution is out for long. Only silence counts: a server that answers
 // others is at work, and the query in hand is heavy or waits its turn.
 func (n *Node) lookBack(q *fleet.Query) fleet.Move {
@@ -213,7 +219,7 @@
 		return fleet.Move{Action: fleet.Hold}
 	}
 	var t *server
-	if n.copies >= 1 && n.now-max(s.quiet, e.Sent) >= max(slo/2, 6*s.pace) {
+	if n.copies >= 1 && n.now-max(s.quiet, e.Sent) >= n.patience(q, s) {
 		// Another cache seldom has the key; the origin always does.
 		if t = n.origin; t == nil || n.store.busy(n) >= 0.5 {
 			t = n.route(q)
