--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,14 +49,15 @@
 	cold    meter
 	warm    float64 // sum of the warmth of the ring's servers
 
-	heat     [2048]float32 // count of queries by key, in units that grow as older ones fade
-	unit     float32
-	heatSum  float32 // of all keys
-	zones    float64 // that hold servers
-	atCaches int     // executions out at caches
-	copies   float64 // budget for second copies
-	typical  float64 // usual answer time over all caches
-	late     float64 // recent share of cache answers that were late or nearly so
+	heat          [2048]float32 // count of queries by key, in units that grow as older ones fade
+	unit          float32
+	heatSum       float32 // of all keys
+	zones         float64 // that hold servers
+	atCaches      int     // executions out at caches
+	copies        float64 // budget for second copies
+	typical       float64 // usual answer time over all caches
+	open, mayOpen float64 // servers with a connection, and for how many there seems to be room
+	late          float64 // recent share of cache answers that were late or nearly so
 }
 
 // workload is what decisions need of one kind of query.
@@ -130,6 +131,7 @@
 // New starts a node that knows nothing but its limits.
 func New(now float64, l fleet.Limits, slab *fleet.Slab) *Node {
 	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed, fetches: map[fleet.Key]fleet.Ref{}}
+	n.mayOpen = math.Inf(1)
 	n.typical, n.askAt, n.unit = n.lim.sloMin/8, now, 1
 	n.store = stock{window: 4, rt: n.lim.sloMin / 4}
 	if n.lim.askWithin == 0 {
@@ -181,6 +183,15 @@
 	q.Out--
 	s := n.servers[e.Server]
 	n.learn(s, q, e, o)
+	m := n.next(q, s, o)
+	if c := n.spare(s, o.Result); c != nil {
+		c.open, m.LetGo, m.Close = false, true, c.id
+	}
+	return m
+}
+
+// next is what After says of the query itself.
+func (n *Node) next(q *fleet.Query, s *server, o fleet.Outcome) fleet.Move {
 	if o.Over || q.Closed {
 		if o.Result == fleet.Completed && o.Exec > 0 && q.Out > 0 {
 			n.copies++ // the copy was first: it was worth its place, and the budget is for those that are not
--- a/decide/health.go
+++ b/decide/health.go
@@ -32,6 +32,8 @@
 	tryAt, pause    float64 // when the next trial may go, and how long from one to the next
 	goods           int     // trials in a row that went well
 	fullTil         float64
+	open            bool    // may have a connection to it
+	usedAt          float64 // last sent to
 	tokens, tokenAt float64 // cold: work that may still be sent, and when that was reckoned
 }
 
@@ -40,7 +42,7 @@
 	failWeight = 0.25 // of one outcome in the recent share of failures
 	failLimit  = 0.4
 	trialsBack = 3
-	horizon    = 6   // periods over which what was seen of a server fades
+	horizon    = 15  // periods over which what was seen of a server fades
 	overload   = 0.1 // share of late answers above which queries are turned away
 )
 
@@ -81,6 +83,11 @@
 		s.quiet = n.now
 	}
 	s.out++
+	s.usedAt = n.now
+	if !s.open {
+		s.open = true
+		n.open++
+	}
 	if s.ejected {
 		s.tryAt = n.now + s.pause
 	}
@@ -239,6 +246,31 @@
 	return fleet.Move{Action: fleet.Hold}
 }
 
+// spare names a server whose idle connections are to be closed. Departure: where servers turn connections away,
+// the nodes together hold more than their tables take. Each then holds half of what it held, finds room again
+// by and by, and closes first what it has used least lately.
+func (n *Node) spare(s *server, res fleet.Result) *server {
+	if res == fleet.ConnectFailed {
+		if s.open = s.out > 0; !s.open {
+			n.open--
+		}
+		n.mayOpen = max(1, min(n.open, n.mayOpen)/2)
+	}
+	if n.open <= n.mayOpen {
+		return nil
+	}
+	var idle *server
+	for _, c := range n.ring {
+		if c.open && c.out == 0 && (idle == nil || c.usedAt < idle.usedAt) {
+			idle = c
+		}
+	}
+	if idle != nil {
+		n.open--
+	}
+	return idle
+}
+
 // takeReport keeps a server's report, which rides on every answer until the server makes a new one.
 func (n *Node) takeReport(s *server, r fleet.Report) {
 	same := func(a, b float64) bool { return a == b || a != a && b != b }
--- a/decide/list.go
+++ b/decide/list.go
@@ -22,6 +22,7 @@
 			}
 			n.heatSum, n.unit = n.heatSum/n.unit, 1
 		}
+		n.mayOpen += 0.1
 		n.moveRing()
 	}
 	return fleet.Move{}
@@ -70,7 +71,7 @@
 		fresh := &server{id: m.ID, report: fleet.NewReport(), stride: stride, pace: n.typical, rt: n.typical,
 			home: fleet.Home(m.Name), tokenAt: n.now}
 		if s != nil {
-			fresh.out, fresh.quiet = s.out, s.quiet
+			fresh.out, fresh.quiet, fresh.open = s.out, s.quiet, s.open
 		}
 		n.servers[m.ID], s = fresh, fresh
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -184,4 +184,6 @@
 	Limit  float64 // Send: time allowed to the execution
 	Wait   float64 // Reject: when the client may come back
 	Body   []byte  // Tell
+	LetGo  bool    // also close the idle connections to server Close
+	Close  ServerID
 }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -406,6 +406,12 @@
 		h.out.WriteString(base64.StdEncoding.EncodeToString(m.Body))
 		h.out.WriteByte('\n')
 	}
+	if m.LetGo {
+		h.put("LET_GO", n.who)
+		h.out.WriteString(" Server=")
+		h.out.WriteString(n.names[m.Close])
+		h.out.WriteByte('\n')
+	}
 	if q != nil {
 		h.settle(n, q)
 	}
