--- a/decide/admit.go
+++ b/decide/admit.go
@@ -126,13 +126,13 @@
 // coldPart gives a cold server the part of its arc next to its predecessor; the rest stays with its
 // successor, who held it before. The part is its warmth over the ring's: where most of a fleet is cold,
 // the few warm servers could not carry what a part of the plain mean leaves to them.
-func (n *Node) coldPart(s *server, p float64) bool {
+func (n *Node) coldPart(c *circle, s *server, p float64) bool {
 	g := s.warmth(n)
-	if g >= 1 || len(n.ring) < 2 {
+	if g >= 1 || len(c.servers) < 2 {
 		return true
 	}
-	pred := n.neighbour(s.at, -1)
-	return fleet.Span(pred.point, p) <= min(n.arc(s.at), g/n.warm)
+	at := s.spots[c.which].at
+	return fleet.Span(c.neighbour(at, -1).spots[c.which].point, p) <= min(c.arc(at), g/c.warm)
 }
 
 func (m *meter) cost(q *fleet.Query) float64 {
@@ -148,7 +148,7 @@
 	if s == n.origin || s.warmth(n) >= 1 {
 		return true
 	}
-	rate := n.lim.coldRate * s.warmth(n) * m.rate / n.warm
+	rate := n.lim.coldRate * s.warmth(n) * m.rate / n.ring.warm
 	most := max(1, rate*n.lim.coldBurst)
 	s.tokens, s.tokenAt = min(most, s.tokens+rate*(n.now-s.tokenAt)), n.now
 	return s.tokens >= min(m.cost(q), most)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,8 +34,11 @@
 	now         float64
 	seed, draws uint64
 
-	servers []*server // by ServerID; nil where a number was never listed
-	ring    []*server // by point
+	servers []*server  // by ServerID; nil where a number was never listed
+	ring    circle     // all caches
+	near    circle     // those of this node's own zone
+	homing  float64    // share of keys that go by the zone's ring
+	levels  [2]float64 // recent load of the caches of this zone, and of the others
 	origin  *server
 	askAt   float64 // when the next call for the list is due; +Inf: the subscription stands
 	asks    int     // calls that failed in a row
@@ -47,12 +50,10 @@
 	follows []fleet.Ref             // who waits for them
 	store   stock
 	cold    meter
-	warm    float64 // sum of the warmth of the ring's servers
 
 	heat          [2048]float32 // count of queries by key, in units that grow as older ones fade
 	unit          float32
 	heatSum       float32 // of all keys
-	zones         float64 // that hold servers
 	atCaches      int     // executions out at caches
 	copies        float64 // budget for second copies
 	typical       float64 // usual answer time over all caches
@@ -131,7 +132,7 @@
 // New starts a node that knows nothing but its limits.
 func New(now float64, l fleet.Limits, slab *fleet.Slab) *Node {
 	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed, fetches: map[fleet.Key]fleet.Ref{}}
-	n.mayOpen = math.Inf(1)
+	n.mayOpen, n.homing, n.levels = math.Inf(1), 1, [2]float64{1, 1}
 	n.typical, n.askAt, n.unit = n.lim.sloMin/8, now, 1
 	n.store = stock{window: 4, rt: n.lim.sloMin / 4}
 	if n.lim.askWithin == 0 {
--- a/decide/health.go
+++ b/decide/health.go
@@ -17,10 +17,9 @@
 
 	listed, news, used, ejected bool // news: its report is new; used: it moved the point
 
-	at              int     // place on the ring
-	home, even      float64 // the hash of its id, and its point on the even ring
-	base, shed      float64 // its arc there, and the share of it that moves have handed on
-	point, stride   float64 // on the ring, and the share of x that its next move takes
+	home, size      float64 // the hash of its id, and its nominal size
+	spots           [2]spot // on the whole ring and on its zone's
+	shed, stride    float64 // share of its arc that moves have handed on, and the share of x that its next takes
 	report          fleet.Report
 	reportAt        float64
 	peak, hits      float64 // recent peak of the reported queue, and level of the hit share
@@ -181,12 +180,12 @@
 		}
 	case s.bad >= failLimit:
 		gone := 1
-		for _, r := range n.ring {
+		for _, r := range n.ring.servers {
 			if r.ejected {
 				gone++
 			}
 		}
-		if 2*gone <= len(n.ring) { // beyond that the rest could not carry more
+		if 2*gone <= len(n.ring.servers) { // beyond that the rest could not carry more
 			s.ejected, s.goods, s.pause = true, 0, n.lim.period
 			s.tryAt = n.now + s.pause
 		}
@@ -194,7 +193,7 @@
 }
 
 // takes tells whether s can be given q. An ejected server gets single trials of queries that may run again.
-func (n *Node) takes(s *server, q *fleet.Query, own bool) bool {
+func (n *Node) takes(c *circle, s *server, q *fleet.Query, own bool) bool {
 	for i := range q.Execs[:q.N] {
 		if e := &q.Execs[i]; e.Server == s.id && e.Result != fleet.Missed && e.Result != fleet.NotSent {
 			return false
@@ -204,7 +203,7 @@
 		n.lim.workloads[q.Workload].effect != fleet.Idempotent) {
 		return false
 	}
-	return n.coldPart(s, q.Key.Point()) && n.maySend(q, s)
+	return n.coldPart(c, s, q.Key.Point()) && n.maySend(q, s)
 }
 
 // looksBack tells whether an execution of q can be joined or replaced while it is out.
@@ -260,7 +259,7 @@
 		return nil
 	}
 	var idle *server
-	for _, c := range n.ring {
+	for _, c := range n.ring.servers {
 		if c.open && c.out == 0 && (idle == nil || c.usedAt < idle.usedAt) {
 			idle = c
 		}
@@ -285,6 +284,13 @@
 		s.hits = max(r.X0, s.hits*0.98)
 	}
 	s.report, s.reportAt = r, n.now
+	if v := s.level(); v == v && s != n.origin {
+		l := &n.levels[0]
+		if s.zone != n.lim.zone {
+			l = &n.levels[1]
+		}
+		*l += 0.1 * (v - *l)
+	}
 }
 
 // Probed reports the result of a probe.
--- a/decide/list.go
+++ b/decide/list.go
@@ -69,12 +69,14 @@
 	s := n.servers[m.ID]
 	if s == nil || m.State == fleet.Ready && (s.state != fleet.Ready || m.Started != s.started) {
 		fresh := &server{id: m.ID, report: fleet.NewReport(), stride: stride, pace: n.typical, rt: n.typical,
-			home: fleet.Home(m.Name), tokenAt: n.now}
+			home: fleet.Home(m.Name), size: 1, tokenAt: n.now}
 		if s != nil {
 			fresh.out, fresh.quiet, fresh.open = s.out, s.quiet, s.open
 		}
 		n.servers[m.ID], s = fresh, fresh
 	}
-	s.listed = true
+	if s.listed = true; m.Size > 0 {
+		s.size = m.Size
+	}
 	s.state, s.kind, s.zone, s.cell, s.started = m.State, m.Kind, m.Zone, m.Cell, m.Started
 }
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -16,7 +16,7 @@
 	margin     = 0.05 * gamma
 	stride     = 0.7 // share of x taken in a first move, since reports lag behind it
 	spread     = 2
-	popular    = 10  // fading count of a key's queries in a zone above which it has a copy there
+	popularAt  = 10  // fading count of a key's queries in a zone above which it has a copy there
 	seenEnough = 1.5 // own fading count below which nothing is known of a key
 	doubt      = 20  // queries that a node must have seen before a count is worth much
 
@@ -24,77 +24,109 @@
 	settle   = 0.7 // by which each move shortens the next, so that rings come to rest and keys stay
 )
 
+// circle is one ring of servers in the order of their points.
+type circle struct {
+	which   int // place of its spots
+	servers []*server
+	warm    float64 // sum of the warmth of its servers
+}
+
+// spot is the place of a server on one circle.
+type spot struct {
+	at    int
+	even  float64 // its point on the even ring
+	base  float64 // its arc there
+	point float64
+}
+
 // rebuild takes the servers that own arcs off the list. Those that drain or are gone own none: their arcs
-// fall to their successors. Departure: before any report all loads count as equal, and the thesis's own
-// move, made a settled number of times from the hash points, evens the arcs. It rests on the list alone,
-// so that all nodes agree on it without a word, and it reaches few neighbours, so that a join disturbs few
-// keys.
+// fall to their successors.
 func (n *Node) rebuild() {
-	n.ring, n.origin = n.ring[:0], nil
+	n.ring.servers, n.near.servers, n.origin = n.ring.servers[:0], n.near.servers[:0], nil
 	for _, s := range n.servers {
-		if s == nil || s.state != fleet.Ready {
-			continue
-		}
-		if n.lim.origin >= 0 && s.kind == n.lim.origin {
+		switch {
+		case s == nil || s.state != fleet.Ready:
+		case n.lim.origin >= 0 && s.kind == n.lim.origin:
 			n.origin = s
-			continue
+		default:
+			n.ring.servers = append(n.ring.servers, s)
+			if s.zone == n.lim.zone {
+				n.near.servers = append(n.near.servers, s)
+			}
 		}
-		s.point = s.home
-		n.ring = append(n.ring, s)
 	}
-	sort.Slice(n.ring, func(i, j int) bool { return n.ring[i].home < n.ring[j].home })
+	n.near.which = 1
+	n.ring.even()
+	n.near.even()
+	n.placePoints()
+}
+
+// even lays a circle out. Departure: before any report all loads count as equal, and the thesis's own move,
+// made a settled number of times from the hash points, evens the arcs. It rests on the list alone, so that
+// all nodes agree on it without a word, and it reaches few neighbours, so that a join disturbs few keys.
+func (c *circle) even() {
+	sort.Slice(c.servers, func(i, j int) bool { return c.servers[i].home < c.servers[j].home })
+	for _, s := range c.servers {
+		s.spots[c.which].point = s.home
+	}
 	for range evenings {
-		for i := len(n.ring) - 1; i >= 0; i-- {
-			s, next := n.ring[i], n.neighbour(i, 1)
-			if x := shift(1, 1, n.arc(i), n.arc((i+1)%len(n.ring))); x > 0 && s != next {
-				s.back(x)
+		for i := len(c.servers) - 1; i >= 0; i-- {
+			s, next := c.servers[i], c.neighbour(i, 1)
+			x := shift(1/s.size, 1/next.size, c.arc(i), c.arc((i+1)%len(c.servers)))
+			if x = min(x, c.arc(i)*0.9); x > 0 && s != next {
+				s.spots[c.which].back(x)
 			}
 		}
 	}
-	sort.Slice(n.ring, func(i, j int) bool { return n.ring[i].point < n.ring[j].point })
-	for i, s := range n.ring {
-		s.even, s.base = s.point, n.arc(i)
+	sort.Slice(c.servers, func(i, j int) bool {
+		return c.servers[i].spots[c.which].point < c.servers[j].spots[c.which].point
+	})
+	for i, s := range c.servers {
+		s.spots[c.which] = spot{i, s.spots[c.which].point, c.arc(i), s.spots[c.which].point}
 	}
-	n.placePoints()
 }
 
 // placePoints puts every point where the even ring and the moves since then leave it. A point stays within
 // its own arc of the even ring, so the order of servers never changes.
 func (n *Node) placePoints() {
-	n.warm, n.zones = 0, 1
-	for i, s := range n.ring {
-		n.zones = max(n.zones, float64(s.zone)+1)
-		s.at, s.point, n.warm = i, s.even, n.warm+s.warmth(n)
-		s.back(s.shed * s.base)
+	for _, c := range [...]*circle{&n.ring, &n.near} {
+		c.warm = 0
+		for _, s := range c.servers {
+			p := &s.spots[c.which]
+			p.point = p.even
+			p.back(s.shed * p.base)
+			c.warm += s.warmth(n)
+		}
 	}
 }
 
 // back moves a point toward its predecessor.
-func (s *server) back(x float64) {
-	if s.point -= x; s.point < 0 {
-		s.point++
+func (p *spot) back(x float64) {
+	if p.point -= x; p.point < 0 {
+		p.point++
 	}
 }
 
-// owner returns the place on the ring of the server whose arc holds p.
-func (n *Node) owner(p float64) int {
-	i := sort.Search(len(n.ring), func(i int) bool { return n.ring[i].point >= p })
-	if i == len(n.ring) {
+// owner returns the place of the server whose arc holds p.
+func (c *circle) owner(p float64) int {
+	i := sort.Search(len(c.servers), func(i int) bool { return c.servers[i].spots[c.which].point >= p })
+	if i == len(c.servers) {
 		return 0
 	}
 	return i
 }
 
-func (n *Node) neighbour(i, step int) *server {
-	return n.ring[((i+step)%len(n.ring)+len(n.ring))%len(n.ring)]
+func (c *circle) neighbour(i, step int) *server {
+	k := len(c.servers)
+	return c.servers[((i+step)%k+k)%k]
 }
 
 // arc is the length of the arc of the server at place i.
-func (n *Node) arc(i int) float64 {
-	if len(n.ring) == 1 {
+func (c *circle) arc(i int) float64 {
+	if len(c.servers) == 1 {
 		return 1
 	}
-	return fleet.Span(n.neighbour(i, -1).point, n.ring[i].point)
+	return fleet.Span(c.neighbour(i, -1).spots[c.which].point, c.servers[i].spots[c.which].point)
 }
 
 func loadCPU(c float64) float64 {
@@ -133,23 +165,44 @@
 // moveRing moves every point whose server is loaded above its successor by the margin, each on reports
 // not used before: an old number must not move a point twice.
 func (n *Node) moveRing() {
-	for i, s := range n.ring {
-		next := n.neighbour(i, 1)
+	c := &n.ring
+	for i, s := range c.servers {
+		next := c.neighbour(i, 1)
 		if !s.news || !next.news || s.ejected || next.ejected || !(s.level() > next.level()+margin) {
 			continue
 		}
-		x := shift(s.level(), next.level(), n.arc(i), n.arc(next.at)) * s.stride
+		x := shift(s.level(), next.level(), c.arc(i), c.arc((i+1)%len(c.servers))) * s.stride
 		if x <= 0 || s == next {
 			continue
 		}
-		s.shed = min(s.shed+x/s.base, 0.75)
+		s.shed = min(s.shed+x/s.spots[0].base, 0.75)
 		s.stride = max(s.stride*settle, 0.02)
 		s.used = true
 	}
-	for _, s := range n.ring {
+	for _, s := range c.servers {
 		s.news, s.used = s.news && !s.used, false
 	}
 	n.placePoints()
+	// The same move between zones.
+	if n.late > overload || n.store.slow > 0.3 || n.levels[0] > n.levels[1]+margin {
+		n.homing *= 0.5
+	} else {
+		n.homing = min(1, n.homing+0.05)
+	}
+}
+
+// popular tells over how many servers of a zone a key is spread; 0: it is not popular. Departure: a key that
+// the fleet asks for often enough to keep a second copy warm in each zone has one there, and one that
+// would fill more than half of a server's share is spread over as many servers as it takes, each node keeping
+// to one of them. A node of many sees a key too rarely to count to much, so its count is multiplied by the
+// nodes of its zone and weighed as a share of all it saw.
+func (n *Node) popular(key fleet.Key) uint64 {
+	seen := float64(n.heat[uint64(key)%uint64(len(n.heat))] / n.unit)
+	if seen < seenEnough || seen*max(1, n.lim.perZone) < popularAt {
+		return 0
+	}
+	share := seen / (float64(n.heatSum/n.unit) + doubt)
+	return uint64(max(1, math.Ceil(2*share*float64(len(n.near.servers)))))
 }
 
 // route walks from the key's owner along its successors to a server that can take q. Departure: an owner that
@@ -157,7 +210,34 @@
 // longer than what a miss costs more: half a fetch, the wait for room at the origin, and in overload, where
 // only hits carry the load, part of the SLO time.
 func (n *Node) route(q *fleet.Query) *server {
-	bound := max(2, math.Ceil(spread*float64(n.atCaches+1)/float64(len(n.ring))))
+	owner := n.walk(&n.ring, q, 0)
+	m := n.popular(q.Key)
+	if len(n.near.servers) == 0 || m < 2 && owner != nil && owner.zone == n.lim.zone || m == 0 && q.Key.Slice() >= n.homing*(1-3/float64(len(n.near.servers))) {
+		return owner
+	}
+	skip := 0
+	if m > 1 {
+		skip = int(n.seed % m)
+	}
+	// A server nearby may be a fetch slower, but not where its zone is crowded.
+	s, slower := n.walk(&n.near, q, skip), 0.0
+	if n.late <= overload {
+		slower = n.store.rt
+	}
+	if n.open >= n.mayOpen {
+		slower = math.Inf(1)
+	}
+	if s != nil && (owner == nil || s.est(n) <= owner.est(n)+slower) {
+		return s
+	}
+	return owner
+}
+
+func (n *Node) walk(c *circle, q *fleet.Query, skip int) *server {
+	if len(c.servers) == 0 {
+		return nil
+	}
+	bound := max(2, math.Ceil(spread*float64(n.atCaches+1)/float64(len(c.servers))))
 	gain := n.store.rt / 2
 	if n.late > overload {
 		gain += n.lim.sloMin / 4
@@ -165,17 +245,11 @@
 	if !n.store.room(n) {
 		gain += float64(len(n.store.waiting)+1) * n.store.rt / n.store.window
 	}
-	i := n.owner(q.Key.Point())
+	i := c.owner(q.Key.Point()) + skip
 	var pick *server
-	if s := n.nearby(i, q.Key); s != nil && n.takes(s, q, true) {
-		// A copy nearby may be a fetch slower, but not where its zone is crowded.
-		if e := s.est(n); e <= n.ring[i].est(n) || n.late <= overload && e <= n.ring[i].est(n)+n.store.rt {
-			return s
-		}
-	}
-	for k := range n.ring {
-		s := n.neighbour(i, k)
-		if !n.takes(s, q, k == 0) || pick != nil && s.est(n)+gain >= pick.est(n) {
+	for k := range c.servers {
+		s := c.neighbour(i, k)
+		if !n.takes(c, s, q, k == 0) || pick != nil && s.est(n)+gain >= pick.est(n) {
 			continue
 		}
 		if pick = s; float64(s.out+1) <= bound && n.now >= s.fullTil {
@@ -184,31 +258,3 @@
 	}
 	return pick
 }
-
-// nearby is where this node has its copy of a popular key: a server of its own zone on the way from the
-// key's owner. Departure: a key that the fleet asks for often enough to keep a second copy warm in each
-// zone has one there, which saves the way between zones; one that would fill more than half of a server's
-// share is spread over as many servers as it takes, each node keeping to one of them. A node of many sees
-// a key too rarely to count to much, so its count is multiplied by the nodes of its zone and weighed as a
-// share of all it saw.
-func (n *Node) nearby(i int, key fleet.Key) *server {
-	seen := float64(n.heat[uint64(key)%uint64(len(n.heat))] / n.unit)
-	if seen < seenEnough || seen*max(1, n.lim.perZone) < popular {
-		return nil
-	}
-	share := seen / (float64(n.heatSum/n.unit) + doubt)
-	skip := uint64(1)
-	if m := math.Ceil(2 * share * float64(len(n.ring)) / n.zones); m > 1 {
-		skip += n.seed % uint64(m)
-	}
-	var pick *server
-	for k := range n.ring {
-		if s := n.neighbour(i, k); s.zone == n.lim.zone {
-			if pick = s; skip == 1 {
-				break
-			}
-			skip--
-		}
-	}
-	return pick
-}
--- a/fleet/point.go
+++ b/fleet/point.go
@@ -24,6 +24,9 @@
 // Point is the place of a key on the ring.
 func (k Key) Point() float64 { return Unit(uint64(k)) }
 
+// Slice is where a key stands when a share of all keys is taken, apart from its place on the ring.
+func (k Key) Slice() float64 { return Unit(Mix(uint64(k)) + 1) }
+
 // Span is the way from a forward to b on the ring.
 func Span(a, b float64) float64 {
 	if b < a {
