--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,11 +34,10 @@
 	now         float64
 	seed, draws uint64
 
-	servers []*server  // by ServerID; nil where a number was never listed
-	ring    circle     // all caches
-	near    circle     // those of this node's own zone
-	homing  float64    // share of keys that go by the zone's ring
-	levels  [2]float64 // recent load of the caches of this zone, and of the others
+	servers []*server // by ServerID; nil where a number was never listed
+	ring    circle    // all caches
+	near    circle    // those of this node's own zone
+	homing  float64   // share of keys that go by the zone's ring
 	origin  *server
 	askAt   float64 // when the next call for the list is due; +Inf: the subscription stands
 	asks    int     // calls that failed in a row
@@ -132,7 +131,7 @@
 // New starts a node that knows nothing but its limits.
 func New(now float64, l fleet.Limits, slab *fleet.Slab) *Node {
 	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed, fetches: map[fleet.Key]fleet.Ref{}}
-	n.mayOpen, n.homing, n.levels = math.Inf(1), 1, [2]float64{1, 1}
+	n.mayOpen, n.homing = math.Inf(1), 1
 	n.typical, n.askAt, n.unit = n.lim.sloMin/8, now, 1
 	n.store = stock{window: 4, rt: n.lim.sloMin / 4}
 	if n.lim.askWithin == 0 {
@@ -312,6 +311,9 @@
 	if s == nil {
 		return n.toOrigin(q)
 	}
+	if s.ejected {
+		return n.send(q, s) // a trial: what was seen of the server before says nothing
+	}
 	// Departure: what its owner would answer late goes to the origin while that has room and is quicker; the
 	// owner keeps its other keys and copies. In overload, what is left is turned away at once.
 	w, e, busy := &n.lim.workloads[q.Workload], s.est(n), math.Inf(1)
--- a/decide/health.go
+++ b/decide/health.go
@@ -284,13 +284,6 @@
 		s.hits = max(r.X0, s.hits*0.98)
 	}
 	s.report, s.reportAt = r, n.now
-	if v := s.level(); v == v && s != n.origin {
-		l := &n.levels[0]
-		if s.zone != n.lim.zone {
-			l = &n.levels[1]
-		}
-		*l += 0.1 * (v - *l)
-	}
 }
 
 // Probed reports the result of a probe.
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -183,9 +183,8 @@
 		s.news, s.used = s.news && !s.used, false
 	}
 	n.placePoints()
-	// The same move between zones.
-	if n.late > overload || n.store.slow > 0.3 || n.levels[0] > n.levels[1]+margin {
-		n.homing *= 0.5
+	if n.late > 3*overload || n.store.slow > 0.3 {
+		n.homing *= 0.7
 	} else {
 		n.homing = min(1, n.homing+0.05)
 	}
@@ -220,9 +219,9 @@
 		skip = int(n.seed % m)
 	}
 	// A server nearby may be a fetch slower, but not where its zone is crowded.
-	s, slower := n.walk(&n.near, q, skip), 0.0
+	s, slower := n.walk(&n.near, q, skip), n.store.rt
 	if n.late <= overload {
-		slower = n.store.rt
+		slower += n.lim.sloMin
 	}
 	if n.open >= n.mayOpen {
 		slower = math.Inf(1)
