--- a/decide/ring.go
+++ b/decide/ring.go
@@ -211,12 +211,15 @@
 func (n *Node) route(q *fleet.Query) *server {
 	owner := n.walk(&n.ring, q, 0)
 	m := n.popular(q.Key)
-	if len(n.near.servers) == 0 || m < 2 && owner != nil && owner.zone == n.lim.zone || m == 0 && q.Key.Slice() >= n.homing*(1-3/float64(len(n.near.servers))) {
+	k := float64(len(n.near.servers))
+	if k == 0 || m < 2 && owner != nil && owner.zone == n.lim.zone || m == 0 && q.Key.Slice() >= n.homing*(1-3/k) {
 		return owner
 	}
-	skip := 0
-	if m > 1 {
-		skip = int(n.seed % m)
+	skip, best := 0, uint64(0)
+	for j := range m { // as m changes, few nodes change their choice
+		if h := fleet.Mix(n.seed + j*0x9e3779b97f4a7c15); h > best {
+			skip, best = int(j), h
+		}
 	}
 	// A server nearby may be a fetch slower, but not where its zone is crowded.
 	s, slower := n.walk(&n.near, q, skip), n.store.rt
