--- a/decide/ring.go
+++ b/decide/ring.go
@@ -192,7 +192,7 @@
 
 // popular tells over how many servers of a zone a key is spread; 0: it is not popular. Departure: a key that
 // the fleet asks for often enough to keep a second copy warm in each zone has one there, and one that
-// would fill more than half of a server's share is spread over as many servers as it takes, each node keeping
+// would fill more than a server's share is spread over as many servers as it takes, each node keeping
 // to one of them. A node of many sees a key too rarely to count to much, so its count is multiplied by the
 // nodes of its zone and weighed as a share of all it saw.
 func (n *Node) popular(key fleet.Key) uint64 {
@@ -201,7 +201,7 @@
 		return 0
 	}
 	share := seen / (float64(n.heatSum/n.unit) + doubt)
-	return uint64(max(1, math.Ceil(2*share*float64(len(n.near.servers)))))
+	return uint64(max(1, math.Ceil(share*float64(len(n.near.servers)))))
 }
 
 // route walks from the key's owner along its successors to a server that can take q. Departure: an owner that
