--- a/decide/admit.go
+++ b/decide/admit.go
@@ -83,12 +83,6 @@
 	if n.origin == nil {
 		return n.giveUp(q, n.lim.sloMin)
 	}
-	if n.leads(q) {
-		return n.follow(q)
-	}
-	if q.HasKey && !q.Write {
-		n.fetches[q.Key] = q.Ref
-	}
 	if k.room(n) || q.Write && float64(n.origin.out) < k.window+2 {
 		return n.send(q, n.origin)
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,13 +18,12 @@
 
 // Stages of a query in hand.
 const (
-	fresh     uint8 = iota
-	out             // an execution is out at a cache
-	following       // waits for another query's fetch of the same key
-	queued          // is for the origin
-	waiting         // waits for room there
-	fetching        // an execution is out at the origin
-	again           // is to be routed anew
+	fresh    uint8 = iota
+	out            // an execution is out at a cache
+	queued         // is for the origin
+	waiting        // waits for room there
+	fetching       // an execution is out at the origin
+	again          // is to be routed anew
 )
 
 // Node is the state of one balancer. Nodes share nothing.
@@ -43,12 +42,9 @@
 	asks    int     // calls that failed in a row
 	moveAt  float64
 
-	ready   []fleet.Ref // to be asked about now
-	alarms  fleet.Alarms
-	fetches map[fleet.Key]fleet.Ref // who fetches a key
-	follows []fleet.Ref             // who waits for them
-	store   stock
-	cold    meter
+	alarms fleet.Alarms
+	store  stock
+	cold   meter
 
 	heat          [2048]float32 // count of queries by key, in units that grow as older ones fade
 	unit          float32
@@ -130,7 +126,7 @@
 
 // New starts a node that knows nothing but its limits.
 func New(now float64, l fleet.Limits, slab *fleet.Slab) *Node {
-	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed, fetches: map[fleet.Key]fleet.Ref{}}
+	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed}
 	n.mayOpen, n.homing = math.Inf(1), 1
 	n.typical, n.askAt, n.unit = n.lim.sloMin/8, now, 1
 	n.store = stock{window: 4, rt: n.lim.sloMin / 4}
@@ -196,15 +192,12 @@
 		if o.Result == fleet.Completed && o.Exec > 0 && q.Out > 0 {
 			n.copies++ // the copy was first: it was worth its place, and the budget is for those that are not
 		}
-		n.close(q)
+		q.Closed = true
 		return n.cancelLoser(q)
 	}
 	if q.Streamed {
 		return fleet.Move{}
 	}
-	if s == n.origin {
-		n.release(q) // the fetch is over and brought nothing; its followers look for themselves
-	}
 	if q.Out > 0 {
 		return fleet.Move{Action: fleet.Hold}
 	}
@@ -217,13 +210,6 @@
 // Wait says how long to wait and which query Where is to be asked about then.
 func (n *Node) Wait(now float64) (fleet.Ref, float64) {
 	n.now = now
-	for k := len(n.ready) - 1; k >= 0; k-- {
-		r := n.ready[k]
-		n.ready = n.ready[:k]
-		if q := n.slab.Get(r); q != nil && !q.Closed {
-			return r, 0
-		}
-	}
 	if r := n.store.best(n); r != fleet.NoQuery {
 		return r, 0
 	}
@@ -251,38 +237,12 @@
 // Left reports that the client of q is gone.
 func (n *Node) Left(now float64, q *fleet.Query) {
 	n.now = now
-	n.close(q)
+	q.Closed = true
 }
 
 // Heard takes a message of another node. None is in use yet: nothing may hang on their arrival.
 func (n *Node) Heard(now float64, from fleet.NodeID, body []byte) { n.now = now }
 
-// close ends q for the module; executions that are out still report.
-func (n *Node) close(q *fleet.Query) {
-	q.Closed = true
-	n.release(q)
-}
-
-// release frees those who waited for q's fetch.
-func (n *Node) release(q *fleet.Query) {
-	if !q.HasKey || n.fetches[q.Key] != q.Ref {
-		return
-	}
-	delete(n.fetches, q.Key)
-	kept := n.follows[:0]
-	for _, r := range n.follows {
-		switch f := n.slab.Get(r); {
-		case f == nil || f.Closed || f.Stage != following:
-		case f.Leader != q.Ref:
-			kept = append(kept, r)
-		default:
-			f.Stage = again
-			n.ready = append(n.ready, r)
-		}
-	}
-	n.follows = kept
-}
-
 // cancelLoser stops an execution that nobody waits for any more, where that frees work.
 func (n *Node) cancelLoser(q *fleet.Query) fleet.Move {
 	for i := range q.Execs[:q.N] {
@@ -304,8 +264,6 @@
 	case n.lim.origin < 0:
 	case q.Write || q.Stage == queued || q.Stage == waiting || q.N+1 == n.lim.maxExecs && n.store.room(n):
 		return n.toOrigin(q)
-	case n.leads(q):
-		return n.follow(q)
 	}
 	s := n.route(q)
 	if s == nil {
@@ -330,25 +288,6 @@
 	return n.send(q, s)
 }
 
-// leads tells whether another query of this node has a fetch of q's key under way.
-func (n *Node) leads(q *fleet.Query) bool {
-	lead := n.slab.Get(n.fetches[q.Key])
-	return q.HasKey && !q.Write && lead != nil && lead != q && !lead.Closed
-}
-
-// follow makes q wait for that fetch, or gives it up at once when the origin is silent for too long.
-func (n *Node) follow(q *fleet.Query) fleet.Move {
-	left := q.Deadline - n.now - n.lim.slack
-	if n.origin != nil && n.origin.out > 0 && n.now-n.origin.quiet > left {
-		return n.giveUp(q, n.store.rt)
-	}
-	if q.Stage != following {
-		n.follows = append(n.follows, q.Ref)
-	}
-	q.Stage, q.Leader = following, n.fetches[q.Key]
-	return n.hold(q, n.now+max(left/2, min(left, n.store.rt)))
-}
-
 // send proposes an execution at s. Where a silent one can be looked at again before, it gets all the time
 // there is: a time-out kills heavy queries on sound servers, which take as long again elsewhere.
 func (n *Node) send(q *fleet.Query, s *server) fleet.Move {
@@ -401,9 +340,9 @@
 		if n.twice(q, nil) {
 			m = fleet.Move{Action: fleet.Abort}
 		}
-		n.close(q)
+		q.Closed = true
 	case fleet.Abort:
-		n.close(q)
+		q.Closed = true
 	}
 	return m
 }
--- a/fleet/slab.go
+++ b/fleet/slab.go
@@ -32,9 +32,8 @@
 	Closed   bool
 	Streamed bool
 
-	Stage  uint8
-	Wake   float64
-	Leader Ref // the query whose fetch this one waits for
+	Stage uint8
+	Wake  float64
 }
 
 // Ref names a place in the slab and its present life, so that a stale one finds nothing.
