Take a quarter of x in a first move

Cause: with the even ring agreed from the list, each node's own moves scatter keys; the move with stride 0.7 lost to none at all. Smoothed loads and a slow return to the even ring were tried and gained nothing more.

--- a/decide/ring.go
+++ b/decide/ring.go
@@ -14,7 +14,7 @@
 	slope      = (gamma - 1) / alpha
 	beta       = 0.1
 	margin     = 0.05 * gamma
-	stride     = 0.7 // share of x taken in a first move, since reports lag behind it
+	stride     = 0.25 // share of x taken in a first move, since reports lag and nodes agree on the ring without them
 	spread     = 2
 	popularAt  = 10  // fading count of a key's queries in a zone above which it has a copy there
 	seenEnough = 1.5 // own fading count below which nothing is known of a key
