--- a/decide/ring.go
+++ b/decide/ring.go
@@ -211,8 +211,11 @@
 func (n *Node) route(q *fleet.Query) *server {
 	owner := n.walk(&n.ring, q, 0)
 	m := n.popular(q.Key)
-	k := float64(len(n.near.servers))
-	if k == 0 || m < 2 && owner != nil && owner.zone == n.lim.zone || m == 0 && q.Key.Slice() >= n.homing*(1-3/k) {
+	k, reach := float64(len(n.near.servers)), 1.0
+	if m == 0 {
+		reach -= 3 / k
+	}
+	if k == 0 || m < 2 && owner != nil && owner.zone == n.lim.zone || m < 2 && q.Key.Slice() >= n.homing*reach {
 		return owner
 	}
 	skip, best := 0, uint64(0)
