--- a/decide/ring.go
+++ b/decide/ring.go
@@ -213,7 +213,7 @@
 	m := n.popular(q.Key)
 	k, reach := float64(len(n.near.servers)), 1.0
 	if m == 0 {
-		reach -= 3 / k
+		reach -= 2 / k
 	}
 	if k == 0 || m < 2 && owner != nil && owner.zone == n.lim.zone || m < 2 && q.Key.Slice() >= n.homing*reach {
 		return owner
