Allow three copies from the start where copies are permitted

Cause: a node's budget of copies began at nothing, while the first seconds are when it knows no server.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -129,6 +129,9 @@
 	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed}
 	n.mayOpen, n.homing = math.Inf(1), 1
 	n.typical, n.askAt, n.unit = n.lim.sloMin/8, now, 1
+	if l.SecondCopies {
+		n.copies = 3 // at the start nothing is known of any server, and a copy costs little
+	}
 	n.store = stock{window: 4, rt: n.lim.sloMin / 4}
 	if n.lim.askWithin == 0 {
 		n.askAt = math.Inf(1)
