--- a/decide/admit.go
+++ b/decide/admit.go
@@ -6,7 +6,8 @@
 	"mintspring/fleet"
 )
 
-// stock meters this node's work at the origin: how much may be out is learnt from completions and time-outs.
+// stock meters this node's work at the origin: how much may be out is learnt from completions and
+// time-outs.
 type stock struct {
 	window  float64
 	cutAt   float64
@@ -25,8 +26,8 @@
 
 // learn widens the window while answers come in time, and cuts it when a fair share does not. One late
 // answer says little, as the origin's times spread widely, and a late write says nothing: writes take a
-// multiple of what reads take, and where they failed for a reason of their own they once closed the
-// window to reads.
+// multiple of what reads take, and where they failed for a reason of their own they once closed the window
+// to reads.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
 	most, slow := n.lim.sloMin/2, 1.0
 	if q.Write {
@@ -76,8 +77,8 @@
 	return r
 }
 
-// toOrigin sends q to the origin when there is room, queues it while an answer in time is likely, or
-// gives it up.
+// toOrigin sends q to the origin when there is room, queues it while an answer in time is likely, or gives
+// it up.
 func (n *Node) toOrigin(q *fleet.Query) fleet.Move {
 	k := &n.store
 	if n.origin == nil {
@@ -118,8 +119,8 @@
 }
 
 // coldPart gives a cold server the part of its arc next to its predecessor; the rest stays with its
-// successor, who held it before. The part is its warmth over the ring's: where most of a fleet is cold,
-// the few warm servers could not carry what a part of the plain mean leaves to them.
+// successor, who held it before. The part is its warmth over the ring's: where most of a fleet is cold, the
+// few warm servers could not carry what a part of the plain mean leaves to them.
 func (n *Node) coldPart(c *circle, s *server, p float64) bool {
 	g := s.warmth(n)
 	if g >= 1 || len(c.servers) < 2 {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,10 +1,10 @@
 // Package decide holds every decision of a mintspring node. It is called as a client library is.
 //
-// The adapter puts each query into the slab it shares with the node and asks through three calls:
-// Where says where to send this query (or not yet, or never), After says what to do after this outcome,
-// and Wait says how long to wait and which query to ask about then (none: Where(now, nil), for the node's
-// own upkeep). Facts are reported without an answer: Members, Probed, Heard, Begun, Left. The interface is
-// in this file; ring.go moves the points, health.go judges servers, admit.go meters the origin and cold
+// The adapter puts each query into the slab it shares with the node and asks through three calls: Where
+// says where to send this query (or not yet, or never), After says what to do after this outcome, and Wait
+// says how long to wait and which query to ask about then (none: Where(now, nil), for the node's own
+// upkeep). Facts are reported without an answer: Members, Probed, Heard, Begun, Left. The interface is in
+// this file; ring.go moves the points, health.go judges servers, admit.go meters the origin and cold
 // servers, list.go follows the list. All times are milliseconds on the caller's clock.
 package decide
 
@@ -49,9 +49,9 @@
 	heat          [2048]float32 // count of queries by key, in units that grow as older ones fade
 	unit          float32
 	heatSum       float32 // of all keys
-	atCaches      int     // executions out at caches
 	copies        float64 // budget for second copies
 	typical       float64 // usual answer time over all caches
+	atCaches      int     // executions out at caches
 	open, mayOpen float64 // servers with a connection, and for how many there seems to be room
 	late          float64 // recent share of cache answers that were late or nearly so
 }
@@ -140,7 +140,8 @@
 	return n
 }
 
-// chance draws from [0,1) by hashing the instance seed and a counter, so that equal events give equal moves.
+// chance draws from [0,1) by hashing the instance seed and a counter, so that equal events give equal
+// moves.
 func (n *Node) chance() float64 {
 	var b [16]byte
 	n.draws++
@@ -272,11 +273,11 @@
 	if s == nil {
 		return n.toOrigin(q)
 	}
-	if s.ejected {
+	if s.sick() {
 		return n.send(q, s) // a trial: what was seen of the server before says nothing
 	}
-	// Departure: what its owner would answer late goes to the origin while that has room and is quicker; the
-	// owner keeps its other keys and copies. In overload, what is left is turned away at once.
+	// Departure: what its owner would answer late goes to the origin while that has room and is quicker;
+	// the owner keeps its other keys and copies. In overload, what is left is turned away at once.
 	w, e, busy := &n.lim.workloads[q.Workload], s.est(n), math.Inf(1)
 	if n.origin != nil {
 		busy = n.store.busy(n)
@@ -291,16 +292,10 @@
 	return n.send(q, s)
 }
 
-// send proposes an execution at s. Where a silent one can be looked at again before, it gets all the time
-// there is: a time-out kills heavy queries on sound servers, which take as long again elsewhere.
+// send proposes an execution at s with all the time there is: a time-out kills heavy queries on sound
+// servers, which take as long again elsewhere; a silent one is looked at again before.
 func (n *Node) send(q *fleet.Query, s *server) fleet.Move {
-	m := fleet.Move{Action: fleet.Send, Server: s.id, Limit: q.Deadline - n.now}
-	w := &n.lim.workloads[q.Workload]
-	if need := max(w.slo/2, 4*s.est(n), 3*q.Work); need < m.Limit*0.7 && s != n.origin &&
-		w.effect != fleet.NonIdempotent && !n.looksBack(q) {
-		m.Limit = need
-	}
-	return m
+	return fleet.Move{Action: fleet.Send, Server: s.id, Limit: q.Deadline - n.now}
 }
 
 // hold keeps q and asks again at the given time.
@@ -315,8 +310,8 @@
 	return fleet.Move{Action: fleet.Reject, Wait: min(wait, n.lim.longest)}
 }
 
-// gate is the one place that every send, rejection, abort and cancel passes. It keeps the four rules:
-// what they forbid becomes the nearest thing that they allow.
+// gate is the one place that every send, rejection, abort and cancel passes. It keeps the four rules: what
+// they forbid becomes the nearest thing that they allow.
 func (n *Node) gate(q *fleet.Query, m fleet.Move) fleet.Move {
 	if m.Action == fleet.Send && (q.Out > 0 && !n.lim.copies || !n.maySend(q, n.servers[m.Server])) {
 		if q.Out > 0 {
--- a/decide/health.go
+++ b/decide/health.go
@@ -15,7 +15,7 @@
 	cell    fleet.CellID
 	started float64
 
-	listed, news, used, ejected bool // news: its report is new; used: it moved the point
+	listed, news, used bool // news: its report is new; used: it moved the point
 
 	home, size      float64 // the hash of its id, and its nominal size
 	spots           [2]spot // on the whole ring and on its zone's
@@ -28,9 +28,7 @@
 	pace            float64 // answer time per query ahead
 	rt, ah, rtAt    float64 // recent answer time, what was ahead then, and when
 	bad             float64 // recent share of failures
-	tryAt, pause    float64 // when the next trial may go, and how long from one to the next
-	goods           int     // trials in a row that went well
-	fullTil         float64
+	tryAt, pause    float64 // sick: when the next trial may go, and how long from one to the next
 	open            bool    // may have a connection to it
 	usedAt          float64 // last sent to
 	tokens, tokenAt float64 // cold: work that may still be sent, and when that was reckoned
@@ -40,13 +38,12 @@
 const (
 	failWeight = 0.25 // of one outcome in the recent share of failures
 	failLimit  = 0.4
-	trialsBack = 3
 	horizon    = 15  // periods over which what was seen of a server fades
 	overload   = 0.1 // share of late answers above which queries are turned away
 )
 
-// ahead counts what a new query would find at s: own executions and the reported queue, the less the
-// older it is.
+// ahead counts what a new query would find at s: own executions and the reported queue, the less the older
+// it is.
 func (s *server) ahead(n *Node) float64 {
 	a := float64(s.out)
 	if q := s.report.Queue; !math.IsNaN(q) {
@@ -70,9 +67,6 @@
 	if s.out > 0 {
 		e = max(e, n.now-s.quiet)
 	}
-	if n.now < s.fullTil {
-		e += n.lim.sloMin
-	}
 	return e
 }
 
@@ -87,9 +81,6 @@
 		s.open = true
 		n.open++
 	}
-	if s.ejected {
-		s.tryAt = n.now + s.pause
-	}
 	n.cold.spend(n, s, q)
 	if s == n.origin && q.Write {
 		n.store.writes++
@@ -143,13 +134,13 @@
 	case fleet.TimedOut, fleet.Cancelled:
 		// It would have taken longer still: a server must not look quick because slow answers are cut off.
 		s.sample(n, max(o.Took, s.rt), e.Ahead)
-		// Slow is not dead: only a server that answered nothing since the execution left is held for silent,
-		// be it that the client got its answer from a second copy.
+		// Slow is not dead: only a server that answered nothing since the execution left is held for
+		// silent, be it that the client got its answer from a second copy.
 		if !answered && o.Took >= slo/4 && s != n.origin {
 			n.judge(s, 1)
 		}
 	case fleet.Full:
-		s.quiet, s.fullTil = n.now, n.now+n.typical
+		s.quiet = n.now
 	}
 	if fail >= 0 {
 		s.quiet = n.now
@@ -166,40 +157,26 @@
 	s.rtAt = n.now
 }
 
-// judge weighs one good or bad outcome and ejects or restores its server.
+// judge weighs one good or bad outcome. While the recent share of failures is high, each further one keeps
+// the server out for a pause that doubles.
 func (n *Node) judge(s *server, fail float64) {
-	s.bad += min(1, failWeight*max(1, fail)) * (min(fail, 1) - s.bad)
-	switch {
-	case s.ejected && fail > 0:
-		s.goods, s.pause = 0, min(2*s.pause, 4*n.lim.period)
-		s.tryAt = n.now + s.pause
-	case s.ejected:
-		s.tryAt = n.now
-		if s.goods++; s.goods >= trialsBack {
-			s.ejected, s.bad = false, 0
-		}
-	case s.bad >= failLimit:
-		gone := 1
-		for _, r := range n.ring.servers {
-			if r.ejected {
-				gone++
-			}
-		}
-		if 2*gone <= len(n.ring.servers) { // beyond that the rest could not carry more
-			s.ejected, s.goods, s.pause = true, 0, n.lim.period
-			s.tryAt = n.now + s.pause
-		}
+	if fail == 0 {
+		s.bad, s.pause = s.bad*(1-failWeight), n.lim.period
+	} else if s.bad += failWeight * fail * (1 - s.bad); s.sick() {
+		s.tryAt, s.pause = n.now+s.pause, min(2*s.pause, 4*n.lim.period)
 	}
 }
 
-// takes tells whether s can be given q. An ejected server gets single trials of queries that may run again.
+func (s *server) sick() bool { return s.bad >= failLimit }
+
+// takes tells whether s can be given q. A sick server gets single trials of queries that may run again.
 func (n *Node) takes(c *circle, s *server, q *fleet.Query, own bool) bool {
 	for i := range q.Execs[:q.N] {
 		if e := &q.Execs[i]; e.Server == s.id && e.Result != fleet.Missed && e.Result != fleet.NotSent {
 			return false
 		}
 	}
-	if s.ejected && (!own || s.out > 0 || n.now < s.tryAt || q.N > 0 ||
+	if s.sick() && (!own || s.out > 0 || n.now < s.tryAt || q.N > 0 ||
 		n.lim.workloads[q.Workload].effect != fleet.Idempotent) {
 		return false
 	}
@@ -245,9 +222,9 @@
 	return fleet.Move{Action: fleet.Hold}
 }
 
-// spare names a server whose idle connections are to be closed. Departure: where servers turn connections away,
-// the nodes together hold more than their tables take. Each then holds half of what it held, finds room again
-// by and by, and closes first what it has used least lately.
+// spare names a server whose idle connections are to be closed. Departure: where servers turn connections
+// away, the nodes together hold more than their tables take. Each then holds half of what it held, finds
+// room again by and by, and closes first what it has used least lately.
 func (n *Node) spare(s *server, res fleet.Result) *server {
 	if res == fleet.ConnectFailed {
 		if s.open = s.out > 0; !s.open {
--- a/decide/list.go
+++ b/decide/list.go
@@ -28,8 +28,8 @@
 	return fleet.Move{}
 }
 
-// Members reports what the list says. Entries are applied on top of what is known; a full list removes
-// what it lacks.
+// Members reports what the list says. Entries are applied on top of what is known; a full list removes what
+// it lacks.
 func (n *Node) Members(now float64, mode fleet.ListMode, entries []fleet.Member) {
 	n.now = now
 	if mode == fleet.ListFailed {
@@ -60,16 +60,16 @@
 	n.rebuild()
 }
 
-// member takes one entry in. A new start makes a new server of it: what was learnt of the old process
-// does not hold, and it takes its own arc again. Executions still out at the old one are counted on.
+// member takes one entry in. A new start makes a new server of it: what was learnt of the old process does
+// not hold, and it takes its own arc again. Executions still out at the old one are counted on.
 func (n *Node) member(m *fleet.Member) {
 	for int(m.ID) >= len(n.servers) {
 		n.servers = append(n.servers, nil)
 	}
 	s := n.servers[m.ID]
 	if s == nil || m.State == fleet.Ready && (s.state != fleet.Ready || m.Started != s.started) {
-		fresh := &server{id: m.ID, report: fleet.NewReport(), stride: stride, pace: n.typical, rt: n.typical,
-			home: fleet.Home(m.Name), size: 1, tokenAt: n.now}
+		fresh := &server{id: m.ID, report: fleet.NewReport(), stride: stride, pause: n.lim.period, pace: n.typical,
+			rt: n.typical, home: fleet.Home(m.Name), size: 1, tokenAt: n.now}
 		if s != nil {
 			fresh.out, fresh.quiet, fresh.open = s.out, s.quiet, s.open
 		}
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -14,11 +14,10 @@
 	slope      = (gamma - 1) / alpha
 	beta       = 0.1
 	margin     = 0.05 * gamma
-	stride     = 0.25 // share of x taken in a first move, since reports lag and nodes agree on the ring without them
-	spread     = 2
-	popularAt  = 10  // fading count of a key's queries in a zone above which it has a copy there
-	seenEnough = 1.5 // own fading count below which nothing is known of a key
-	doubt      = 20  // queries that a node must have seen before a count is worth much
+	stride     = 0.25 // share of x taken in a first move, since reports lag and differ between nodes
+	popularAt  = 10   // fading count of a key's queries in a zone above which it has a copy there
+	seenEnough = 1.5  // own fading count below which nothing is known of a key
+	doubt      = 20   // queries that a node must have seen before a count is worth much
 
 	evenings = 12  // times the even ring is moved from the hash points; more move more keys at a join
 	settle   = 0.7 // by which each move shortens the next, so that rings come to rest and keys stay
@@ -162,13 +161,13 @@
 	return (own*arcOwn - succ*arcSucc) / (own + succ)
 }
 
-// moveRing moves every point whose server is loaded above its successor by the margin, each on reports
-// not used before: an old number must not move a point twice.
+// moveRing moves every point whose server is loaded above its successor by the margin, each on reports not
+// used before: an old number must not move a point twice.
 func (n *Node) moveRing() {
 	c := &n.ring
 	for i, s := range c.servers {
 		next := c.neighbour(i, 1)
-		if !s.news || !next.news || s.ejected || next.ejected || !(s.level() > next.level()+margin) {
+		if !s.news || !next.news || s.sick() || next.sick() || !(s.level() > next.level()+margin) {
 			continue
 		}
 		x := shift(s.level(), next.level(), c.arc(i), c.arc((i+1)%len(c.servers))) * s.stride
@@ -190,10 +189,10 @@
 	}
 }
 
-// popular tells over how many servers of a zone a key is spread; 0: it is not popular. Departure: a key that
-// the fleet asks for often enough to keep a second copy warm in each zone has one there, and one that
-// would fill more than a server's share is spread over as many servers as it takes, each node keeping
-// to one of them. A node of many sees a key too rarely to count to much, so its count is multiplied by the
+// popular tells over how many servers of a zone a key is spread; 0: it is not popular. Departure: a key
+// that the fleet asks for often enough to keep a second copy warm in each zone has one there, and one that
+// would fill more than a server's share is spread over as many servers as it takes, each node keeping to
+// one of them. A node of many sees a key too rarely to count to much, so its count is multiplied by the
 // nodes of its zone and weighed as a share of all it saw.
 func (n *Node) popular(key fleet.Key) uint64 {
 	seen := float64(n.heat[uint64(key)%uint64(len(n.heat))] / n.unit)
@@ -204,10 +203,10 @@
 	return uint64(max(1, math.Ceil(share*float64(len(n.near.servers)))))
 }
 
-// route walks from the key's owner along its successors to a server that can take q. Departure: an owner that
-// holds more than twice its share of this node's queries hands the next one on, when the wait that saves is
-// longer than what a miss costs more: half a fetch, the wait for room at the origin, and in overload, where
-// only hits carry the load, part of the SLO time.
+// route picks the cache for q: on the whole ring, or on that of the node's own zone. Departure: most keys
+// stay in the zone, which saves crossings and connections, but for a share that a zone of few servers could
+// not carry without slack, and that grows while answers are very late or the origin is slow: one copy then
+// serves all zones.
 func (n *Node) route(q *fleet.Query) *server {
 	owner := n.walk(&n.ring, q, 0)
 	m := n.popular(q.Key)
@@ -238,27 +237,17 @@
 	return owner
 }
 
+// walk goes from the server whose arc holds q's key along its successors to one that can take q. Departure:
+// one that holds more than twice its share of this node's queries hands q on where that saves half a fetch.
 func (n *Node) walk(c *circle, q *fleet.Query, skip int) *server {
-	if len(c.servers) == 0 {
-		return nil
-	}
-	bound := max(2, math.Ceil(spread*float64(n.atCaches+1)/float64(len(c.servers))))
-	gain := n.store.rt / 2
-	if n.late > overload {
-		gain += n.lim.sloMin / 4
-	}
-	if !n.store.room(n) {
-		gain += float64(len(n.store.waiting)+1) * n.store.rt / n.store.window
-	}
-	i := c.owner(q.Key.Point()) + skip
+	bound := max(2, 2*n.atCaches/max(1, len(c.servers)))
 	var pick *server
 	for k := range c.servers {
-		s := c.neighbour(i, k)
-		if !n.takes(c, s, q, k == 0) || pick != nil && s.est(n)+gain >= pick.est(n) {
-			continue
-		}
-		if pick = s; float64(s.out+1) <= bound && n.now >= s.fullTil {
-			break
+		s := c.neighbour(c.owner(q.Key.Point())+skip, k)
+		if n.takes(c, s, q, k == 0) && (pick == nil || s.est(n)+n.store.rt/2 < pick.est(n)) {
+			if pick = s; s.out < bound {
+				break
+			}
 		}
 	}
 	return pick
