--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,6 +36,7 @@
 	servers []*server // by ServerID; nil where a number was never listed
 	ring    circle    // all caches
 	near    circle    // those of this node's own zone
+	util    float64   // recent mean utilisation of caches
 	homing  float64   // share of keys that go by the zone's ring
 	origin  *server
 	askAt   float64 // when the next call for the list is due; +Inf: the subscription stands
@@ -127,7 +128,7 @@
 // New starts a node that knows nothing but its limits.
 func New(now float64, l fleet.Limits, slab *fleet.Slab) *Node {
 	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed}
-	n.mayOpen, n.homing = math.Inf(1), 1
+	n.mayOpen, n.homing, n.util = math.Inf(1), 1, 0.5
 	n.typical, n.askAt, n.unit = n.lim.sloMin/8, now, 1
 	if l.SecondCopies {
 		n.copies = 3 // at the start nothing is known of any server, and a copy costs little
--- a/decide/health.go
+++ b/decide/health.go
@@ -261,6 +261,9 @@
 		s.hits = max(r.X0, s.hits*0.98)
 	}
 	s.report, s.reportAt = r, n.now
+	if s != n.origin && !math.IsNaN(r.Util) {
+		n.util += 0.05 * (r.Util - n.util)
+	}
 }
 
 // Probed reports the result of a probe.
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -212,7 +212,7 @@
 	m := n.popular(q.Key)
 	k, reach := float64(len(n.near.servers)), 1.0
 	if m == 0 {
-		reach -= 2 / k
+		reach -= 4 * n.util / k
 	}
 	if k == 0 || m < 2 && owner != nil && owner.zone == n.lim.zone || m < 2 && q.Key.Slice() >= n.homing*reach {
 		return owner
