Learn the origin's window from each answer; below one it is a rate

Cause: with hundreds of nodes one read out at each is far more than the origin serves, and its queue of a second made every fetch late; a window of one was the floor. Below one the window now paces reads, each late answer cuts it, and the floor falls with the number of nodes told at start (8 over it, a tenth at least).

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -14,6 +14,7 @@
 	rt      float64 // usual answer time
 	slow    float64 // recent share of late answers
 	writes  int     // of what is out there
+	nextAt  float64 // window below one: when the next may go
 	waiting []fleet.Ref
 }
 
@@ -21,7 +22,10 @@
 func (k *stock) room(n *Node) bool { return n.origin != nil && k.busy(n) < 1 }
 
 func (k *stock) busy(n *Node) float64 {
-	return (float64(n.origin.out) - max(0, float64(k.writes)-k.window/2)) / k.window
+	if k.window < 1 && n.now < k.nextAt {
+		return 1
+	}
+	return (float64(n.origin.out) - max(0, float64(k.writes)-k.window/2)) / max(1, k.window)
 }
 
 // learn widens the window while answers come in time, and cuts it when a fair share does not. One late
@@ -43,10 +47,10 @@
 	if o.Result == fleet.Cancelled || o.Result == fleet.NotSent || q.Write && slow > 0 {
 		return
 	}
-	if k.slow += 0.15 * (slow - k.slow); k.slow > 0.3 && e.Sent >= k.cutAt {
-		k.window, k.cutAt = max(1, k.window*0.7), n.now
+	if k.slow += 0.15 * (slow - k.slow); slow > 0 && (k.slow > 0.3 || k.window <= 1) && e.Sent >= k.cutAt {
+		k.window, k.cutAt = max(n.lim.leastOut, k.window*0.7), n.now
 	} else if slow == 0 && float64(n.origin.out+1) >= k.window-1 {
-		k.window = min(64, k.window+1/k.window)
+		k.window = min(64, k.window+min(0.17*k.window, 1/k.window))
 	}
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -79,6 +79,7 @@
 	cancels    bool
 	longest    float64 // most that a client may be told to stay away; 0: it is not told
 	sloMin     float64 // shortest SLO time
+	leastOut   float64 // least window at the origin
 	slack      float64 // kept before a deadline
 	period     float64 // between moves of the ring
 	askWithin  float64 // a call for the list is due by then; 0: changes come unasked
@@ -94,7 +95,8 @@
 		origin: l.OriginKind, maxExecs: min(max(l.MaxExecutions, 1), fleet.MaxExecs),
 		copies: l.SecondCopies, cancels: l.Cancelling, copyRate: 0.05 / (0.5 + 2*l.WasteCost),
 		coldFrom: l.StartCapacity, warmWithin: l.WarmWithin, coldRate: l.FallMultiple / 2,
-		coldBurst: l.TipAfter / 2, sloMin: math.Inf(1)}
+		coldBurst: l.TipAfter / 2, sloMin: math.Inf(1),
+		leastOut: min(1, max(0.1, 8/float64(max(1, l.Nodes))))}
 	top := 0.0
 	for _, w := range l.Workloads {
 		d.sloMin = min(d.sloMin, w.SLOTime)
@@ -219,6 +221,9 @@
 		return r, 0
 	}
 	due := min(n.moveAt, n.askAt)
+	if n.store.nextAt > now && n.store.window < 1 && len(n.store.waiting) > 0 {
+		due = min(due, n.store.nextAt)
+	}
 	for len(n.alarms) > 0 {
 		a := n.alarms[0]
 		if q := n.slab.Get(a.Ref); q == nil || q.Closed || q.Wake != a.At || a.At <= now {
--- a/decide/health.go
+++ b/decide/health.go
@@ -82,8 +82,11 @@
 		n.open++
 	}
 	n.cold.spend(n, s, q)
-	if s == n.origin && q.Write {
-		n.store.writes++
+	if s == n.origin {
+		n.store.nextAt = n.now + n.lim.sloMin/4/n.store.window
+		if q.Write {
+			n.store.writes++
+		}
 	}
 	if s != n.origin {
 		n.atCaches++
