--- a/decide/admit.go
+++ b/decide/admit.go
@@ -33,7 +33,7 @@
 // multiple of what reads take, and where they failed for a reason of their own they once closed the window
 // to reads.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
-	most, slow := n.lim.sloMin/2, 1.0
+	most, slow, grow := n.lim.sloMin/2, 1.0, 0.17
 	if q.Write {
 		k.writes--
 		most = n.lim.workloads[q.Workload].slo
@@ -43,6 +43,9 @@
 		if o.Took <= most {
 			slow = 0
 		}
+		if o.Took <= most/2 {
+			grow = 0.5
+		}
 	}
 	if o.Result == fleet.Cancelled || o.Result == fleet.NotSent || q.Write && slow > 0 {
 		return
@@ -50,7 +53,7 @@
 	if k.slow += 0.15 * (slow - k.slow); slow > 0 && (k.slow > 0.3 || k.window <= 1) && e.Sent >= k.cutAt {
 		k.window, k.cutAt = max(n.lim.leastOut, k.window*0.7), n.now
 	} else if slow == 0 && float64(n.origin.out+1) >= k.window-1 {
-		k.window = min(64, k.window+min(0.17*k.window, 1/k.window))
+		k.window = min(64, k.window+min(grow*k.window, 1/k.window))
 	}
 }
 
