--- a/decide/health.go
+++ b/decide/health.go
@@ -103,7 +103,7 @@
 		n.store.learn(n, q, e, o)
 	} else {
 		n.atCaches--
-		switch done := o.Result == fleet.Completed || answered && !o.Result.NeverRan(); {
+		switch done := o.Result == fleet.Completed || o.Result == fleet.TimedOut || answered && !o.Result.NeverRan(); {
 		case o.Result == fleet.Full:
 			n.late += 0.05 * (0.4 - n.late)
 		case done && n.now-q.Arrived > 0.8*slo:
