Send no more reads to an origin that is silent for half the SLO time

Cause: when a key gets hot, fetches and overflow jam the origin, and each node learns it from time-outs a second later; the origin then stops and every miss is lost for 20 s. Silence is seen at once.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -22,7 +22,7 @@
 func (k *stock) room(n *Node) bool { return n.origin != nil && k.busy(n) < 1 }
 
 func (k *stock) busy(n *Node) float64 {
-	if k.window < 1 && n.now < k.nextAt {
+	if k.window < 1 && n.now < k.nextAt || n.origin.out > 0 && n.now-n.origin.quiet > n.lim.sloMin/2 {
 		return 1
 	}
 	return (float64(n.origin.out) - max(0, float64(k.writes)-k.window/2)) / max(1, k.window)
