--- a/decide/admit.go
+++ b/decide/admit.go
@@ -6,8 +6,7 @@
 	"mintspring/fleet"
 )
 
-// stock meters this node's work at the origin: how much may be out is learnt from completions and
-// time-outs.
+// stock meters this node's work at the origin: how much may be out is learnt from how its answers come.
 type stock struct {
 	window  float64
 	cutAt   float64
@@ -28,10 +27,8 @@
 	return (float64(n.origin.out) - max(0, float64(k.writes)-k.window/2)) / max(1, k.window)
 }
 
-// learn widens the window while answers come in time, and cuts it when a fair share does not. One late
-// answer says little, as the origin's times spread widely, and a late write says nothing: writes take a
-// multiple of what reads take, and where they failed for a reason of their own they once closed the window
-// to reads.
+// learn widens the window while answers come in time, and cuts it when a fair share does not. A late write
+// says nothing: writes take a multiple of what reads take, and once closed the window to reads.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
 	most, slow, grow := n.lim.sloMin/2, 1.0, 0.17
 	if q.Write {
@@ -39,8 +36,7 @@
 		most = n.lim.workloads[q.Workload].slo
 	}
 	if o.Result == fleet.Completed {
-		k.rt += 0.1 * (o.Took - k.rt)
-		if o.Took <= most {
+		if k.rt += 0.1 * (o.Took - k.rt); o.Took <= most {
 			slow = 0
 		}
 		if o.Took <= most/2 {
@@ -84,8 +80,7 @@
 	return r
 }
 
-// toOrigin sends q to the origin when there is room, queues it while an answer in time is likely, or gives
-// it up.
+// toOrigin sends q to the origin when there is room, queues it while it can make it, or gives it up.
 func (n *Node) toOrigin(q *fleet.Query) fleet.Move {
 	k := &n.store
 	if n.origin == nil {
@@ -101,9 +96,8 @@
 		return n.giveUp(q, wait)
 	}
 	if q.Stage != waiting {
-		k.waiting = append(k.waiting, q.Ref)
+		q.Stage, k.waiting = waiting, append(k.waiting, q.Ref)
 	}
-	q.Stage = waiting
 	// Asked again halfway: what cannot make it any more is answered then, not shortly before its deadline.
 	return n.hold(q, n.now+max(left/2, min(left, rt)))
 }
@@ -125,9 +119,8 @@
 	return n.lim.coldFrom + (1-n.lim.coldFrom)*max(0, age)/n.lim.warmWithin
 }
 
-// coldPart gives a cold server the part of its arc next to its predecessor; the rest stays with its
-// successor, who held it before. The part is its warmth over the ring's: where most of a fleet is cold, the
-// few warm servers could not carry what a part of the plain mean leaves to them.
+// coldPart gives a cold server the part of its arc next to its predecessor, by its share of the circle's
+// warmth; the rest stays with its successor, who held it before.
 func (n *Node) coldPart(c *circle, s *server, p float64) bool {
 	g := s.warmth(n)
 	if g >= 1 || len(c.servers) < 2 {
@@ -158,15 +151,10 @@
 
 // spend books q against the meters.
 func (m *meter) spend(n *Node, s *server, q *fleet.Query) {
-	if s == n.origin {
-		return
-	}
 	if m.mean == 0 {
 		m.mean = q.Work
 	}
-	if q.Work > 0 {
-		m.mean += 0.02 * (q.Work - m.mean)
-	}
+	m.mean += 0.02 * (q.Work - m.mean)
 	c := m.cost(q)
 	s.tokens -= c // means something while s is cold only
 	m.sum += c
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,11 +1,11 @@
 // Package decide holds every decision of a mintspring node. It is called as a client library is.
 //
-// The adapter puts each query into the slab it shares with the node and asks through three calls: Where
-// says where to send this query (or not yet, or never), After says what to do after this outcome, and Wait
-// says how long to wait and which query to ask about then (none: Where(now, nil), for the node's own
-// upkeep). Facts are reported without an answer: Members, Probed, Heard, Begun, Left. The interface is in
-// this file; ring.go moves the points, health.go judges servers, admit.go meters the origin and cold
-// servers, list.go follows the list. All times are milliseconds on the caller's clock.
+// The adapter puts each query into the slab it shares with the node and asks through three calls: Where says
+// where to send this query (or not yet, or never), After says what to do after this outcome, and Wait says
+// how long to wait and which query to ask about then (none: Where(now, nil), for the node's own upkeep).
+// Facts are reported without an answer: Members, Probed, Heard, Begun, Left. The interface is in this file;
+// ring.go moves the points, health.go judges servers, admit.go meters the origin and cold servers, list.go
+// follows the list. All times are milliseconds on the caller's clock.
 package decide
 
 import (
@@ -33,15 +33,16 @@
 	now         float64
 	seed, draws uint64
 
-	servers []*server // by ServerID; nil where a number was never listed
-	ring    circle    // all caches
-	near    circle    // those of this node's own zone
-	util    float64   // recent mean utilisation of caches
-	homing  float64   // share of keys that go by the zone's ring
-	origin  *server
-	askAt   float64 // when the next call for the list is due; +Inf: the subscription stands
-	asks    int     // calls that failed in a row
-	moveAt  float64
+	servers  []*server // by ServerID; nil where a number was never listed
+	ring     circle    // all caches
+	near     circle    // those of this node's own zone
+	util     float64   // recent mean utilisation of caches
+	homing   float64   // share of keys that go by the zone's ring
+	origin   *server
+	askAt    float64 // when the next call for the list is due; +Inf: the subscription stands
+	asks     int     // calls that failed in a row
+	atCaches int     // executions out at caches
+	moveAt   float64
 
 	alarms fleet.Alarms
 	store  stock
@@ -52,7 +53,6 @@
 	heatSum       float32 // of all keys
 	copies        float64 // budget for second copies
 	typical       float64 // usual answer time over all caches
-	atCaches      int     // executions out at caches
 	open, mayOpen float64 // servers with a connection, and for how many there seems to be room
 	late          float64 // recent share of cache answers that were late or nearly so
 }
@@ -74,9 +74,9 @@
 	perZone    float64      // nodes of one zone
 	origin     fleet.KindID // below 0: servers fetch for themselves
 	maxExecs   int
-	copies     bool    // two executions of a query may be out
-	copyRate   float64 // second copies per execution
+	copies     bool // two executions of a query may be out
 	cancels    bool
+	copyRate   float64 // second copies per execution
 	longest    float64 // most that a client may be told to stay away; 0: it is not told
 	sloMin     float64 // shortest SLO time
 	leastOut   float64 // least window at the origin
@@ -97,10 +97,9 @@
 		coldFrom: l.StartCapacity, warmWithin: l.WarmWithin, coldRate: l.FallMultiple / 2,
 		coldBurst: l.TipAfter / 2, sloMin: math.Inf(1),
 		leastOut: min(1, max(0.1, 8/float64(max(1, l.Nodes))))}
-	top := 0.0
+	top := 1e-9
 	for _, w := range l.Workloads {
-		d.sloMin = min(d.sloMin, w.SLOTime)
-		top = max(top, w.Importance)
+		d.sloMin, top = min(d.sloMin, w.SLOTime), max(top, w.Importance)
 	}
 	if len(l.Workloads) == 0 || d.sloMin <= 0 {
 		d.sloMin = 1000
@@ -108,9 +107,9 @@
 	for _, w := range l.Workloads {
 		d.workloads = append(d.workloads, workload{effect: w.Effect, scope: w.Scope, span: w.DedupSpan,
 			slo: w.SLOTime, rank: w.Importance,
-			// What would come late only takes the place of what would not, and a crowded server loses
-			// capacity: in overload waits are kept short, the shorter the less important a workload is.
-			bearable: w.SLOTime * (1 + w.LateShare) * (0.15 + 0.1*w.Importance/max(top, 1e-9))})
+			// What would come late only takes the place of what would not, and a crowded server loses capacity: in
+			// overload waits are kept short, the shorter the less important a workload is.
+			bearable: w.SLOTime * (1 + w.LateShare) * (0.15 + 0.1*w.Importance/top)})
 	}
 	d.slack = l.Quantum + d.sloMin/100
 	if d.period = d.sloMin; l.WarmWithin > 0 {
@@ -143,8 +142,7 @@
 	return n
 }
 
-// chance draws from [0,1) by hashing the instance seed and a counter, so that equal events give equal
-// moves.
+// chance draws from [0,1) by hashing the instance seed and a counter, so that equal events give equal moves.
 func (n *Node) chance() float64 {
 	var b [16]byte
 	n.draws++
@@ -282,24 +280,24 @@
 	if s.sick() {
 		return n.send(q, s) // a trial: what was seen of the server before says nothing
 	}
-	// Departure: what its owner would answer late goes to the origin while that has room and is quicker;
-	// the owner keeps its other keys and copies. In overload, what is left is turned away at once.
+	// Departure: what its owner would answer late goes to the origin while that has room and is quicker; the
+	// owner keeps its other keys and copies. In overload, what is left is turned away at once.
 	w, e, busy := &n.lim.workloads[q.Workload], s.est(n), math.Inf(1)
 	if n.origin != nil {
 		busy = n.store.busy(n)
 	}
 	crowded := n.late > overload && e > max(w.bearable, 3.5*s.pace)
-	if crowded && busy < 0.8 || e > max(w.slo/4, n.store.rt, 2.5*s.pace) && busy < 0.5 {
+	switch {
+	case crowded && busy < 0.8 || e > max(w.slo/4, n.store.rt, 2.5*s.pace) && busy < 0.5:
 		return n.toOrigin(q)
-	}
-	if crowded {
+	case crowded:
 		return n.giveUp(q, e)
 	}
 	return n.send(q, s)
 }
 
 // send proposes an execution at s with all the time there is: a time-out kills heavy queries on sound
-// servers, which take as long again elsewhere; a silent one is looked at again before.
+// servers.
 func (n *Node) send(q *fleet.Query, s *server) fleet.Move {
 	return fleet.Move{Action: fleet.Send, Server: s.id, Limit: q.Deadline - n.now}
 }
@@ -316,8 +314,8 @@
 	return fleet.Move{Action: fleet.Reject, Wait: min(wait, n.lim.longest)}
 }
 
-// gate is the one place that every send, rejection, abort and cancel passes. It keeps the four rules: what
-// they forbid becomes the nearest thing that they allow.
+// gate is the one place that every send, rejection, abort and cancel passes. What the four rules forbid
+// becomes the nearest thing that they allow.
 func (n *Node) gate(q *fleet.Query, m fleet.Move) fleet.Move {
 	if m.Action == fleet.Send && (q.Out > 0 && !n.lim.copies || !n.maySend(q, n.servers[m.Server])) {
 		if q.Out > 0 {
@@ -328,8 +326,7 @@
 	switch m.Action {
 	case fleet.Send:
 		s := n.servers[m.Server]
-		// An alarm of an earlier hold must not look at this execution: it once cancelled where that is
-		// forbidden.
+		// An alarm of an earlier hold must not look at this execution: it once cancelled where that is forbidden.
 		m.Exec, q.Wake = q.N, 0
 		q.Execs[q.N] = fleet.Exec{Server: s.id, Sent: n.now, Ahead: s.ahead(n)}
 		q.N++
@@ -340,13 +337,11 @@
 		} else if n.looksBack(q) {
 			n.hold(q, n.now+n.patience(q, s))
 		}
-	case fleet.Reject:
+	case fleet.Reject, fleet.Abort:
 		if n.twice(q, nil) {
 			m = fleet.Move{Action: fleet.Abort}
 		}
 		q.Closed = true
-	case fleet.Abort:
-		q.Closed = true
 	}
 	return m
 }
@@ -357,8 +352,7 @@
 		s.state == fleet.Ready && n.cold.room(n, s, q) && !n.twice(q, s)
 }
 
-// twice tells whether one more execution of q at s could repeat an effect. With no server it answers for
-// the client, who may send q again anywhere once it is rejected.
+// twice tells whether one more execution of q at s could repeat an effect; with no server, at any.
 func (n *Node) twice(q *fleet.Query, s *server) bool {
 	w := &n.lim.workloads[q.Workload]
 	for i := range q.Execs[:q.N] {
--- a/decide/health.go
+++ b/decide/health.go
@@ -15,7 +15,7 @@
 	cell    fleet.CellID
 	started float64
 
-	listed, news, used bool // news: its report is new; used: it moved the point
+	listed, news bool // news: its report has moved no point yet
 
 	home, size      float64 // the hash of its id, and its nominal size
 	spots           [2]spot // on the whole ring and on its zone's
@@ -42,8 +42,8 @@
 	overload   = 0.1 // share of late answers above which queries are turned away
 )
 
-// ahead counts what a new query would find at s: own executions and the reported queue, the less the older
-// it is.
+// ahead counts what a new query would find at s: own executions and the reported queue, less as that gets
+// old.
 func (s *server) ahead(n *Node) float64 {
 	a := float64(s.out)
 	if q := s.report.Queue; !math.IsNaN(q) {
@@ -54,9 +54,8 @@
 	return a
 }
 
-// est is the answer time to expect at s: the recent one, corrected by how much more or less is ahead now
-// than was then. What reports always get wrong so cancels out. An old answer time counts less; silence
-// counts as it grows, since a server that hangs has no bad outcomes yet.
+// est is the answer time to expect at s: the recent one, corrected by how much more or less is ahead now than
+// was then, so that what reports get wrong cancels out. It fades with age; silence counts as it grows.
 func (s *server) est(n *Node) float64 {
 	a := s.ahead(n)
 	e := s.pace * (1 + a)
@@ -76,21 +75,16 @@
 		s.quiet = n.now
 	}
 	s.out++
-	s.usedAt = n.now
-	if !s.open {
-		s.open = true
-		n.open++
-	}
-	n.cold.spend(n, s, q)
-	if s == n.origin {
-		n.store.nextAt = n.now + n.lim.sloMin/4/n.store.window
-		if q.Write {
-			n.store.writes++
-		}
-	}
+	s.open, s.usedAt = true, n.now
 	if s != n.origin {
 		n.atCaches++
 		n.copies = min(n.copies+n.lim.copyRate, 10)
+		n.cold.spend(n, s, q)
+		return
+	}
+	n.store.nextAt = n.now + n.lim.sloMin/4/n.store.window
+	if q.Write {
+		n.store.writes++
 	}
 }
 
@@ -103,7 +97,8 @@
 		n.store.learn(n, q, e, o)
 	} else {
 		n.atCaches--
-		switch done := o.Result == fleet.Completed || o.Result == fleet.TimedOut || answered && !o.Result.NeverRan(); {
+		ended := o.Result == fleet.Completed || o.Result == fleet.TimedOut
+		switch done := ended || answered && !o.Result.NeverRan(); {
 		case o.Result == fleet.Full:
 			n.late += 0.05 * (0.4 - n.late)
 		case done && n.now-q.Arrived > 0.8*slo:
@@ -112,45 +107,41 @@
 			n.late -= 0.05 * n.late
 		}
 	}
-	fail := -1.0 // says nothing of health
 	switch o.Result {
+	case fleet.NotSent:
+		return
+	case fleet.TimedOut, fleet.Cancelled:
+		// It would have taken longer still: a server must not look quick because slow answers are cut off.
+		s.sample(n, max(o.Took, s.rt), e.Ahead)
+		// Slow is not dead: only a server that answered nothing since the execution left is held for silent, be it
+		// that the client got its answer from a second copy.
+		if !answered && o.Took >= slo/4 {
+			n.judge(s, 1)
+		}
+		return
 	case fleet.Completed:
-		if fail = 0; o.Note <= fleet.NoteHit {
+		if o.Note <= fleet.NoteHit {
 			took := min(o.Took, 4*s.est(n)) // one heavy query says little of the server
 			// The pace is near the shortest seen: waits behind other nodes' queries are not slowness.
-			if one := took / (1 + e.Ahead); one < s.pace {
-				s.pace += 0.1 * (one - s.pace)
-			} else {
-				s.pace += 0.02 * (one - s.pace)
+			one, weight := took/(1+e.Ahead), 0.02
+			if one < s.pace {
+				weight = 0.1
 			}
+			s.pace += weight * (one - s.pace)
 			s.sample(n, took, e.Ahead)
 			if s != n.origin {
 				n.typical += 0.02 * (o.Took - n.typical)
 			}
 		}
+		n.judge(s, 0)
 	case fleet.Missed:
-		fail = 0
+		n.judge(s, 0)
 	case fleet.Failed, fleet.Reset:
-		fail = 1
+		n.judge(s, 1)
 	case fleet.ConnectFailed:
-		fail = 2
-	case fleet.TimedOut, fleet.Cancelled:
-		// It would have taken longer still: a server must not look quick because slow answers are cut off.
-		s.sample(n, max(o.Took, s.rt), e.Ahead)
-		// Slow is not dead: only a server that answered nothing since the execution left is held for
-		// silent, be it that the client got its answer from a second copy.
-		if !answered && o.Took >= slo/4 && s != n.origin {
-			n.judge(s, 1)
-		}
-	case fleet.Full:
-		s.quiet = n.now
-	}
-	if fail >= 0 {
-		s.quiet = n.now
-		if s != n.origin {
-			n.judge(s, fail)
-		}
+		n.judge(s, 2)
 	}
+	s.quiet = n.now
 }
 
 // sample takes in one answer time and what was ahead of it.
@@ -160,8 +151,8 @@
 	s.rtAt = n.now
 }
 
-// judge weighs one good or bad outcome. While the recent share of failures is high, each further one keeps
-// the server out for a pause that doubles.
+// judge weighs a good or bad outcome. While the share of failures is high, each one more starts a longer
+// pause.
 func (n *Node) judge(s *server, fail float64) {
 	if fail == 0 {
 		s.bad, s.pause = s.bad*(1-failWeight), n.lim.period
@@ -201,51 +192,54 @@
 func (n *Node) lookBack(q *fleet.Query) fleet.Move {
 	e := &q.Execs[q.N-1]
 	s, slo := n.servers[e.Server], n.lim.workloads[q.Workload].slo
-	if !n.looksBack(q) || q.Stage != out || q.Out != 1 || e.Result != fleet.Pending || q.N >= n.lim.maxExecs {
+	next := n.now + slo/8
+	if !n.looksBack(q) || q.Stage != out || q.Out != 1 || e.Result != fleet.Pending || e.Quit ||
+		q.N >= n.lim.maxExecs || next >= q.Deadline-n.lim.slack {
 		return fleet.Move{Action: fleet.Hold}
 	}
-	var t *server
-	if n.copies >= 1 && n.now-max(s.quiet, e.Sent) >= n.patience(q, s) {
-		// Another cache seldom has the key; the origin always does.
-		if t = n.origin; t == nil || n.store.busy(n) >= 0.5 {
-			t = n.route(q)
-		}
+	if n.copies < 1 || n.now-max(s.quiet, e.Sent) < n.patience(q, s) {
+		return n.hold(q, next)
 	}
-	if t != nil && t != s && t.est(n) < (n.now-e.Sent)/2 {
-		n.copies--
-		if n.lim.copies {
-			return n.send(q, t)
-		}
-		e.Quit = true
-		return fleet.Move{Action: fleet.Cancel, Exec: q.N - 1}
+	t := n.origin // another cache seldom has the key; the origin always does
+	if t == nil || n.store.busy(n) >= 0.5 {
+		t = n.route(q)
 	}
-	if next := n.now + slo/8; next < q.Deadline-n.lim.slack && !e.Quit {
+	if t == nil || t == s || t.est(n) >= (n.now-e.Sent)/2 {
 		return n.hold(q, next)
 	}
-	return fleet.Move{Action: fleet.Hold}
+	n.copies--
+	if n.lim.copies {
+		return n.send(q, t)
+	}
+	e.Quit = true
+	return fleet.Move{Action: fleet.Cancel, Exec: q.N - 1}
 }
 
 // spare names a server whose idle connections are to be closed. Departure: where servers turn connections
-// away, the nodes together hold more than their tables take. Each then holds half of what it held, finds
-// room again by and by, and closes first what it has used least lately.
+// away, the nodes hold too many together. Each then keeps to half of its own, takes more by and by, and
+// closes first what it has used least lately.
 func (n *Node) spare(s *server, res fleet.Result) *server {
-	if res == fleet.ConnectFailed {
-		if s.open = s.out > 0; !s.open {
-			n.open--
-		}
-		n.mayOpen = max(1, min(n.open, n.mayOpen)/2)
-	}
-	if n.open <= n.mayOpen {
+	short := res == fleet.ConnectFailed
+	if short {
+		s.open = s.out > 0
+	} else if math.IsInf(n.mayOpen, 1) {
 		return nil
 	}
 	var idle *server
+	n.open = 0
 	for _, c := range n.ring.servers {
+		if c.open {
+			n.open++
+		}
 		if c.open && c.out == 0 && (idle == nil || c.usedAt < idle.usedAt) {
 			idle = c
 		}
 	}
-	if idle != nil {
-		n.open--
+	if short {
+		n.mayOpen = max(1, min(n.open, n.mayOpen)/2)
+	}
+	if n.open <= n.mayOpen {
+		return nil
 	}
 	return idle
 }
--- a/decide/list.go
+++ b/decide/list.go
@@ -45,8 +45,8 @@
 		n.askAt, n.asks = math.Inf(1), 0
 	}
 	for _, s := range n.servers {
-		if s != nil {
-			s.listed = mode == fleet.ListDelta
+		if s != nil && mode != fleet.ListDelta {
+			s.listed = false
 		}
 	}
 	for i := range entries {
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -7,20 +7,15 @@
 	"mintspring/fleet"
 )
 
-// The move's figures as the thesis gives them (section 3.1, MOVE).
 const (
-	gamma      = 5.0
-	alpha      = 3.0
-	slope      = (gamma - 1) / alpha
-	beta       = 0.1
+	gamma      = 5.0 // highest load level, as the thesis has it (section 3.1, MOVE)
 	margin     = 0.05 * gamma
 	stride     = 0.25 // share of x taken in a first move, since reports lag and differ between nodes
+	settle     = 0.7  // by which each move shortens the next, so that rings come to rest and keys stay
+	evenings   = 12   // times the even ring is moved from the hash points; more move more keys at a join
 	popularAt  = 10   // fading count of a key's queries in a zone above which it has a copy there
 	seenEnough = 1.5  // own fading count below which nothing is known of a key
 	doubt      = 20   // queries that a node must have seen before a count is worth much
-
-	evenings = 12  // times the even ring is moved from the hash points; more move more keys at a join
-	settle   = 0.7 // by which each move shortens the next, so that rings come to rest and keys stay
 )
 
 // circle is one ring of servers in the order of their points.
@@ -38,8 +33,7 @@
 	point float64
 }
 
-// rebuild takes the servers that own arcs off the list. Those that drain or are gone own none: their arcs
-// fall to their successors.
+// rebuild takes the servers that own arcs off the list; the arcs of others fall to their successors.
 func (n *Node) rebuild() {
 	n.ring.servers, n.near.servers, n.origin = n.ring.servers[:0], n.near.servers[:0], nil
 	for _, s := range n.servers {
@@ -60,9 +54,9 @@
 	n.placePoints()
 }
 
-// even lays a circle out. Departure: before any report all loads count as equal, and the thesis's own move,
-// made a settled number of times from the hash points, evens the arcs. It rests on the list alone, so that
-// all nodes agree on it without a word, and it reaches few neighbours, so that a join disturbs few keys.
+// even lays a circle out. Departure: with no report all loads count as equal, and the thesis's own move, made
+// a settled number of times from the hash points, evens the arcs. It rests on the list alone, so that all
+// nodes agree on it, and reaches few neighbours, so that a join disturbs few keys.
 func (c *circle) even() {
 	sort.Slice(c.servers, func(i, j int) bool { return c.servers[i].home < c.servers[j].home })
 	for _, s := range c.servers {
@@ -71,17 +65,16 @@
 	for range evenings {
 		for i := len(c.servers) - 1; i >= 0; i-- {
 			s, next := c.servers[i], c.neighbour(i, 1)
-			x := shift(1/s.size, 1/next.size, c.arc(i), c.arc((i+1)%len(c.servers)))
+			x := shift(1/s.size, 1/next.size, c.arc(i), c.arc(i+1))
 			if x = min(x, c.arc(i)*0.9); x > 0 && s != next {
 				s.spots[c.which].back(x)
 			}
 		}
 	}
-	sort.Slice(c.servers, func(i, j int) bool {
-		return c.servers[i].spots[c.which].point < c.servers[j].spots[c.which].point
-	})
+	at := func(i int) float64 { return c.servers[i].spots[c.which].point }
+	sort.Slice(c.servers, func(i, j int) bool { return at(i) < at(j) })
 	for i, s := range c.servers {
-		s.spots[c.which] = spot{i, s.spots[c.which].point, c.arc(i), s.spots[c.which].point}
+		s.spots[c.which] = spot{i, at(i), c.arc(i), at(i)}
 	}
 }
 
@@ -106,13 +99,9 @@
 	}
 }
 
-// owner returns the place of the server whose arc holds p.
+// owner returns the place of the server whose arc holds p; past the last one it is the first's.
 func (c *circle) owner(p float64) int {
-	i := sort.Search(len(c.servers), func(i int) bool { return c.servers[i].spots[c.which].point >= p })
-	if i == len(c.servers) {
-		return 0
-	}
-	return i
+	return sort.Search(len(c.servers), func(i int) bool { return c.servers[i].spots[c.which].point >= p })
 }
 
 func (c *circle) neighbour(i, step int) *server {
@@ -125,32 +114,17 @@
 	if len(c.servers) == 1 {
 		return 1
 	}
-	return fleet.Span(c.neighbour(i, -1).spots[c.which].point, c.servers[i].spots[c.which].point)
-}
-
-func loadCPU(c float64) float64 {
-	if c > alpha {
-		return gamma
-	}
-	return 1 + slope*c
-}
-
-func loadMemory(free float64) float64 {
-	if free > beta {
-		return 1
-	}
-	return gamma - (gamma-1)/beta*free
+	return fleet.Span(c.neighbour(i, -1).spots[c.which].point, c.neighbour(i, 0).spots[c.which].point)
 }
 
-// level is a server's load as the thesis sums it: CPU, utilisation and memory, each 1 to gamma, equally
-// weighted. A hit share below the server's own recent level stands for memory running short. What is not
-// reported is NaN and leaves the sum.
+// level is a server's load as the thesis sums it: CPU (c three times the utilisation, alpha 3 and m 4/3), the
+// queue over its recent peak, and memory, each from 1 to gamma and equally weighted. A hit share below the
+// server's own recent level stands for memory short of beta. What is not reported is NaN and leaves the sum.
 func (s *server) level() float64 {
-	sum, k := 0.0, 0.0
-	for _, v := range [...]float64{loadCPU(alpha * s.report.Util), 1 + (gamma-1)*s.report.Queue/s.peak,
-		loadMemory(beta * s.report.X0 / s.hits)} {
-		if !math.IsNaN(v) {
-			sum, k = sum+min(max(v, 1), gamma), k+1
+	sum, k, r := 0.0, 0.0, &s.report
+	for _, used := range [...]float64{r.Util, r.Queue / s.peak, 1 - r.X0/s.hits} {
+		if !math.IsNaN(used) {
+			sum, k = sum+1+(gamma-1)*min(max(used, 0), 1), k+1
 		}
 	}
 	return sum / k
@@ -170,16 +144,11 @@
 		if !s.news || !next.news || s.sick() || next.sick() || !(s.level() > next.level()+margin) {
 			continue
 		}
-		x := shift(s.level(), next.level(), c.arc(i), c.arc((i+1)%len(c.servers))) * s.stride
-		if x <= 0 || s == next {
-			continue
+		x := shift(s.level(), next.level(), c.arc(i), c.arc(i+1)) * s.stride
+		if x > 0 && s != next {
+			s.shed = min(s.shed+x/s.spots[0].base, 0.75)
+			s.stride, s.news = max(s.stride*settle, 0.02), false
 		}
-		s.shed = min(s.shed+x/s.spots[0].base, 0.75)
-		s.stride = max(s.stride*settle, 0.02)
-		s.used = true
-	}
-	for _, s := range c.servers {
-		s.news, s.used = s.news && !s.used, false
 	}
 	n.placePoints()
 	if n.late > 3*overload || n.store.slow > 0.3 {
@@ -189,11 +158,10 @@
 	}
 }
 
-// popular tells over how many servers of a zone a key is spread; 0: it is not popular. Departure: a key
-// that the fleet asks for often enough to keep a second copy warm in each zone has one there, and one that
-// would fill more than a server's share is spread over as many servers as it takes, each node keeping to
-// one of them. A node of many sees a key too rarely to count to much, so its count is multiplied by the
-// nodes of its zone and weighed as a share of all it saw.
+// popular tells over how many servers of a zone a key is spread; 0: it is not popular. Departure: a key that
+// the fleet asks for often enough has a copy in each zone; one that would fill more than a server's share has
+// as many as it takes, each node keeping to one. A node of many sees a key too rarely to count to much: its
+// count is multiplied by the nodes of its zone and weighed as a share of all it saw.
 func (n *Node) popular(key fleet.Key) uint64 {
 	seen := float64(n.heat[uint64(key)%uint64(len(n.heat))] / n.unit)
 	if seen < seenEnough || seen*max(1, n.lim.perZone) < popularAt {
@@ -204,9 +172,9 @@
 }
 
 // route picks the cache for q: on the whole ring, or on that of the node's own zone. Departure: most keys
-// stay in the zone, which saves crossings and connections, but for a share that a zone of few servers could
-// not carry without slack, and that grows while answers are very late or the origin is slow: one copy then
-// serves all zones.
+// stay in the zone, which saves crossings and connections, but for a share that servers so busy and few could
+// not carry without slack, and that grows while answers are very late or the origin is slow: one copy serves
+// all zones.
 func (n *Node) route(q *fleet.Query) *server {
 	owner := n.walk(&n.ring, q, 0)
 	m := n.popular(q.Key)
@@ -231,19 +199,19 @@
 	if n.open >= n.mayOpen {
 		slower = math.Inf(1)
 	}
-	if s != nil && (owner == nil || s.est(n) <= owner.est(n)+slower) {
-		return s
+	if s == nil || owner != nil && s.est(n) > owner.est(n)+slower {
+		return owner
 	}
-	return owner
+	return s
 }
 
 // walk goes from the server whose arc holds q's key along its successors to one that can take q. Departure:
 // one that holds more than twice its share of this node's queries hands q on where that saves half a fetch.
 func (n *Node) walk(c *circle, q *fleet.Query, skip int) *server {
-	bound := max(2, 2*n.atCaches/max(1, len(c.servers)))
 	var pick *server
+	first, bound := c.owner(q.Key.Point())+skip, max(2, 2*n.atCaches/max(1, len(c.servers)))
 	for k := range c.servers {
-		s := c.neighbour(c.owner(q.Key.Point())+skip, k)
+		s := c.neighbour(first, k)
 		if n.takes(c, s, q, k == 0) && (pick == nil || s.est(n)+n.store.rt/2 < pick.est(n)) {
 			if pick = s; s.out < bound {
 				break
