--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,13 +48,12 @@
 	store  stock
 	cold   meter
 
-	heat          [2048]float32 // count of queries by key, in units that grow as older ones fade
-	unit          float32
-	heatSum       float32 // of all keys
-	copies        float64 // budget for second copies
-	typical       float64 // usual answer time over all caches
-	open, mayOpen float64 // servers with a connection, and for how many there seems to be room
-	late          float64 // recent share of cache answers that were late or nearly so
+	heat    [2048]float32 // count of queries by key, in units that grow as older ones fade
+	unit    float32
+	heatSum float32 // of all keys
+	copies  float64 // budget for second copies
+	mayOpen float64 // servers to which there seems to be room for a connection
+	late    float64 // recent share of cache answers that were late or nearly so
 }
 
 // workload is what decisions need of one kind of query.
@@ -130,7 +129,7 @@
 func New(now float64, l fleet.Limits, slab *fleet.Slab) *Node {
 	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed}
 	n.mayOpen, n.homing, n.util = math.Inf(1), 1, 0.5
-	n.typical, n.askAt, n.unit = n.lim.sloMin/8, now, 1
+	n.askAt, n.unit = now, 1
 	if l.SecondCopies {
 		n.copies = 3 // at the start nothing is known of any server, and a copy costs little
 	}
--- a/decide/health.go
+++ b/decide/health.go
@@ -129,9 +129,6 @@
 			}
 			s.pace += weight * (one - s.pace)
 			s.sample(n, took, e.Ahead)
-			if s != n.origin {
-				n.typical += 0.02 * (o.Took - n.typical)
-			}
 		}
 		n.judge(s, 0)
 	case fleet.Missed:
@@ -226,19 +223,19 @@
 		return nil
 	}
 	var idle *server
-	n.open = 0
+	open := 0.0
 	for _, c := range n.ring.servers {
 		if c.open {
-			n.open++
+			open++
 		}
 		if c.open && c.out == 0 && (idle == nil || c.usedAt < idle.usedAt) {
 			idle = c
 		}
 	}
 	if short {
-		n.mayOpen = max(1, min(n.open, n.mayOpen)/2)
+		n.mayOpen = max(1, min(open, n.mayOpen)/2)
 	}
-	if n.open <= n.mayOpen {
+	if open <= n.mayOpen {
 		return nil
 	}
 	return idle
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -196,9 +196,6 @@
 	if n.late <= overload {
 		slower += n.lim.sloMin
 	}
-	if n.open >= n.mayOpen {
-		slower = math.Inf(1)
-	}
 	if s == nil || owner != nil && s.est(n) > owner.est(n)+slower {
 		return owner
 	}
