Let the queue last reported count in full until the next report

Cause: at full size a node sees a server every 20 s, and the report is the evidence that does not thin out.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -327,7 +327,7 @@
 		s := n.servers[m.Server]
 		// An alarm of an earlier hold must not look at this execution: it once cancelled where that is forbidden.
 		m.Exec, q.Wake = q.N, 0
-		q.Execs[q.N] = fleet.Exec{Server: s.id, Sent: n.now, Ahead: s.ahead(n)}
+		q.Execs[q.N] = fleet.Exec{Server: s.id, Sent: n.now, Ahead: s.ahead()}
 		q.N++
 		q.Out++
 		n.sent(s, q)
--- a/decide/health.go
+++ b/decide/health.go
@@ -21,7 +21,6 @@
 	spots           [2]spot // on the whole ring and on its zone's
 	shed, stride    float64 // share of its arc that moves have handed on, and the share of x that its next takes
 	report          fleet.Report
-	reportAt        float64
 	peak, hits      float64 // recent peak of the reported queue, and level of the hit share
 	out             int     // own executions there
 	quiet           float64 // since when something is out and nothing was heard
@@ -42,22 +41,18 @@
 	overload   = 0.1 // share of late answers above which queries are turned away
 )
 
-// ahead counts what a new query would find at s: own executions and the reported queue, less as that gets
-// old.
-func (s *server) ahead(n *Node) float64 {
-	a := float64(s.out)
+// ahead counts what a new query would find at s: own executions and the queue last reported.
+func (s *server) ahead() float64 {
 	if q := s.report.Queue; !math.IsNaN(q) {
-		if w := 1 - (n.now-s.reportAt)/(horizon*n.lim.period); w > 0 {
-			a += q * w
-		}
+		return float64(s.out) + q
 	}
-	return a
+	return float64(s.out)
 }
 
 // est is the answer time to expect at s: the recent one, corrected by how much more or less is ahead now than
 // was then, so that what reports get wrong cancels out. It fades with age; silence counts as it grows.
 func (s *server) est(n *Node) float64 {
-	a := s.ahead(n)
+	a := s.ahead()
 	e := s.pace * (1 + a)
 	if w := 1 - (n.now-s.rtAt)/(horizon*n.lim.period); w > 0 {
 		e += w * (s.rt + s.pace*(a-s.ah) - e)
@@ -254,7 +249,7 @@
 	if !math.IsNaN(r.X0) {
 		s.hits = max(r.X0, s.hits*0.98)
 	}
-	s.report, s.reportAt = r, n.now
+	s.report = r
 	if s != n.origin && !math.IsNaN(r.Util) {
 		n.util += 0.05 * (r.Util - n.util)
 	}
