--- a/decide/admit.go
+++ b/decide/admit.go
@@ -8,13 +8,12 @@
 
 // stock meters this node's work at the origin: how much may be out is learnt from how its answers come.
 type stock struct {
-	window  float64
-	cutAt   float64
-	rt      float64 // usual answer time
-	slow    float64 // recent share of late answers
-	writes  int     // of what is out there
-	nextAt  float64 // window below one: when the next may go
-	waiting []fleet.Ref
+	window, cutAt float64
+	rt            float64 // usual answer time
+	slow          float64 // recent share of late answers
+	writes        int     // of what is out there
+	nextAt        float64 // window below one: when the next may go
+	waiting       []fleet.Ref
 }
 
 // room tells whether one more read may go. Writes that are out take at most half of the window from reads.
@@ -104,10 +103,9 @@
 
 // meter keeps this node's share of what a cold server can bear.
 type meter struct {
-	rate  float64 // work this node sends to all caches, per ms
-	since float64
-	sum   float64
-	mean  float64 // usual work told with a query
+	rate       float64 // work this node sends to all caches, per ms
+	since, sum float64
+	mean       float64 // usual work told with a query
 }
 
 // warmth is the share of its capacity that a server is sure to have: it grows evenly from its start.
@@ -119,8 +117,7 @@
 	return n.lim.coldFrom + (1-n.lim.coldFrom)*max(0, age)/n.lim.warmWithin
 }
 
-// coldPart gives a cold server the part of its arc next to its predecessor, by its share of the circle's
-// warmth; the rest stays with its successor, who held it before.
+// coldPart gives a cold server the part of its arc next to its predecessor, by its share of the warmth.
 func (n *Node) coldPart(c *circle, s *server, p float64) bool {
 	g := s.warmth(n)
 	if g >= 1 || len(c.servers) < 2 {
@@ -137,8 +134,7 @@
 	return 1
 }
 
-// room tells whether a cold server may be given q. Its budget grows with half of what it bears before it
-// falls, divided over the nodes as traffic is.
+// room tells whether a cold server may be given q: this node's part, by traffic, of half of what it bears.
 func (m *meter) room(n *Node, s *server, q *fleet.Query) bool {
 	if s == n.origin || s.warmth(n) >= 1 {
 		return true
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -152,8 +152,7 @@
 	return fleet.Unit(h.Sum64())
 }
 
-// Where says where to send q now, to hold it, or to answer it finally. With no query it does the node's
-// upkeep.
+// Where says where to send q now, to hold it, or to answer it. With no query it does the node's upkeep.
 func (n *Node) Where(now float64, q *fleet.Query) fleet.Move {
 	n.now = now
 	if q == nil {
@@ -243,8 +242,7 @@
 
 // Left reports that the client of q is gone.
 func (n *Node) Left(now float64, q *fleet.Query) {
-	n.now = now
-	q.Closed = true
+	n.now, q.Closed = now, true
 }
 
 // Heard takes a message of another node. None is in use yet: nothing may hang on their arrival.
@@ -295,8 +293,7 @@
 	return n.send(q, s)
 }
 
-// send proposes an execution at s with all the time there is: a time-out kills heavy queries on sound
-// servers.
+// send proposes an execution with all the time there is: time-outs kill heavy queries on sound servers.
 func (n *Node) send(q *fleet.Query, s *server) fleet.Move {
 	return fleet.Move{Action: fleet.Send, Server: s.id, Limit: q.Deadline - n.now}
 }
@@ -313,8 +310,7 @@
 	return fleet.Move{Action: fleet.Reject, Wait: min(wait, n.lim.longest)}
 }
 
-// gate is the one place that every send, rejection, abort and cancel passes. What the four rules forbid
-// becomes the nearest thing that they allow.
+// gate passes every send, rejection, abort and cancel. What a rule forbids becomes the nearest thing allowed.
 func (n *Node) gate(q *fleet.Query, m fleet.Move) fleet.Move {
 	if m.Action == fleet.Send && (q.Out > 0 && !n.lim.copies || !n.maySend(q, n.servers[m.Server])) {
 		if q.Out > 0 {
--- a/decide/health.go
+++ b/decide/health.go
@@ -33,7 +33,6 @@
 	tokens, tokenAt float64 // cold: work that may still be sent, and when that was reckoned
 }
 
-// Ratios of the health rules.
 const (
 	failWeight = 0.25 // of one outcome in the recent share of failures
 	failLimit  = 0.4
@@ -108,8 +107,7 @@
 	case fleet.TimedOut, fleet.Cancelled:
 		// It would have taken longer still: a server must not look quick because slow answers are cut off.
 		s.sample(n, max(o.Took, s.rt), e.Ahead)
-		// Slow is not dead: only a server that answered nothing since the execution left is held for silent, be it
-		// that the client got its answer from a second copy.
+		// Slow is not dead: only a server that answered nothing since the execution left is held for silent.
 		if !answered && o.Took >= slo/4 {
 			n.judge(s, 1)
 		}
@@ -143,8 +141,7 @@
 	s.rtAt = n.now
 }
 
-// judge weighs a good or bad outcome. While the share of failures is high, each one more starts a longer
-// pause.
+// judge weighs an outcome. While the share of failures is high, each one more starts a longer pause.
 func (n *Node) judge(s *server, fail float64) {
 	if fail == 0 {
 		s.bad, s.pause = s.bad*(1-failWeight), n.lim.period
--- a/decide/list.go
+++ b/decide/list.go
@@ -28,8 +28,7 @@
 	return fleet.Move{}
 }
 
-// Members reports what the list says. Entries are applied on top of what is known; a full list removes what
-// it lacks.
+// Members reports what the list says. Entries apply on top of what is known; a full list removes the others.
 func (n *Node) Members(now float64, mode fleet.ListMode, entries []fleet.Member) {
 	n.now = now
 	if mode == fleet.ListFailed {
@@ -68,8 +67,8 @@
 	}
 	s := n.servers[m.ID]
 	if s == nil || m.State == fleet.Ready && (s.state != fleet.Ready || m.Started != s.started) {
-		fresh := &server{id: m.ID, report: fleet.NewReport(), stride: stride, pause: n.lim.period, pace: n.lim.sloMin / 8,
-			rt: n.lim.sloMin / 8, home: fleet.Home(m.Name), size: 1, tokenAt: n.now}
+		fresh := &server{id: m.ID, report: fleet.NewReport(), stride: stride, pause: n.lim.period, tokenAt: n.now,
+			home: fleet.Home(m.Name), size: 1, pace: n.lim.sloMin / 8, rt: n.lim.sloMin / 8}
 		if s != nil {
 			fresh.out, fresh.quiet, fresh.open = s.out, s.quiet, s.open
 		}
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -78,8 +78,7 @@
 	}
 }
 
-// placePoints puts every point where the even ring and the moves since then leave it. A point stays within
-// its own arc of the even ring, so the order of servers never changes.
+// placePoints puts every point where its moves since then leave it, within its own arc of the even ring.
 func (n *Node) placePoints() {
 	for _, c := range [...]*circle{&n.ring, &n.near} {
 		c.warm = 0
@@ -159,9 +158,8 @@
 }
 
 // popular tells over how many servers of a zone a key is spread; 0: it is not popular. Departure: a key that
-// the fleet asks for often enough has a copy in each zone; one that would fill more than a server's share has
-// as many as it takes, each node keeping to one. A node of many sees a key too rarely to count to much: its
-// count is multiplied by the nodes of its zone and weighed as a share of all it saw.
+// the fleet asks for often enough has a copy in each zone, and one that would fill a server has as many as it
+// takes, each node keeping to one. What a node of many sees of it is multiplied by the nodes of its zone.
 func (n *Node) popular(key fleet.Key) uint64 {
 	seen := float64(n.heat[uint64(key)%uint64(len(n.heat))] / n.unit)
 	if seen < seenEnough || seen*max(1, n.lim.perZone) < popularAt {
@@ -171,10 +169,9 @@
 	return uint64(max(1, math.Ceil(share*float64(len(n.near.servers)))))
 }
 
-// route picks the cache for q: on the whole ring, or on that of the node's own zone. Departure: most keys
-// stay in the zone, which saves crossings and connections, but for a share that servers so busy and few could
-// not carry without slack, and that grows while answers are very late or the origin is slow: one copy serves
-// all zones.
+// route picks the cache for q. Departure: most keys stay on the ring of the node's own zone, which saves
+// crossings and connections, but for a share that servers so busy and few could not carry without slack, and
+// that grows while answers are very late or the origin is slow: one copy serves all zones.
 func (n *Node) route(q *fleet.Query) *server {
 	owner := n.walk(&n.ring, q, 0)
 	m := n.popular(q.Key)
