--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -393,3 +393,150 @@
 		}
 	}
 }
+
+// crowd starts many nodes that were told the same list.
+func crowd(nodes, servers int, lim fleet.Limits) (all []*world) {
+	lim.Nodes = nodes
+	for i := range nodes {
+		lim.Seed = uint64(i + 1)
+		w := newWorld(lim)
+		w.servers(servers)
+		all = append(all, w)
+	}
+	return all
+}
+
+// Hundreds of nodes, each with a query now and then, send a cold server together no more than a part of what it
+// bears: a floor of one query a node at once would push it over.
+func TestManyNodesSpareAColdServer(t *testing.T) {
+	const nodes, servers, second = 300, 12, 1000.0
+	sent, all := map[fleet.ServerID]int{}, crowd(nodes, servers, plainLimits())
+	round := func(from, to float64) {
+		for i, w := range all {
+			w.pass(from + (to-from)*float64(i)/nodes - (w.now - 1000))
+			tr := w.ask(0, fleet.Key(7919*i+int(to)), false, 900)
+			sent[tr.runs[0].server]++
+			w.end(tr, 0, fleet.Completed, fleet.NoteHit)
+			w.pass(to - (w.now - 1000))
+		}
+	}
+	for s := range 8 {
+		round(float64(s)*second, float64(s+1)*second)
+	}
+	for _, w := range all {
+		m := w.list[2]
+		m.Started = w.now
+		w.tell(fleet.ListDelta, m)
+	}
+	clear(sent)
+	for s := 8; s < 10; s++ {
+		round(float64(s)*second, float64(s+1)*second)
+	}
+	// Its fair share of 600 queries is 50; with a fifth of its capacity it falls at 40, and half of that is allowed.
+	if sent[2] > 25 {
+		t.Errorf("%d nodes sent a cold server %d of 600 queries", nodes, sent[2])
+	}
+}
+
+// A key that fills several servers is spread: each node keeps to one copy, and many nodes use many.
+func TestHotKeyIsSpreadOverNodes(t *testing.T) {
+	copies := map[fleet.ServerID]int{}
+	for _, w := range crowd(40, 24, plainLimits()) {
+		var last *trace
+		for i := range 120 {
+			k := fleet.Key(7)
+			if i%3 > 0 {
+				k = fleet.Key(1000 + i)
+			}
+			tr := w.ask(0, k, false, 900)
+			w.pass(20)
+			w.end(tr, 0, fleet.Completed, fleet.NoteHit)
+			if k == 7 {
+				last = tr
+			}
+		}
+		if s := last.runs[0].server; w.list[s].Zone == w.lim.Zone {
+			copies[s]++
+		}
+	}
+	if len(copies) < 3 {
+		t.Errorf("40 nodes send a key of a third of all queries to %v", copies)
+	}
+}
+
+// Most keys stay in the node's zone; while answers are very late they go back to the whole ring, whose one copy
+// serves all zones.
+func TestZoneRingYieldsUnderPressure(t *testing.T) {
+	w := newWorld(plainLimits())
+	w.servers(24)
+	near := func() (k int) {
+		for i := range fleet.Key(200) {
+			q := fleet.Query{Key: i, HasKey: true, Deadline: w.now + 900}
+			if s := w.node.route(&q); s.zone == w.lim.Zone {
+				k++
+			}
+		}
+		return k
+	}
+	if k := near(); k < 150 {
+		t.Errorf("%d of 200 keys in the zone at rest", k)
+	}
+	for range 20 {
+		w.node.late = 0.6
+		w.node.moveRing()
+	}
+	if k := near(); k > 130 {
+		t.Errorf("%d of 200 keys in the zone under pressure", k)
+	}
+}
+
+// Late answers bring a node of many below one read out at the origin, and a silent origin gets no second one.
+func TestManyNodesPaceTheOrigin(t *testing.T) {
+	w := crowd(400, 4, plainLimits())[0]
+	for i := range 60 {
+		tr := w.ask(0, fleet.Key(i), false, 900)
+		if len(tr.runs) > 0 && tr.runs[0].server != 4 {
+			w.end(tr, 0, fleet.Missed, fleet.NoteMiss)
+		}
+		w.pass(250)
+		if k := len(tr.runs) - 1; k >= 0 && tr.runs[k].server == 4 && tr.runs[k].result == fleet.Pending {
+			w.end(tr, k, fleet.Completed, fleet.NoteNone)
+		}
+	}
+	if got := w.node.store.window; got > 0.5 {
+		t.Errorf("late answers left a window of %v at one of 400 nodes", got)
+	}
+	quick := newWorld(plainLimits())
+	quick.servers(4)
+	first := quick.ask(1, 5, true, 900)
+	quick.pass(200)
+	if second := quick.ask(1, 6, false, 900); len(first.runs) != 1 || quick.node.store.room(quick.node) {
+		t.Errorf("a silent origin has room: %v, %v", first.runs, second.runs)
+	}
+}
+
+// Where servers turn connections away, a node closes those it has used least lately.
+func TestShortConnectionsAreClosed(t *testing.T) {
+	w := newWorld(plainLimits())
+	w.servers(12)
+	var closed []fleet.ServerID
+	for i := range fleet.Key(60) {
+		tr := w.ask(0, i, false, 900)
+		res := fleet.Completed
+		if i == 40 {
+			res = fleet.ConnectFailed
+		}
+		q := w.slab.Get(tr.ref)
+		m := w.node.After(w.now, q, fleet.Outcome{Result: res, Took: 2, Over: true, Report: fleet.NewReport()})
+		if m.LetGo {
+			closed = append(closed, m.Close)
+			if w.node.servers[m.Close].out > 0 {
+				t.Error("closed a connection in use")
+			}
+		}
+		w.pass(5)
+	}
+	if len(closed) < 4 {
+		t.Errorf("closed %v after a failed connect", closed)
+	}
+}
