Count a full answer a fifth late

Cause: small waiting rooms answer full at moderate load, and two fifths of each brought nodes to shed.

--- a/decide/health.go
+++ b/decide/health.go
@@ -94,7 +94,7 @@
 		ended := o.Result == fleet.Completed || o.Result == fleet.TimedOut
 		switch done := ended || answered && !o.Result.NeverRan(); {
 		case o.Result == fleet.Full:
-			n.late += 0.05 * (0.4 - n.late)
+			n.late += 0.05 * (0.2 - n.late)
 		case done && n.now-q.Arrived > 0.8*slo:
 			n.late += 0.05 * (1 - n.late)
 		case done:
