--- a/decide/decide.go
+++ b/decide/decide.go
@@ -108,7 +108,7 @@
 			slo: w.SLOTime, rank: w.Importance,
 			// What would come late only takes the place of what would not, and a crowded server loses capacity: in
 			// overload waits are kept short, the shorter the less important a workload is.
-			bearable: w.SLOTime * (1 + w.LateShare) * (0.15 + 0.1*w.Importance/top)})
+			bearable: w.SLOTime * (1 + w.LateShare) * (0.3 + 0.2*w.Importance/top)})
 	}
 	d.slack = l.Quantum + d.sloMin/100
 	if d.period = d.sloMin; l.WarmWithin > 0 {
