--- a/decide/decide.go
+++ b/decide/decide.go
@@ -285,7 +285,7 @@
 	}
 	crowded := n.late > overload && e > max(w.bearable, 3.5*s.pace)
 	switch {
-	case crowded && busy < 0.8 || e > max(w.slo/4, n.store.rt, 2.5*s.pace) && busy < 0.5:
+	case crowded && busy < 0.8 || e > max(w.slo/4, n.store.rt, 2.5*s.pace) && busy < 0.5 && n.store.slow < 0.3:
 		return n.toOrigin(q)
 	case crowded:
 		return n.giveUp(q, e)
