--- a/decide/admit.go
+++ b/decide/admit.go
@@ -19,8 +19,11 @@
 // room tells whether one more read may go. Writes that are out take at most half of the window from reads.
 func (k *stock) room(n *Node) bool { return n.origin != nil && k.busy(n) < 1 }
 
+// paced tells whether a window below one still keeps the next read back.
+func (k *stock) paced(now float64) bool { return k.window < 1 && now < k.nextAt }
+
 func (k *stock) busy(n *Node) float64 {
-	if k.window < 1 && n.now < k.nextAt || n.origin.out > 0 && n.now-n.origin.quiet > n.lim.sloMin/2 {
+	if k.paced(n.now) || n.origin.out > 0 && n.now-n.origin.quiet > n.lim.sloMin/2 {
 		return 1
 	}
 	return (float64(n.origin.out) - max(0, float64(k.writes)-k.window/2)) / max(1, k.window)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -217,7 +217,7 @@
 		return r, 0
 	}
 	due := min(n.moveAt, n.askAt)
-	if n.store.nextAt > now && n.store.window < 1 && len(n.store.waiting) > 0 {
+	if len(n.store.waiting) > 0 && n.store.paced(now) {
 		due = min(due, n.store.nextAt)
 	}
 	for len(n.alarms) > 0 {
--- a/decide/health.go
+++ b/decide/health.go
@@ -91,8 +91,8 @@
 		n.store.learn(n, q, e, o)
 	} else {
 		n.atCaches--
-		ended := o.Result == fleet.Completed || o.Result == fleet.TimedOut
-		switch done := ended || answered && !o.Result.NeverRan(); {
+		done := o.Result == fleet.Completed || o.Result == fleet.TimedOut || answered && !o.Result.NeverRan()
+		switch {
 		case o.Result == fleet.Full:
 			n.late += 0.05 * (0.2 - n.late)
 		case done && n.now-q.Arrived > 0.8*slo:
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -396,10 +396,7 @@
 		h.put("FETCH", n.who)
 		h.out.WriteByte('\n')
 	case fleet.Probe:
-		h.put("PROBE", n.who)
-		h.out.WriteString(" Server=")
-		h.out.WriteString(n.names[m.Server])
-		h.out.WriteByte('\n')
+		h.about("PROBE", n, m.Server)
 	case fleet.Tell:
 		h.put("PUBLISH", n.who)
 		h.out.WriteString(" Whom=* Contents=")
@@ -407,10 +404,7 @@
 		h.out.WriteByte('\n')
 	}
 	if m.LetGo {
-		h.put("LET_GO", n.who)
-		h.out.WriteString(" Server=")
-		h.out.WriteString(n.names[m.Close])
-		h.out.WriteByte('\n')
+		h.about("LET_GO", n, m.Close)
 	}
 	if q != nil {
 		h.settle(n, q)
@@ -432,6 +426,14 @@
 	h.field(" Who=", who)
 }
 
+// about writes an action that names a server and nothing else.
+func (h *Host) about(name string, n *node, id fleet.ServerID) {
+	h.put(name, n.who)
+	h.out.WriteString(" Server=")
+	h.out.WriteString(n.names[id])
+	h.out.WriteByte('\n')
+}
+
 func (h *Host) job(name string, n *node, q *fleet.Query) {
 	h.put(name, n.who)
 	h.field(" Job=", int64(q.ID))
