Read the configuration again at SIGHUP and follow discovery to its new address

Nothing in cmd/mintspring took SIGHUP, whose default ends the process (main.go: signal.Notify named SIGTERM and SIGINT only), and the address of discovery was fixed at the start (node/list: Caller.Addr).

Now: hangups are taken from the first moment, on a channel of their own so that a stop is never dropped behind one. The file is read and checked off the loop; one that cannot be used changes nothing and is one line of the log. A new discovery address ends the watch that stands and is asked at once for its whole list, then watched from that list's revision, since it may count in another way; what the old one still says is not taken in (told with the lock held). Other fields that changed are named as needing a restart.

--- a/cmd/mintspring/configuration.go
+++ b/cmd/mintspring/configuration.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"mintspring/node"
@@ -93,6 +94,27 @@
 	return c, nil
 }
 
+// differs names the fields in which another configuration asks for something that only a restart can bring. The list
+// known at the start and the seed matter at a start alone.
+func (c *configuration) differs(o *configuration) (names []string) {
+	site := o.site
+	site.Limits.Seed = c.site.Limits.Seed
+	for _, f := range []struct {
+		name    string
+		differs bool
+	}{
+		{"name", c.Name != o.Name},
+		{"listen", c.Listen != o.Listen},
+		{"limits", c.Limits != o.Limits},
+		{"settings", !reflect.DeepEqual(c.site, site)},
+	} {
+		if f.differs {
+			names = append(names, f.name)
+		}
+	}
+	return names
+}
+
 func (c *configuration) birth() node.Birth {
 	return node.Birth{Name: c.Name, Discovery: c.Discovery, Known: c.Known, Site: c.site,
 		MemoryMB: c.Limits.MemoryMB, Sockets: c.Limits.Sockets}
--- a/cmd/mintspring/main.go
+++ b/cmd/mintspring/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -26,6 +27,10 @@
 }
 
 func run() error {
+	// Taken from the first moment on: a hangup that nobody takes ends the process.
+	hangups, signals := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	c, err := readConfiguration(os.Getenv)
 	if err != nil {
 		return err
@@ -48,19 +53,43 @@
 	// most, has passed.
 	const grace = 500 * time.Millisecond
 	bound := 600*time.Millisecond + min(3*time.Second, clock.Span(n.LongestTimeout()))
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	served := make(chan error, 1)
 	go func() { served <- n.Serve(ln) }()
-	select {
-	case err := <-served:
-		return err
-	case s := <-signals:
-		log.WithField("signal", s.String()).Info("stopping")
-		n.Stop(grace, bound)
+	for {
+		select {
+		case err := <-served:
+			return err
+		case <-hangups:
+			c = reload(c, os.Getenv, n.Follow, log)
+		case s := <-signals:
+			log.WithField("signal", s.String()).Info("stopping")
+			n.Stop(grace, bound)
+			log.Info("stopped")
+			return nil
+		}
+	}
+}
+
+// reload reads the configuration again and returns the one that holds from now on. Where the list is kept is taken
+// over at once; what else has changed is named, for it holds after a restart only. A file that cannot be used
+// changes nothing.
+func reload(old *configuration, getenv func(string) string, follow func(addr string), log *logrus.Logger) *configuration {
+	c, err := readConfiguration(getenv)
+	if err != nil {
+		log.WithError(err).Error("the new configuration cannot be used; the one held stays")
+		return old
+	}
+	line := log.WithField("discovery", c.Discovery)
+	if waits := old.differs(c); len(waits) > 0 {
+		line = line.WithField("needs_restart", strings.Join(waits, ","))
+	}
+	if c.Discovery != old.Discovery {
+		follow(c.Discovery)
 	}
-	log.Info("stopped")
-	return nil
+	line.Info("read the configuration again")
+	held := *old
+	held.Discovery = c.Discovery
+	return &held
 }
 
 // listen takes the address, for which it waits a little: after a kill the process of before may hold it yet.
--- a/cmd/mintspring/main_test.go
+++ b/cmd/mintspring/main_test.go
@@ -1,11 +1,19 @@
 package main
 
 import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 const whole = `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
@@ -65,6 +73,101 @@
 	}
 }
 
+// A file that cannot be used changes nothing, and what only a restart can bring is named.
+func TestReload(t *testing.T) {
+	held, err := readText(t, whole)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, moved, says string }{
+		{"127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:3", "discovery=\"127.0.0.1:3\""},
+		{"127.0.0.1:2", "127.0.0.1:2", "", "read the configuration again"},
+		{`"memory_mb":192`, `"memory_mb":96`, "", "needs_restart=limits"},
+		{`"SloTime":1000`, `"SloTime":900`, "", "needs_restart=settings"},
+		{`"8c1f30d27a5be964"`, `"1"`, "", `again" discovery="127.0.0.1:2"` + "\n"},
+		{whole, whole[:90], "", "the one held stays"},
+		{`"discovery":"127.0.0.1:2"`, `"discovery":"there"`, "", "the one held stays"},
+	} {
+		file := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(file, []byte(strings.Replace(whole, c.old, c.new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var out strings.Builder
+		log := logrus.New()
+		log.SetOutput(&out)
+		moved, want := "", held.Discovery
+		got := reload(held, func(string) string { return file }, func(addr string) { moved = addr }, log)
+		if c.moved != "" {
+			want = c.moved
+		}
+		if moved != c.moved || got.Discovery != want || got.Limits != held.Limits || !strings.Contains(out.String(), c.says) ||
+			strings.Count(out.String(), "\n") != 1 {
+			t.Errorf("%q in place of %q: moved to %q, holds %q, says %s", c.new, c.old, moved, got.Discovery, out.String())
+		}
+	}
+}
+
+// A hangup ends nothing, and a stop works after any number of them, also of ones whose file is gone.
+func TestSignals(t *testing.T) {
+	members := func(w http.ResponseWriter, q *http.Request) {
+		fmt.Fprintln(w, `{"revision":1,"complete":true,"members":[{"id":"s","host_port":"127.0.0.1:9","phase":"in_service"}]}`)
+	}
+	asked := make(chan struct{})
+	var once sync.Once
+	first, second := httptest.NewServer(http.HandlerFunc(members)), httptest.NewServer(http.HandlerFunc(
+		func(w http.ResponseWriter, q *http.Request) { once.Do(func() { close(asked) }); members(w, q) }))
+	defer first.Close()
+	defer second.Close()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	free.Close()
+	file := filepath.Join(t.TempDir(), "config.json")
+	put := func(discovery string) {
+		text := strings.Replace(strings.Replace(whole, "127.0.0.1:1", free.Addr().String(), 1), "127.0.0.1:2", discovery, 1)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(first.Listener.Addr().String())
+	t.Setenv("LB_CONFIG", file)
+	ended := make(chan error, 1)
+	go func() { ended <- run() }()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if c, err := net.Dial("tcp", free.Addr().String()); err == nil {
+			c.Close()
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the node does not listen")
+		}
+	}
+	hangup := func() { syscall.Kill(os.Getpid(), syscall.SIGHUP) }
+	put(second.Listener.Addr().String())
+	hangup()
+	hangup()
+	select {
+	case <-asked:
+	case err := <-ended:
+		t.Fatalf("ended: %v", err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the new discovery is not asked")
+	}
+	os.Remove(file)
+	hangup()
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	hangup()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the node does not stop")
+	}
+}
+
 func TestListenWaitsForTheAddress(t *testing.T) {
 	old, err := listen("127.0.0.1:0", 0)
 	if err != nil {
--- a/node/list/list.go
+++ b/node/list/list.go
@@ -66,7 +66,8 @@
 	return nil
 }
 
-// Caller makes the calls. Each call is answered through Told and, when it fails or a watch ends, Failed.
+// Caller makes the calls. Each call is answered through Told, which must not block, and, when it fails or a watch
+// ends, Failed.
 type Caller struct {
 	Addr    string
 	Told    func(Update)
@@ -76,6 +77,7 @@
 
 	mu   sync.Mutex
 	from int64
+	anew bool               // the revision is of another discovery, and a whole list is due before a watch
 	stop context.CancelFunc // of the watch that stands
 }
 
@@ -84,49 +86,78 @@
 
 // Watch begins a watch of what has changed since the revision last told; one that stands is ended.
 func (c *Caller) Watch() {
-	ctx, stop := context.WithCancel(context.Background())
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watch()
+}
+
+func (c *Caller) watch() {
+	ctx, stop := context.WithCancel(context.Background())
 	if c.stop != nil {
 		c.stop()
 	}
 	c.stop = stop
-	from := c.from
-	c.mu.Unlock()
-	go c.call(ctx, whole+"?watch=1&from="+strconv.FormatInt(from, 10))
+	go c.call(ctx, c.Addr, true)
 }
 
 // Ask asks for the whole list once.
-func (c *Caller) Ask() { go c.call(context.Background(), whole) }
+func (c *Caller) Ask() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	go c.call(context.Background(), c.Addr, false)
+}
+
+// Follow turns to discovery at another address, at once. The watch that stands ends unsaid, and nothing that the
+// old address still tells is taken in.
+func (c *Caller) Follow(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Addr, c.anew = addr, true
+	c.watch()
+}
 
 // call tells what one call brings, until it ends. A call that a later one has replaced ends unsaid.
-func (c *Caller) call(ctx context.Context, path string) {
+func (c *Caller) call(ctx context.Context, addr string, watch bool) {
 	err := func() (err error) {
 		defer func() {
 			if p := recover(); p != nil {
 				err = fmt.Errorf("panic in a call to discovery: %v", p)
 			}
 		}()
-		return c.read(ctx, path)
+		c.mu.Lock()
+		anew := c.anew
+		c.mu.Unlock()
+		// Another discovery may count in another way: its changes since a revision of the old one's, or since one that
+		// it has not come to yet, would leave out what it had to tell before. Its whole list does not.
+		if !watch || anew {
+			if err := c.read(ctx, addr, whole); err != nil || !watch {
+				return err
+			}
+		}
+		c.mu.Lock()
+		from := c.from
+		c.mu.Unlock()
+		return c.read(ctx, addr, whole+"?watch=1&from="+strconv.FormatInt(from, 10))
 	}()
 	if err != nil && ctx.Err() == nil {
 		c.Failed(err)
 	}
 }
 
-func (c *Caller) read(ctx context.Context, path string) error {
+func (c *Caller) read(ctx context.Context, addr, path string) error {
 	if !c.Sockets.Take(true) {
 		return errors.New("no descriptor is left for a call to discovery")
 	}
 	defer c.Sockets.Give()
 	silence := cmp.Or(c.Silence, usualSilence)
-	nc, err := (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext(ctx, "tcp", c.Addr)
+	nc, err := (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return fmt.Errorf("calling discovery: %w", err)
 	}
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	nc.SetDeadline(time.Now().Add(silence))
-	if _, err := io.WriteString(nc, "GET "+path+" HTTP/1.1\r\nHost: "+c.Addr+"\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(nc, "GET "+path+" HTTP/1.1\r\nHost: "+addr+"\r\n\r\n"); err != nil {
 		return fmt.Errorf("calling discovery: %w", err)
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
@@ -141,7 +172,7 @@
 		if err != nil {
 			return fmt.Errorf("discovery's list: %w", err)
 		}
-		return c.tell(ctx, text)
+		return c.tell(ctx, addr, text)
 	}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, mostLine)
@@ -150,7 +181,7 @@
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
-		if err := c.tell(ctx, lines.Bytes()); err != nil {
+		if err := c.tell(ctx, addr, lines.Bytes()); err != nil {
 			return err
 		}
 	}
@@ -161,7 +192,7 @@
 }
 
 // tell passes one object on. One that cannot be read makes the call a failed one, and the old list stays.
-func (c *Caller) tell(ctx context.Context, text []byte) error {
+func (c *Caller) tell(ctx context.Context, addr string, text []byte) error {
 	var u Update
 	err := json.Unmarshal(text, &u)
 	if err == nil {
@@ -170,14 +201,18 @@
 	if err != nil {
 		return fmt.Errorf("discovery's list: %w", err)
 	}
+	// Told with the lock held: what a call says that was replaced meanwhile must not come after its successor's word.
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	c.mu.Lock()
+	if addr != c.Addr {
+		return errors.New("discovery has moved meanwhile")
+	}
 	if c.from = max(c.from, u.Revision); u.Complete {
-		c.from = u.Revision // it may have begun to count anew
+		c.from, c.anew = u.Revision, false // it may have begun to count anew
 	}
-	c.mu.Unlock()
 	c.Told(u)
 	return nil
 }
--- a/node/list/list_test.go
+++ b/node/list/list_test.go
@@ -64,6 +64,41 @@
 	}
 }
 
+// Another discovery is asked for its whole list first: it may count in another way. What the old one goes on
+// telling is not taken in.
+func TestFollowAnother(t *testing.T) {
+	asked := make(chan string, 10)
+	stand := func(revision int) http.HandlerFunc {
+		return func(w http.ResponseWriter, q *http.Request) {
+			asked <- q.URL.String()
+			for range 2 {
+				fmt.Fprintf(w, `{"revision":%d,"complete":true,"members":[]}`+"\n", revision)
+				w.(http.Flusher).Flush()
+				if q.URL.RawQuery == "" {
+					return
+				}
+				<-q.Context().Done()
+			}
+		}
+	}
+	c, all := follow(t, stand(900))
+	other := httptest.NewServer(stand(7))
+	t.Cleanup(other.CloseClientConnections)
+	c.Start(800)
+	c.Watch()
+	if h := next(t, all); h.u.Revision != 900 {
+		t.Errorf("told %+v", h)
+	}
+	c.Follow(strings.TrimPrefix(other.URL, "http://"))
+	if a, b := next(t, all), next(t, all); a.u.Revision != 7 || b.u.Revision != 7 {
+		t.Errorf("told %+v, then %+v", a, b)
+	}
+	if a, b, d := <-asked, <-asked, <-asked; a != "/catalog/members?watch=1&from=800" || b != "/catalog/members" ||
+		d != "/catalog/members?watch=1&from=7" {
+		t.Errorf("asked for %s, %s and %s", a, b, d)
+	}
+}
+
 // A malformed line, a 503, and an end are failed calls; what came before them stands.
 func TestFailedCalls(t *testing.T) {
 	for _, text := range []string{"{\"revision\":\n", "[]\n", `{"revision":1,"members":[{"phase":"in_service"}]}` + "\n",
--- a/node/node.go
+++ b/node/node.go
@@ -147,6 +147,9 @@
 	close(n.quit)
 }
 
+// Follow turns to discovery at another address. Queries in hand and clients are not touched.
+func (n *Node) Follow(discovery string) { n.calls.Follow(discovery) }
+
 // owing tells whether a query waits for its answer. Executions of answered ones may still be out.
 func (n *Node) owing() bool {
 	for _, h := range n.hands {
