Part the descriptors of clients and servers, and close clients that connect and ask nothing

A trace of every client connection showed 1154 that send one PING and stay, 954 that say nothing or half a command, 113 queries with the id of another client's open one (each tried at up to four servers, 394 executions), 12 values of 60 MB read in 117000 reads of 512 bytes each (0.2 s of processor time).

Causes: quota kept a third of the free descriptors from servers however many clients had (book: free <= kept), so that with 200 silent clients servers were left 17 connections and each query closed and dialled one; nothing closed a client that had asked nothing (reads set a deadline for begun commands only); a refused value was skipped through the smallest ring buffer. Ruled out: parsing of noise, 600 commands at once, and the same again 61 times cost next to nothing each.

Now: clients are left a third of the limit and may hold a little over it, servers the rest, the middle is who comes first; those who have asked nothing make room first; a connection may be silent for 2 s before its first query, and a command take 2 s to come in; an id that is in hand is not passed on; what is more than 1 MiB too large closes the connection, with its error line, unread. The log counts them.

--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -31,12 +31,15 @@
 	Panicked func(any)
 	Logf     func(format string, args ...any)
 	Stalled  float64 // a client that takes nothing for so long is closed, ms
+	Patience float64 // a connection may say nothing for so long before its first query, and a command take to come, ms
 	MostHeld int64   // bytes held for all clients, their commands and answers; 0: no limit
 	BusyWait float64 // what a client turned away over that is told, ms
 
 	held     atomic.Int64
+	counts   struct{ refused, bad, silent atomic.Int64 }
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
+	ids      map[string]*exchange.Exchange // queries in hand by the client's id
 	draining bool
 	ln       net.Listener
 }
@@ -44,9 +47,8 @@
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
-	s.ln, s.conns = ln, map[*conn]struct{}{}
+	s.ln, s.conns, s.ids = ln, map[*conn]struct{}{}, map[string]*exchange.Exchange{}
 	s.mu.Unlock()
-	s.Sockets.Spare(s.spare)
 	for {
 		nc, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -58,7 +60,7 @@
 			continue
 		}
 		if !s.Sockets.Take(true) {
-			s.Logf("no descriptor is left for a client")
+			s.counts.refused.Add(1)
 			nc.Close()
 			continue
 		}
@@ -103,13 +105,14 @@
 	return len(s.conns)
 }
 
-// spare closes the connection that has been quiet longest.
-func (s *Server) spare() bool {
+// Spare closes the connection that has been quiet longest. With mute it looks only at those on which no query has
+// come yet: they come by hundreds and owe nothing.
+func (s *Server) Spare(mute bool) bool {
 	s.mu.Lock()
 	var oldest *conn
 	var since float64
 	for c := range s.conns {
-		if is, at := c.quiet(); is && (oldest == nil || at < since) {
+		if is, asked, at := c.quiet(); is && !(mute && asked) && (oldest == nil || at < since) {
 			oldest, since = c, at
 		}
 	}
@@ -117,6 +120,33 @@
 	return oldest != nil && oldest.left(true)
 }
 
+// claim takes a query's id for it; false: another query in hand has that id. Cache servers tell queries apart by
+// their ids, and could give one the other's answer or take it for a second copy.
+func (s *Server) claim(x *exchange.Exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, taken := s.ids[string(x.ID)]; taken {
+		return false
+	}
+	s.ids[string(x.ID)] = x
+	return true
+}
+
+// release gives it back once the query is answered or its client has gone.
+func (s *Server) release(x *exchange.Exchange) {
+	s.mu.Lock()
+	if s.ids[string(x.ID)] == x {
+		delete(s.ids, string(x.ID))
+	}
+	s.mu.Unlock()
+}
+
+// Counts tells, since it was last asked, how many clients found no descriptor, how many commands could not be taken,
+// and how many connections were closed that had said nothing or not enough for too long.
+func (s *Server) Counts() (refused, bad, silent int64) {
+	return s.counts.refused.Swap(0), s.counts.bad.Swap(0), s.counts.silent.Swap(0)
+}
+
 // over tells whether n bytes more would be more than the given part of what may be held.
 func (s *Server) over(n int64, part float64) bool {
 	return s.MostHeld > 0 && float64(s.held.Load()+n) > part*float64(s.MostHeld)
@@ -132,7 +162,7 @@
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
-	s.Sockets.Give()
+	s.Sockets.Give(true)
 }
 
 // dispatch answers a command, or hands the query on.
--- a/node/clients/clients_test.go
+++ b/node/clients/clients_test.go
@@ -46,7 +46,7 @@
 		t.Fatal(err)
 	}
 	d := &desk{taken: make(chan *exchange.Exchange, 1000), left: make(chan *exchange.Exchange, 1000), ready: true}
-	s := &Server{Node: d, Clock: clock.New(), Sockets: quota.New(1000), Stalled: 1000, BusyWait: 70,
+	s := &Server{Node: d, Clock: clock.New(), Sockets: quota.New(1000), Stalled: 1000, Patience: 1000, BusyWait: 70,
 		Panicked: func(p any) { t.Errorf("panic: %v", p) }, Logf: t.Logf, Names: NewNames(site())}
 	for _, f := range with {
 		f(s)
@@ -208,7 +208,7 @@
 	other := r.dial()
 	other.Write([]byte(command("KV.SET", "k", "i", "c=put,d=5,k=1", strings.Repeat("v", 1<<20))))
 	other.wants("-ERR a value larger than 64 KiB\r\n")
-	for deadline := time.Now().Add(5 * time.Second); !r.server.spare(); time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); !r.server.Spare(false); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("no connection is quiet")
 		}
@@ -348,18 +348,91 @@
 	c.wants("-LOADING ")
 }
 
-// Where descriptors run out, the connection that has been quiet longest makes room.
+// Where descriptors run out, those who have asked nothing make room first, then the one that has been quiet longest.
 func TestDescriptorsAreShared(t *testing.T) {
-	r := newRig(t, func(s *Server) { s.Sockets = quota.New(4) }) // two may be open
-	old, busy := r.dial(), r.dial()
-	old.Write([]byte(command("PING")))
-	old.wants("+PONG\r\n")
+	r := newRig(t, func(s *Server) { // three may be open
+		s.Sockets = quota.New(10)
+		s.Sockets.Spare(true, func() bool { return s.Spare(true) })
+		s.Sockets.Spare(true, func() bool { return s.Spare(false) })
+	})
+	quiet, busy := r.dial(), r.dial()
+	quiet.Write([]byte(command("KV.GET", "k", "0", extra)))
+	r.next().Answer(exchange.Answer{Value: []byte("v")})
+	quiet.wants("$1\r\nv\r\n")
 	busy.Write([]byte(command("KV.GET", "k", "1", extra)))
 	x := r.next()
-	fresh := r.dial()
-	fresh.Write([]byte(command("PING")))
-	fresh.wants("+PONG\r\n")
-	old.wantsEnd()
+	for range 20 {
+		mute := r.dial()
+		mute.Write([]byte(command("PING")))
+		mute.wants("+PONG\r\n")
+	}
+	quiet.Write([]byte(command("PING")))
+	quiet.wants("+PONG\r\n")
+	for k := range 2 {
+		c := r.dial()
+		c.Write([]byte(command("KV.GET", "k", fmt.Sprint(k+2), extra)))
+		r.next()
+	}
+	quiet.wantsEnd()
 	x.Answer(exchange.Answer{Value: []byte("v")})
 	busy.wants("$1\r\nv\r\n")
 }
+
+// Who connects and says nothing, or begins and does not end, is closed. A client that has asked may be quiet for long.
+func TestSilentConnectionsAreClosed(t *testing.T) {
+	r := newRig(t, func(s *Server) { s.Patience = 150 })
+	asked, mute, pinged, half, trickle := r.dial(), r.dial(), r.dial(), r.dial(), r.dial()
+	asked.Write([]byte(command("KV.GET", "k", "1", extra)))
+	x := r.next()
+	pinged.Write([]byte(command("PING")))
+	pinged.wants("+PONG\r\n")
+	text := command("KV.GET", "k", "2", extra)
+	half.Write([]byte(text[:len(text)/2]))
+	go func() {
+		for _, b := range []byte(text) {
+			trickle.Write([]byte{b})
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	for _, c := range []*client{mute, pinged, half, trickle} {
+		c.wantsEnd()
+	}
+	x.Answer(exchange.Answer{Value: []byte("v")})
+	asked.wants("$1\r\nv\r\n")
+	asked.Write([]byte(command("KV.GET", "k", "3", extra)))
+	r.next().Answer(exchange.Answer{Value: []byte("w")})
+	asked.wants("$1\r\nw\r\n")
+}
+
+// Cache servers tell queries apart by their ids: one that another has in hand is not passed on, and is free again
+// once that is answered or its client has gone.
+func TestIDInUse(t *testing.T) {
+	r := newRig(t)
+	first, second := r.dial(), r.dial()
+	ask := command("KV.GET", "k", "1", extra)
+	first.Write([]byte(ask))
+	x := r.next()
+	second.Write([]byte(ask))
+	second.wants("-ERR another query in hand has this id\r\n")
+	x.Answer(exchange.Answer{Value: []byte("v")})
+	second.Write([]byte(ask))
+	r.next()
+	second.Close()
+	<-r.left
+	first.Write([]byte(ask))
+	r.next()
+}
+
+// Of a value far too large no more is read than what shows its size: reading 60 MB took a quarter of a second.
+func TestHugeValueIsNotRead(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	io.WriteString(c, "*5\r\n$6\r\nKV.SET\r\n$1\r\nk\r\n$1\r\n1\r\n$6\r\nc=read\r\n$60000000\r\n")
+	sent, err := 0, error(nil)
+	for piece := make([]byte, 1<<20); err == nil && sent < 60_000_000; sent += len(piece) {
+		_, err = c.Write(piece)
+	}
+	if err == nil {
+		t.Errorf("all of %d bytes were read", sent)
+	}
+}
--- a/node/clients/conn.go
+++ b/node/clients/conn.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	mostAhead = 64                     // commands of one client that may wait for their answers
-	mostHeld  = 4 * exchange.MostValue // bytes of these and of their answers
-	pressing  = 1.5                    // times what may be held for all: a client that lets answers wait is closed
+	mostAhead = 64                      // commands of one client that may wait for their answers
+	mostHeld  = 4 * exchange.MostValue  // bytes of these and of their answers
+	mostSkip  = 16 * exchange.MostValue // of a value that is too large; what has more to come is closed
+	pressing  = 1.5                     // times what may be held for all: a client that lets answers wait is closed
 )
 
 // slot is the place of one command in the order of answers: a query, or an answer of our own.
@@ -41,6 +42,7 @@
 	held    int64   // bytes of commands and answers, which the server counts too
 	since   float64 // last heard or answered
 	partial bool    // a command has begun to come
+	asked   bool    // a query has come
 	writing bool
 	ended   bool // nothing more is read
 	out     bool // and the last answer is out
@@ -59,27 +61,38 @@
 	defer c.rescue()
 	var args [][]byte
 	skip := 0 // bytes of a refused command that are still to come
+	patience := clock.Span(c.server.Patience)
+	until := time.Now().Add(patience) // zero: it may be silent for as long as it likes
 	for {
-		_, err := in.ReadOnce(c.net)
+		c.net.SetReadDeadline(until)
+		var err error
+		if skip > 0 {
+			var n int64
+			n, err = io.CopyN(io.Discard, c.net, int64(min(skip, exchange.MostValue)))
+			skip -= int(n)
+		} else {
+			_, err = in.ReadOnce(c.net)
+		}
 		at := c.server.Clock.Now()
 		if err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.server.counts.silent.Add(1)
+			}
 			c.left(false)
 			return
 		}
-		if skip > 0 {
-			n := min(skip, in.Len())
-			in.Skip(n)
-			skip -= n
-		}
+		taken := false // a command was
 		for in.Len() > 0 {
 			b := in.Peek()
 			if size := oversize(b); size < 0 || b[0] != '*' {
 				c.fail(errShape.Error(), true)
 				break
 			} else if size > 0 {
-				c.fail(errLarge.Error(), false)
 				skip = size - min(size, len(b))
 				in.Skip(min(size, len(b)))
+				if c.fail(errLarge.Error(), skip > mostSkip); skip > mostSkip {
+					break
+				}
 				continue
 			}
 			whole, got, _, rest, err := redcon.ReadNextCommand(b, args[:0])
@@ -93,17 +106,18 @@
 				break
 			}
 			c.server.dispatch(c, got, at)
-			args = got[:0]
+			args, taken = got[:0], true
 			in.Skip(len(b) - len(rest))
 		}
 		c.mu.Lock()
+		begun := c.partial
 		c.partial = in.Len() > 0 || skip > 0
 		c.since = at
 		// A client that does not read its answers is not read from either.
 		for (len(c.slots) >= mostAhead || c.held > mostHeld) && !c.closed {
 			c.cond.Wait()
 		}
-		ended, partial := c.ended, c.partial
+		ended, partial, asked := c.ended, c.partial, c.asked
 		c.mu.Unlock()
 		if ended {
 			c.linger()
@@ -113,12 +127,14 @@
 		if c.server.isDraining() {
 			c.left(true)
 		}
-		// A command that has begun to come holds a buffer: it may not stand still for ever.
-		var until time.Time
-		if partial {
-			until = time.Now().Add(clock.Span(c.server.Stalled))
+		switch {
+		case partial && begun && !taken && skip == 0:
+			// As before: bytes that trickle in do not make the command any newer.
+		case partial || !asked:
+			until = time.Now().Add(patience)
+		default:
+			until = time.Time{}
 		}
-		c.net.SetReadDeadline(until)
 	}
 }
 
@@ -144,9 +160,15 @@
 		c.reply(string(b), false)
 		return
 	}
+	if !c.server.claim(x) {
+		c.fail("another query in hand has this id", false)
+		return
+	}
 	x.Back = c
 	if c.push(slot{x: x, size: size}) {
 		c.server.Node.Take(x)
+	} else {
+		c.server.release(x)
 	}
 }
 
@@ -156,6 +178,7 @@
 // fail answers what cannot be taken; with last the connection is closed once all before that is answered. The
 // words may hold what the client wrote.
 func (c *conn) fail(why string, last bool) {
+	c.server.counts.bad.Add(1)
 	c.reply(string(redcon.AppendError(nil, "ERR "+printable(why))), last)
 }
 
@@ -165,7 +188,7 @@
 	if c.closed || c.ended {
 		return false
 	}
-	c.ended = s.last
+	c.ended, c.asked = s.last, c.asked || s.x != nil
 	c.slots = append(c.slots, s)
 	c.book(s.size)
 	c.cond.Broadcast()
@@ -183,6 +206,7 @@
 // Ready wakes the writer: the answer of one of the queries is there. Where memory runs out, a client that
 // lets more than one large answer wait is closed.
 func (c *conn) Ready(x *exchange.Exchange) {
+	c.server.release(x)
 	c.mu.Lock() // without it the writer could look, miss the answer, and only then begin to wait
 	c.book(int64(len(x.Answered().Value)))
 	slow := c.held > exchange.MostValue && c.server.over(0, pressing)
@@ -259,11 +283,11 @@
 	}
 }
 
-// quiet tells whether the connection stands between queries, and since when.
-func (c *conn) quiet() (bool, float64) {
+// quiet tells whether the connection stands between queries, whether there were any, and since when.
+func (c *conn) quiet() (is, asked bool, since float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.between(), c.since
+	return c.between(), c.asked, c.since
 }
 
 func (c *conn) between() bool { return len(c.slots) == 0 && !c.writing && !c.partial && !c.closed }
@@ -285,6 +309,7 @@
 	c.server.gone(c)
 	for _, s := range slots {
 		if s.x != nil && s.x.Answered() == nil {
+			c.server.release(s.x)
 			c.server.Node.Left(s.x)
 		}
 	}
--- a/node/events.go
+++ b/node/events.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mintspring/fleet"
+	"mintspring/node/clients"
 	"mintspring/node/exchange"
 	"mintspring/node/link"
 )
@@ -182,14 +183,16 @@
 	lastBreak error // one is enough for on-call staff to see what kind it is
 }
 
-func (t *tally) log(log *logrus.Entry, inHand, clients, opened int) {
+func (t *tally) log(log *logrus.Entry, inHand int, front *clients.Server, opened int) {
 	o := &t.outcomes
+	refused, bad, silent := front.Counts()
 	if t.lastBreak != nil {
 		log = log.WithField("last_break", t.lastBreak.Error())
 	}
 	log.WithFields(logrus.Fields{
 		"completed": t.answers[exchange.Completed], "rejected": t.answers[exchange.Rejected],
-		"aborted": t.answers[exchange.Aborted], "left": t.left, "in_hand": inHand, "clients": clients,
+		"aborted": t.answers[exchange.Aborted], "left": t.left, "in_hand": inHand, "clients": front.Open(),
+		"clients_refused": refused, "clients_silent": silent, "bad_commands": bad,
 		"connections_opened": opened - t.opened, "missed": o[fleet.Missed], "failed": o[fleet.Failed],
 		"full": o[fleet.Full], "timed_out": o[fleet.TimedOut], "connect_failed": o[fleet.ConnectFailed],
 		"reset": o[fleet.Reset], "cancelled": o[fleet.Cancelled], "not_sent": o[fleet.NotSent],
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -229,7 +229,7 @@
 		c.closed = true
 		close(c.work)
 		c.net.Close()
-		l.group.Sockets.Give()
+		l.group.Sockets.Give(false)
 	}
 }
 
@@ -280,7 +280,7 @@
 		nc, err = d.DialContext(ctx, "tcp", addr)
 		stop()
 		if result = fleet.ConnectFailed; err != nil {
-			l.group.Sockets.Give()
+			l.group.Sockets.Give(false)
 		}
 	}
 	l.mu.Lock()
--- a/node/list/list.go
+++ b/node/list/list.go
@@ -14,8 +14,6 @@
 	"strconv"
 	"sync"
 	"time"
-
-	"mintspring/node/quota"
 )
 
 // usualSilence is how long discovery may say nothing. While nothing changes a watch brings an empty line every 2 s;
@@ -72,7 +70,6 @@
 	Addr    string
 	Told    func(Update)
 	Failed  func(error)
-	Sockets *quota.Sockets
 	Silence time.Duration // 0: the usual
 
 	mu   sync.Mutex
@@ -145,10 +142,6 @@
 }
 
 func (c *Caller) read(ctx context.Context, addr, path string) error {
-	if !c.Sockets.Take(true) {
-		return errors.New("no descriptor is left for a call to discovery")
-	}
-	defer c.Sockets.Give()
 	silence := cmp.Or(c.Silence, usualSilence)
 	nc, err := (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 	if err != nil {
--- a/node/list/list_test.go
+++ b/node/list/list_test.go
@@ -10,8 +10,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"mintspring/node/quota"
 )
 
 type heard struct {
@@ -23,7 +21,7 @@
 	s := httptest.NewServer(serve)
 	t.Cleanup(s.CloseClientConnections)
 	all := make(chan heard, 100)
-	return &Caller{Addr: strings.TrimPrefix(s.URL, "http://"), Sockets: quota.New(100),
+	return &Caller{Addr: strings.TrimPrefix(s.URL, "http://"),
 		Told: func(u Update) { all <- heard{u: u} }, Failed: func(err error) { all <- heard{err: err} }}, all
 }
 
@@ -112,7 +110,6 @@
 	if c.Ask(); next(t, all).err == nil {
 		t.Error("a 503 was taken for a list")
 	}
-	c.Sockets = quota.New(0)
 	c.Addr = "127.0.0.1:1"
 	if c.Watch(); next(t, all).err == nil {
 		t.Error("a refused call did not fail")
--- a/node/node.go
+++ b/node/node.go
@@ -46,6 +46,10 @@
 // originFlavor is the kind under which the origin stands in the list.
 const originFlavor = "origin"
 
+// patience is how long a client may be silent before its first query, in ms. Usual ones connect to ask; those that
+// never do come by hundreds, and would take the descriptors of others.
+const patience = 2000
+
 // peer is one server as the list has it, with the link to it.
 type peer struct {
 	entry list.Entry
@@ -96,11 +100,11 @@
 		n.group.ConnectTimeout = longest / 4
 	}
 	n.front = &clients.Server{Node: n, Names: clients.NewNames(b.Site), Clock: n.clock, Sockets: sockets,
-		Panicked: n.panicked, Logf: n.log.Warnf, Stalled: longest, MostHeld: int64(b.MemoryMB) << 20 / 8}
+		Panicked: n.panicked, Logf: n.log.Warnf, Stalled: longest, Patience: patience, MostHeld: int64(b.MemoryMB) << 20 / 8}
 	if b.Site.Limits.RetryAfter {
 		n.front.BusyWait = b.Site.Limits.MaxRetryAfter
 	}
-	n.calls = &list.Caller{Addr: b.Discovery, Sockets: sockets,
+	n.calls = &list.Caller{Addr: b.Discovery,
 		Told: func(u list.Update) {
 			mode := fleet.ListDelta
 			if u.Complete {
@@ -109,7 +113,9 @@
 			n.inbox.post(listed{mode, u.Members})
 		},
 		Failed: func(err error) { n.inbox.post(unlisted{err}) }}
-	sockets.Spare(n.group.Spare)
+	sockets.Spare(true, func() bool { return n.front.Spare(true) })
+	sockets.Spare(false, n.group.Spare)
+	sockets.Spare(true, func() bool { return n.front.Spare(false) })
 	now := n.clock.Now()
 	b.Site.Limits.Subscribe = true // over HTTP nothing comes unasked, also where the settings say that changes do
 	n.mind = decide.New(now, b.Site.Limits, &n.slab)
@@ -244,7 +250,7 @@
 		p.link.Reap()
 		opened += p.link.Opened()
 	}
-	n.tally.log(n.log, len(n.hands), n.front.Open(), opened)
+	n.tally.log(n.log, len(n.hands), n.front, opened)
 }
 
 // act does what the module answered.
--- a/node/quota/sockets.go
+++ b/node/quota/sockets.go
@@ -6,16 +6,24 @@
 	"sync"
 )
 
-// reserve is what the runtime, the logs, the listener, the list and files being opened take.
+// reserve is what the runtime, the logs, the listener, the call to discovery and files being opened take.
 const reserve = 32
 
-// Sockets counts the descriptors that connections may still take. Clients and servers share it; servers leave
-// a part to clients, for a client that is not accepted is a query lost, and a server not reached one sent elsewhere.
+// Sockets counts the descriptors that connections may still take. Clients and servers share it, and neither can
+// crowd the other out: a third of the limit is left to clients, and what clients may take beyond that is bounded,
+// for it is those who connect and say nothing that come by hundreds.
 type Sockets struct {
-	mu     sync.Mutex
-	free   int
-	kept   int // left to clients
-	spares []func() bool
+	mu      sync.Mutex
+	free    int
+	clients int // held by clients
+	kept    int // left to clients
+	most    int // that clients may hold
+	spares  []spare
+}
+
+type spare struct {
+	client bool
+	close  func() bool
 }
 
 // New starts a budget for a process that may hold so many descriptors; none given means no limit that matters.
@@ -24,44 +32,52 @@
 		limit = 1 << 16
 	}
 	free := max(limit-reserve, limit/2)
-	return &Sockets{free: free, kept: free / 3}
+	return &Sockets{free: free, kept: min(limit/3, free/2), most: max(1, min(limit/3+limit/10, free*2/3))}
 }
 
-// Spare adds a way of making room: each call closes one idle connection, or tells that there is none.
-func (s *Sockets) Spare(f func() bool) {
+// Spare adds a way of making room: each call closes one connection that can be done without, or tells that there is
+// none. Those added first are tried first.
+func (s *Sockets) Spare(client bool, f func() bool) {
 	s.mu.Lock()
-	s.spares = append(s.spares, f)
+	s.spares = append(s.spares, spare{client, f})
 	s.mu.Unlock()
 }
 
 // Take books a descriptor for a connection to a server, or of a client.
 func (s *Sockets) Take(client bool) bool {
 	for {
-		if s.book(client) {
-			return true
-		}
-		s.mu.Lock()
-		spares := s.spares
-		s.mu.Unlock()
-		if !slices.ContainsFunc(spares, func(spare func() bool) bool { return spare() }) {
-			return s.book(client)
+		ok, clients, servers, spares := s.book(client)
+		if ok || !slices.ContainsFunc(spares, func(p spare) bool {
+			return (p.client && clients || !p.client && servers) && p.close()
+		}) {
+			return ok
 		}
 	}
 }
 
-func (s *Sockets) book(client bool) bool {
+// book takes one if it may, and tells whose connections would have to be closed for it if not.
+func (s *Sockets) book(client bool) (ok, clients, servers bool, spares []spare) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.free <= 0 || !client && s.free <= s.kept {
-		return false
+	switch {
+	case client && s.clients >= s.most:
+		return false, true, false, s.spares
+	case client && s.free <= 0:
+		return false, true, true, s.spares
+	case !client && s.free <= max(0, s.kept-s.clients):
+		return false, s.clients > s.kept, true, s.spares // what clients give up of their own part stays theirs
 	}
-	s.free--
-	return true
+	if s.free--; client {
+		s.clients++
+	}
+	return true, false, false, nil
 }
 
 // Give returns one.
-func (s *Sockets) Give() {
+func (s *Sockets) Give(client bool) {
 	s.mu.Lock()
-	s.free++
+	if s.free++; client {
+		s.clients--
+	}
 	s.mu.Unlock()
 }
