Pass over provisional answers, and use no connection on which bytes came or may come

A trace of all answers showed second copies and noise right behind 280 good ones; those in the same read closed the connection, but bytes that came a moment later, when the next execution had the connection, were read as its answer (link reads: cur is set before anything is written). A probe that writes the copy apart from the answer had a query served with the value of the one before after some hundred, even with the socket looked at before each write, which is why a connection rests.

Now: provisional heads are passed over; a connection rests for half a quantum after an answer; before anything is written on a used one, its socket is looked at for bytes or an end; what came before the execution went out is no answer to it. The execution then takes another connection, since nothing of it went out: that a peer had closed an idle one no longer counts against the server as a failed connect.

--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"syscall"
 
 	"mintspring/fleet"
 	"mintspring/node/exchange"
@@ -17,6 +18,7 @@
 	addr  string
 	work  chan *Execution
 	since float64 // idle since
+	used  bool    // an answer has come on it
 
 	// Held under the link's lock.
 	cur     *Execution
@@ -39,7 +41,17 @@
 			out.Fill(len(b))
 		}
 		whole := out.Len()
+		stale := c.used && c.stale()
 		l.mu.Lock()
+		if c.closed {
+			l.mu.Unlock() // the reader met the end first and has seen to what was out
+			return
+		}
+		if stale {
+			l.again(c)
+			l.mu.Unlock()
+			return
+		}
 		if e.done || !l.open || c.addr != l.addr || err != nil {
 			// Taken back before its first byte went, or the peer was shut or has moved since.
 			l.mu.Unlock()
@@ -90,6 +102,11 @@
 			l.mu.Unlock()
 			return
 		}
+		if c.used && e.reach < exchange.WhollyWritten {
+			l.again(c) // these bytes came before the execution went out, and are no answer to it
+			l.mu.Unlock()
+			return
+		}
 		if e.reach = exchange.AnswerBegun; n == 0 {
 			l.mu.Unlock()
 			continue
@@ -99,9 +116,9 @@
 			l.shut(c)
 		}
 		in.Rest()
-		c.cur = nil
+		c.cur, c.used = nil, true
 		ended := l.finish(e)
-		l.free(c)
+		l.rest(c)
 		l.mu.Unlock()
 		if ended {
 			l.group.Done(e, Ending{At: at, Reply: reply})
@@ -115,14 +132,19 @@
 func (c *conn) broken(cause error, partly bool) {
 	l := c.link
 	l.mu.Lock()
-	l.shut(c)
 	l.drop(c)
+	e := c.cur
+	if c.used && e != nil && e.reach == exchange.NotConnected {
+		l.again(c) // the peer closed it while it was idle, which says nothing of the execution
+		l.mu.Unlock()
+		return
+	}
+	l.shut(c)
 	if c.writing {
 		c.cause = cause
 		l.mu.Unlock()
 		return
 	}
-	e := c.cur
 	c.cur = nil
 	if e != nil && partly && e.reach == exchange.WhollyWritten {
 		e.reach = exchange.PartlyWritten
@@ -133,6 +155,35 @@
 	}
 }
 
+// stale tells whether something has come on an idle connection: its end, or bytes that belong to no execution. The
+// reader may not have been woken by them yet, and what is written now would be lost with the connection, or answered
+// with what was meant for another.
+func (c *conn) stale() bool {
+	tcp, ok := c.net.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var b [1]byte
+	raw.Control(func(fd uintptr) { _, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) })
+	return err != syscall.EAGAIN && err != syscall.EINTR
+}
+
+// again closes a connection on which nothing of its execution went out, and lets that take another. Called with the
+// lock held.
+func (l *Link) again(c *conn) {
+	e := c.cur
+	c.cur = nil
+	l.shut(c)
+	if e != nil && !e.done {
+		e.conn = nil
+		l.place(e)
+	}
+}
+
 // drop takes a connection off the idle ones.
 func (l *Link) drop(c *conn) {
 	if i := slices.Index(l.idle, c); i >= 0 {
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -70,6 +70,7 @@
 	Panicked       func(any)                // a panic in a connection's code, which closes that connection
 	ConnectTimeout float64
 	ConnIdle       float64
+	Rest           float64 // a connection is not used for so long after an answer, in ms, for more may come behind it
 
 	mu    sync.Mutex
 	links []*Link
@@ -101,6 +102,7 @@
 	idle    []*conn // the one used last stands last
 	waiting []*Execution
 	dialing int
+	resting int // connections that will be free in a moment
 	opened  int // connections opened so far
 }
 
@@ -140,6 +142,12 @@
 	defer l.mu.Unlock()
 	l.reap(now)
 	e.timer = time.AfterFunc(clock.Span(limit), func() { l.end(e, fleet.TimedOut, errExpired) })
+	l.place(e)
+	return e
+}
+
+// place gives an execution the connection that was used last, or has it wait for one.
+func (l *Link) place(e *Execution) {
 	switch k := len(l.idle); {
 	case !l.open:
 		go l.end(e, fleet.NotSent, errShut)
@@ -152,12 +160,11 @@
 		l.waiting = append(l.waiting, e)
 		l.dialAll()
 	}
-	return e
 }
 
 // dialAll sees to it that a connection is on its way for each execution that waits.
 func (l *Link) dialAll() {
-	for l.open && l.dialing < len(l.waiting) {
+	for l.open && l.dialing+l.resting < len(l.waiting) {
 		l.dialing++
 		go l.dial(l.addr)
 	}
@@ -305,6 +312,23 @@
 	}
 }
 
+// rest keeps a connection from use for a moment after an answer. A second copy or noise that comes behind it closes
+// the connection then; later it would be read as the answer of the next execution.
+func (l *Link) rest(c *conn) {
+	if c.closed || l.group.Rest <= 0 {
+		l.free(c)
+		return
+	}
+	l.resting++
+	time.AfterFunc(clock.Span(l.group.Rest), func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.resting--
+		l.free(c)
+		l.dialAll() // something may have come, and the connection be of no use
+	})
+}
+
 // free lets a connection take what waits, or stand idle. The state of the peer is looked at here once more:
 // since the execution was handed over, its grace may have run out.
 func (l *Link) free(c *conn) {
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -331,6 +332,46 @@
 	}
 }
 
+// A second copy that comes behind the answer, when the next execution has the connection already, is not read as the
+// answer of that one. The execution takes another connection, since nothing of it went out.
+func TestLateSecondCopy(t *testing.T) {
+	r := newRig(t, func(c net.Conn) {
+		for s := read(c); s != ""; s = read(c) {
+			c.Write([]byte(s))
+			c.Write([]byte(s))
+		}
+	})
+	r.link.group.Rest = 20
+	go func() {
+		for range r.conns {
+		}
+	}()
+	for i := range 50 {
+		key := fmt.Sprint("q", i)
+		for range 3 {
+			r.send(key, 1000)
+		}
+		for range 3 {
+			if e := r.end(); string(e.Reply.Value) != key {
+				t.Fatalf("%s answered with %q, %v", key, e.Reply.Value, e.Break)
+			}
+		}
+	}
+}
+
+// A connection that the peer has closed while it was idle says nothing of the execution that took it.
+func TestIdleConnectionsThatThePeerClosed(t *testing.T) {
+	r := newRig(t, echo)
+	for i := range 100 {
+		r.send("q", 1000)
+		r.wants("on a fresh connection", fleet.Completed)
+		(<-r.conns).Close()
+		if i%2 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 func TestPanicStopsAtTheConnection(t *testing.T) {
 	r := newRig(t, func(c net.Conn) { read(c); c.Write([]byte("boom\n")) })
 	r.send("q", 1000)
--- a/node/node.go
+++ b/node/node.go
@@ -95,7 +95,7 @@
 		longest = max(longest, w.StatementTimeout)
 	}
 	n.group = &link.Group{Clock: n.clock, Sockets: sockets, Done: n.done, Panicked: n.panicked,
-		ConnectTimeout: b.Site.ConnectTimeout, ConnIdle: b.Site.ConnIdle}
+		ConnectTimeout: b.Site.ConnectTimeout, ConnIdle: b.Site.ConnIdle, Rest: b.Site.Limits.Quantum / 2}
 	if n.group.ConnectTimeout <= 0 {
 		n.group.ConnectTimeout = longest / 4
 	}
--- a/node/origin/wire.go
+++ b/node/origin/wire.go
@@ -50,18 +50,23 @@
 
 // Parse reads an answer. One whose length is not told is not taken for whole: a cut one would look the same.
 func (Wire) Parse(b []byte) (int, link.Reply, error) {
-	head := bytes.Index(b, []byte("\r\n\r\n"))
-	switch {
-	case head < 0 && len(b) > mostHead || head > mostHead:
-		return 0, link.Reply{}, errLong
-	case head < 0:
-		return 0, link.Reply{}, nil
-	}
 	src := bytes.NewReader(b)
 	buf := bufio.NewReaderSize(src, 512)
-	resp, err := http.ReadResponse(buf, nil)
-	if err != nil {
-		return 0, link.Reply{}, fmt.Errorf("reading the head of an answer: %w", err)
+	var resp *http.Response
+	// Any number of provisional answers may come ahead, which say nothing yet.
+	for rest := b; resp == nil || resp.StatusCode/100 == 1; {
+		head := bytes.Index(rest, []byte("\r\n\r\n"))
+		switch {
+		case head < 0 && len(rest) > mostHead || head > mostHead:
+			return 0, link.Reply{}, errLong
+		case head < 0:
+			return 0, link.Reply{}, nil
+		}
+		var err error
+		if resp, err = http.ReadResponse(buf, nil); err != nil {
+			return 0, link.Reply{}, fmt.Errorf("reading the head of an answer: %w", err)
+		}
+		rest = rest[head+4:]
 	}
 	chunked := len(resp.TransferEncoding) > 0
 	if resp.ContentLength > exchange.MostValue {
--- a/node/origin/wire_test.go
+++ b/node/origin/wire_test.go
@@ -20,6 +20,8 @@
 		{"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", fleet.Failed, ""},
 		{"HTTP/1.1 503 Later\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", fleet.Full, ""},
 		{"HTTP/1.1 504 Later\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", fleet.Full, ""},
+		{"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv",
+			fleet.Completed, "v"},
 		// Without the mark it may have run.
 		{"HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n", fleet.Failed, ""},
 		{"HTTP/1.1 404 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", fleet.Failed, ""},
