--- a/decide/admit.go
+++ b/decide/admit.go
@@ -29,8 +29,8 @@
 	return (float64(n.origin.out) - max(0, float64(k.writes)-k.window/2)) / max(1, k.window)
 }
 
-// learn widens the window while answers come in time, and cuts it when a fair share does not. A late write
-// says nothing: writes take a multiple of what reads take, and once closed the window to reads.
+// learn widens the window while answers come in time, and cuts it when a fair share does not. A late write says
+// nothing: writes take a multiple of what reads take, and once closed the window; nor does what broke off soon.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
 	most, slow, grow := n.lim.sloMin/2, 1.0, 0.17
 	if q.Write {
@@ -42,7 +42,8 @@
 			slow, grow = 0, 0.17*max(1, min(3, most/o.Took))
 		}
 	}
-	if o.Result == fleet.Cancelled || o.Result == fleet.NotSent || q.Write && slow > 0 {
+	if o.Result == fleet.Cancelled || o.Result == fleet.NotSent || slow > 0 && (q.Write ||
+		o.Result == fleet.Reset && o.Took <= most) {
 		return
 	}
 	if k.slow += 0.15 * (slow - k.slow); slow > 0 && (k.slow > 0.3 || k.window <= 1) && e.Sent >= k.cutAt {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -304,6 +304,55 @@
 	}
 }
 
+// Connections that break now and then say little of the peer behind them: a query goes to its server again, which
+// has the copy, no server is ejected, and the origin's window stays. A server that resets all is left still.
+func TestResetsNowAndThen(t *testing.T) {
+	w := newWorld(plainLimits())
+	w.servers(4)
+	for i := range 200 {
+		tr := w.ask(0, fleet.Key(i), false, 900)
+		own := tr.runs[0].server
+		if i%5 == 0 {
+			w.end(tr, 0, fleet.Reset, fleet.NoteNone)
+			if again := tr.runs[len(tr.runs)-1].server; again != own {
+				t.Fatalf("query %d was reset at server %d and went to %d", i, own, again)
+			}
+		}
+		w.end(tr, len(tr.runs)-1, fleet.Missed, fleet.NoteMiss)
+		w.pass(2)
+		if i%5 == 1 || i%5 == 2 {
+			w.end(tr, len(tr.runs)-1, fleet.Reset, fleet.NoteNone)
+		}
+		w.end(tr, len(tr.runs)-1, fleet.Completed, fleet.NoteNone)
+		w.pass(8)
+	}
+	if k := &w.node.store; k.window < 4 || k.slow > 0.1 {
+		t.Errorf("the origin's window is %v, its share of late answers %v", k.window, k.slow)
+	}
+	for id := range w.node.servers[:4] {
+		if w.node.servers[id].sick() {
+			t.Errorf("server %d was ejected", id)
+		}
+	}
+	bad := w.node.ring.neighbour(w.node.ring.owner(fleet.Key(7).Point()), 0)
+	for range 4 {
+		tr := w.ask(0, 7, false, 900)
+		for i := 0; i < len(tr.runs); i++ {
+			res := fleet.Completed
+			if tr.runs[i].server == bad.id {
+				res = fleet.Reset
+			}
+			w.end(tr, i, res, fleet.NoteHit)
+		}
+	}
+	if !bad.sick() {
+		t.Error("a server that resets all was kept")
+	}
+	if w.failed != "" {
+		t.Error(w.failed)
+	}
+}
+
 // While most answers are late, what no server can take in time is turned away at once with a time to come
 // back, and without new evidence the node lets queries in again.
 func TestOverloadIsShedAndForgotten(t *testing.T) {
