Give up an execution that its connection lost, and an answer that has begun and stands still

A log of executions longer than the SLO time (150 ms there) showed about 1000 that took the whole 397 ms, at every server and the origin alike, while answers take 10 ms: two thirds on connections that fell silent after the write, one third whose answer had begun and stopped. lookBack acts only where the server has been silent to all, and link waited for the rest of an answer as long as the query did. Ruled out: the processor (0.21 of 0.28), the origin's window (30), shedding (19 in five seconds).

Now an answer that has begun and stands still for a quarter of the shortest SLO time is broken off (link), and an execution out for half the SLO time and six times what its server's answers take is given up where the server answered others since (decide); both go to the same server again, which has the copy, on another connection.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -29,8 +29,8 @@
 	return (float64(n.origin.out) - max(0, float64(k.writes)-k.window/2)) / max(1, k.window)
 }
 
-// learn widens the window while answers come in time, and cuts it when a fair share does not. A late write says
-// nothing: writes take a multiple of what reads take, and once closed the window; nor does what broke off soon.
+// learn widens the window while answers come in time, and cuts it when a fair share does not. A late write
+// says nothing: writes take a multiple of what reads take, and closed the window; nor does a quick reset.
 func (k *stock) learn(n *Node, q *fleet.Query, e *fleet.Exec, o fleet.Outcome) {
 	most, slow, grow := n.lim.sloMin/2, 1.0, 0.17
 	if q.Write {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -58,34 +58,32 @@
 
 // workload is what decisions need of one kind of query.
 type workload struct {
-	effect   fleet.Effect
-	scope    fleet.Scope
-	span     float64 // repeats are dropped for so long
-	slo      float64
-	bearable float64 // wait up to which it is let in while the node is overloaded
-	rank     float64 // importance
+	effect    fleet.Effect
+	scope     fleet.Scope
+	span, slo float64 // repeats are dropped for so long; the SLO time
+	bearable  float64 // wait up to which it is let in while the node is overloaded
+	rank      float64 // importance
 }
 
 // limits are the figures derived from the settings; the settings themselves are not kept.
 type limits struct {
-	workloads       []workload
-	zone            fleet.ZoneID
-	perZone         float64      // nodes of one zone
-	origin          fleet.KindID // below 0: servers fetch for themselves
-	maxExecs        int
-	copies, cancels bool    // two executions of a query may be out; one may be stopped
-	fullFails       bool    // a server whose connections are all taken fails connects, as a dead one does
-	copyRate        float64 // second copies per execution
-	longest         float64 // most that a client may be told to stay away; 0: it is not told
-	sloMin          float64 // shortest SLO time
-	leastOut        float64 // least window at the origin
-	slack           float64 // kept before a deadline
-	period          float64 // between moves of the ring
-	askWithin       float64 // a call for the list is due by then; 0: changes come unasked
-	coldFrom        float64 // share of its capacity that a server has when it starts
-	warmWithin      float64
-	coldRate        float64 // work for a cold server, as a multiple of what it can do
-	coldBurst       float64 // of that, in one go
+	workloads            []workload
+	zone                 fleet.ZoneID
+	perZone              float64      // nodes of one zone
+	origin               fleet.KindID // below 0: servers fetch for themselves
+	maxExecs             int
+	copies, cancels      bool    // two executions of a query may be out; one may be stopped
+	fullFails            bool    // a server whose connections are all taken fails connects, as a dead one does
+	copyRate             float64 // second copies per execution
+	longest              float64 // most that a client may be told to stay away; 0: it is not told
+	sloMin               float64 // shortest SLO time
+	leastOut             float64 // least window at the origin
+	slack                float64 // kept before a deadline
+	period               float64 // between moves of the ring
+	askWithin            float64 // a call for the list is due by then; 0: changes come unasked
+	coldFrom, warmWithin float64 // share of its capacity that a server starts with, and when it has all of it
+	coldRate             float64 // work for a cold server, as a multiple of what it can do
+	coldBurst            float64 // of that, in one go
 }
 
 // derive turns settings into the figures that decisions use.
@@ -128,8 +126,7 @@
 // New starts a node that knows nothing but its limits.
 func New(now float64, l fleet.Limits, slab *fleet.Slab) *Node {
 	n := &Node{lim: derive(l), slab: slab, now: now, seed: l.Seed}
-	n.mayOpen, n.homing, n.util = math.Inf(1), 1, 0.5
-	n.askAt, n.unit = now, 1
+	n.mayOpen, n.homing, n.util, n.askAt, n.unit = math.Inf(1), 1, 0.5, now, 1
 	if l.SecondCopies {
 		n.copies = 3 // at the start nothing is known of any server, and a copy costs little
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -353,6 +353,32 @@
 	}
 }
 
+// A connection may fall silent while its server answers others. The execution on it is given up long before its time
+// is over, and the query goes to the same server, which has its copy.
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	lim := plainLimits()
+	lim.SecondCopies = false
+	w := newWorld(lim)
+	w.servers(4)
+	for i := range 200 {
+		w.end(w.ask(0, fleet.Key(i), false, 900), 0, fleet.Completed, fleet.NoteHit)
+		w.pass(5)
+	}
+	lost := w.ask(0, 7, false, 900)
+	own := lost.runs[0].server
+	for key := fleet.Key(1000); len(lost.runs) == 1 && w.now < 3000; key++ {
+		tr := w.ask(0, key, false, 900)
+		w.pass(5)
+		w.end(tr, 0, fleet.Completed, fleet.NoteHit)
+	}
+	if len(lost.runs) != 2 || lost.runs[1].server != own {
+		t.Errorf("the lost execution has %+v", lost.runs)
+	}
+	if w.failed != "" {
+		t.Error(w.failed)
+	}
+}
+
 // While most answers are late, what no server can take in time is turned away at once with a time to come
 // back, and without new evidence the node lets queries in again.
 func TestOverloadIsShedAndForgotten(t *testing.T) {
--- a/decide/health.go
+++ b/decide/health.go
@@ -40,7 +40,7 @@
 	overload   = 0.1 // share of late answers above which queries are turned away
 )
 
-// blame is what an outcome says against its server. A reset is the connection's fault more often than its own.
+// blame is what an outcome says against its server. A reset is more often the fault of the connection.
 var blame = [...]float64{fleet.Failed: 1, fleet.Reset: 0.5, fleet.ConnectFailed: 2, fleet.Missed: 0}
 
 // ahead counts what a new query would find at s: own executions and the queue last reported.
@@ -154,8 +154,10 @@
 // takes tells whether s can be given q. A sick server gets single trials of queries that may run again.
 func (n *Node) takes(c *circle, s *server, q *fleet.Query, own bool) bool {
 	for i := range q.Execs[:q.N] {
-		e := &q.Execs[i] // a server that is well may have what was reset again: it has the copy
-		if e.Server == s.id && e.Result != fleet.Missed && e.Result != fleet.NotSent && e.Result != fleet.Reset {
+		e := &q.Execs[i]
+		// A server that is well has the copy: it may have again what its connection lost, by a reset or in silence.
+		lost := e.Result == fleet.Reset || e.Result == fleet.Cancelled && s.quiet > e.Sent
+		if e.Server == s.id && e.Result != fleet.Missed && e.Result != fleet.NotSent && !lost {
 			return false
 		}
 	}
@@ -177,7 +179,7 @@
 }
 
 // lookBack decides on a query whose execution is out for long. Only silence counts: a server that answers
-// others is at work, and the query in hand is heavy or waits its turn.
+// others is at work, and the query heavy or waiting, until it takes so long that its connection must be lost.
 func (n *Node) lookBack(q *fleet.Query) fleet.Move {
 	e := &q.Execs[q.N-1]
 	s, slo := n.servers[e.Server], n.lim.workloads[q.Workload].slo
@@ -186,7 +188,8 @@
 		q.N >= n.lim.maxExecs || next >= q.Deadline-n.lim.slack {
 		return fleet.Move{Action: fleet.Hold}
 	}
-	if n.copies < 1 || n.now-max(s.quiet, e.Sent) < n.patience(q, s) {
+	lost := s.quiet > e.Sent && n.now-e.Sent > max(slo/2, 6*s.est(n))
+	if n.copies < 1 || !lost && n.now-max(s.quiet, e.Sent) < n.patience(q, s) {
 		return n.hold(q, next)
 	}
 	t := n.origin // another cache seldom has the key; the origin always does
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -5,8 +5,10 @@
 	"net"
 	"slices"
 	"syscall"
+	"time"
 
 	"mintspring/fleet"
+	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/ringbuf"
 )
@@ -82,6 +84,7 @@
 	defer in.Drop()
 	defer c.rescue()
 	l := c.link
+	stall := false
 	for {
 		_, err := in.ReadOnce(c.net)
 		at := l.group.Clock.Now()
@@ -109,8 +112,16 @@
 		}
 		if e.reach = exchange.AnswerBegun; n == 0 {
 			l.mu.Unlock()
+			// What has begun to come and stops does not come any more: waiting on would cost the query all its time.
+			if stall = l.group.Stall > 0; stall {
+				c.net.SetReadDeadline(time.Now().Add(clock.Span(l.group.Stall)))
+			}
 			continue
 		}
+		if stall {
+			stall = false
+			c.net.SetReadDeadline(time.Time{})
+		}
 		in.Skip(n)
 		if reply.Last || in.Len() > 0 {
 			l.shut(c)
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -70,6 +70,7 @@
 	Panicked       func(any)                // a panic in a connection's code, which closes that connection
 	ConnectTimeout float64
 	ConnIdle       float64
+	Stall          float64 // an answer that has begun may stand still for so long, ms; 0: for ever
 	Rest           float64 // a connection is not used for so long after an answer, in ms, for more may come behind it
 
 	mu    sync.Mutex
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -129,9 +129,11 @@
 		{"closed within the answer", func(c net.Conn) { read(c); c.Write([]byte("hal")); c.Close() }, 1000, fleet.Reset},
 		{"wrong answer", func(c net.Conn) { read(c); c.Write([]byte("bad\n")) }, 1000, fleet.Reset},
 		{"no answer", func(c net.Conn) { read(c) }, 50, fleet.TimedOut},
+		{"an answer that stands still", func(c net.Conn) { read(c); c.Write([]byte("hal")) }, 4000, fleet.Reset},
 		{"no whole answer", func(c net.Conn) { read(c); c.Write([]byte("hal")) }, 50, fleet.TimedOut},
 	} {
 		r := newRig(t, c.serve)
+		r.link.group.Stall = 100
 		r.send("q", c.limit)
 		r.wants(c.name, c.want)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -90,12 +90,12 @@
 		idle: make(chan struct{}), quit: make(chan struct{})}
 	n.inbox.wake = make(chan struct{}, 1)
 	sockets := quota.New(b.Sockets)
-	longest := 1000.0
+	longest, soonest := 1000.0, 1000.0
 	for _, w := range b.Site.Limits.Workloads {
-		longest = max(longest, w.StatementTimeout)
+		longest, soonest = max(longest, w.StatementTimeout), min(soonest, w.SLOTime)
 	}
 	n.group = &link.Group{Clock: n.clock, Sockets: sockets, Done: n.done, Panicked: n.panicked,
-		ConnectTimeout: b.Site.ConnectTimeout, ConnIdle: b.Site.ConnIdle, Rest: b.Site.Limits.Quantum / 2}
+		ConnectTimeout: b.Site.ConnectTimeout, ConnIdle: b.Site.ConnIdle, Stall: soonest / 4, Rest: b.Site.Limits.Quantum / 2}
 	if n.group.ConnectTimeout <= 0 {
 		n.group.ConnectTimeout = longest / 4
 	}
