--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -157,6 +157,7 @@
 	Result Result
 	Took   float64
 	Over   bool // the query is closed
+	Stale  bool // it was lost with a connection that had been idle, which says nothing of the server
 	Note   Note
 	Report Report
 }
--- a/node/events.go
+++ b/node/events.go
@@ -99,7 +99,7 @@
 	r := e.end.Reply
 	o := fleet.Outcome{Exec: e.exec.No, Result: r.Result, Took: max(0, e.end.At-e.exec.Sent), Note: r.Note, Report: r.Report}
 	if b := e.end.Break; b != nil {
-		o.Result, o.Report = b.Outcome(), fleet.NewReport()
+		o.Result, o.Report, o.Stale = b.Outcome(), fleet.NewReport(), b.Stale
 		n.tally.lastBreak = b
 	}
 	n.tally.outcomes[o.Result]++
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -79,6 +79,7 @@
 type Break struct {
 	Reach  Reach
 	Result fleet.Result // what it was, should it have run
+	Stale  bool         // its connection had been idle, and seems to have been forgotten by the peer meanwhile
 	Cause  error
 }
 
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -20,6 +20,7 @@
 	addr  string
 	work  chan *Execution
 	since float64 // idle since
+	idle  float64 // how long it was before what is out on it
 	used  bool    // an answer has come on it
 
 	// Held under the link's lock.
@@ -160,6 +161,9 @@
 	if e != nil && partly && e.reach == exchange.WhollyWritten {
 		e.reach = exchange.PartlyWritten
 	}
+	if e != nil {
+		e.stale = l.forgot(c, e)
+	}
 	l.mu.Unlock()
 	if e != nil {
 		l.end(e, fleet.Reset, cause)
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -50,6 +50,7 @@
 
 	conn  *conn
 	reach exchange.Reach
+	stale bool // its connection was forgotten by the peer
 	done  bool
 	timer *time.Timer
 }
@@ -155,6 +156,7 @@
 	case k > 0:
 		c := l.idle[k-1]
 		l.idle = l.idle[:k-1]
+		c.idle = l.group.Clock.Now() - c.since
 		l.assign(c, e)
 	default:
 		// Whichever connection comes free first takes it: one that is busy now, or the new one.
@@ -209,13 +211,30 @@
 }
 
 func (l *Link) reap(now float64) {
+	if l.group.ConnIdle > 0 {
+		l.closeOlder(now - 0.75*l.group.ConnIdle)
+	}
+}
+
+// closeOlder closes what has been idle since before then.
+func (l *Link) closeOlder(then float64) {
 	n := 0
-	for n < len(l.idle) && l.group.ConnIdle > 0 && l.idle[n].since < now-0.75*l.group.ConnIdle {
+	for n < len(l.idle) && l.idle[n].since < then {
 		n++
 	}
 	l.closeIdle(n)
 }
 
+// forgot tells whether a connection broke because its peer, or what stands between, had forgotten it while it was
+// idle, as some do long before they say so. Those idle as long are closed: the next execution would meet the same.
+func (l *Link) forgot(c *conn, e *Execution) bool {
+	if !c.used || e.reach == exchange.AnswerBegun || c.idle < l.group.ConnectTimeout/5 {
+		return false
+	}
+	l.closeOlder(l.group.Clock.Now() - c.idle)
+	return true
+}
+
 // Opened is how many connections were opened so far.
 func (l *Link) Opened() int {
 	l.mu.Lock()
@@ -272,7 +291,7 @@
 	if i := slices.Index(l.waiting, e); i >= 0 {
 		l.waiting = slices.Delete(l.waiting, i, i+1)
 	}
-	b := &exchange.Break{Reach: e.reach, Result: r, Cause: cause}
+	b := &exchange.Break{Reach: e.reach, Result: r, Stale: e.stale, Cause: cause}
 	l.mu.Unlock()
 	l.group.Done(e, Ending{At: l.group.Clock.Now(), Break: b})
 }
@@ -340,6 +359,7 @@
 	case len(l.waiting) > 0:
 		e := l.waiting[0]
 		l.waiting = l.waiting[1:]
+		c.idle = 0
 		l.assign(c, e)
 	default:
 		c.since = l.group.Clock.Now()
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -374,6 +374,40 @@
 	}
 }
 
+// A peer that forgets idle connections without a word costs one execution, not one for each that is idle, and what
+// broke with one says so.
+func TestForgottenConnectionsAreClosed(t *testing.T) {
+	r := newRig(t, func(c net.Conn) {
+		for at := time.Now(); ; at = time.Now() {
+			s := read(c)
+			if s == "" {
+				return
+			}
+			if time.Since(at) > 100*time.Millisecond {
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+				return
+			}
+			c.Write([]byte(s))
+		}
+	})
+	for range 5 {
+		r.send("q", 1000)
+	}
+	for range 5 {
+		r.wants("on a connection each", fleet.Completed)
+	}
+	time.Sleep(120 * time.Millisecond)
+	r.send("q", 1000)
+	if e := r.end(); e.Break == nil || !e.Break.Stale || e.Break.Outcome() != fleet.Reset {
+		t.Errorf("on one that was forgotten: %+v", e)
+	}
+	for range 3 {
+		r.send("q", 1000)
+		r.wants("after it", fleet.Completed)
+	}
+}
+
 func TestPanicStopsAtTheConnection(t *testing.T) {
 	r := newRig(t, func(c net.Conn) { read(c); c.Write([]byte("boom\n")) })
 	r.send("q", 1000)
