Close the quietest client once those who have asked near the part of descriptors left to them

Clients ask once on each connection and keep it for seconds; what opens connections for them stops at a third of the descriptors, and the node closed quiet ones only a little over that (clients.Serve by quota.Take).

A node keeps at most three quarters of that third with those who have asked; where descriptors run out, who has been quiet for 2 s goes before who has just come (clients.Spare): newcomers were closed for newcomers, their queries on the way. Also, a connection that was idle and never used counts as forgotten like the others (link.forgot).

--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -36,6 +36,7 @@
 	BusyWait float64 // what a client turned away over that is told, ms
 
 	held     atomic.Int64
+	asked    atomic.Int64 // clients that have sent a query
 	counts   struct{ refused, bad, silent atomic.Int64 }
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -105,14 +106,17 @@
 	return len(s.conns)
 }
 
-// Spare closes the connection that has been quiet longest. With mute it looks only at those on which no query has
-// come yet: they come by hundreds and owe nothing.
-func (s *Server) Spare(mute bool) bool {
+// Spare closes the connection that has been quiet longest, if for at least so many ms. With mute it looks only at
+// those on which no query has come yet: they come by hundreds and owe nothing.
+func (s *Server) Spare(least float64, mute bool) bool {
+	return s.spare(s.Clock.Now()-least, func(asked bool) bool { return !(mute && asked) })
+}
+
+func (s *Server) spare(since float64, may func(asked bool) bool) bool {
 	s.mu.Lock()
 	var oldest *conn
-	var since float64
 	for c := range s.conns {
-		if is, asked, at := c.quiet(); is && !(mute && asked) && (oldest == nil || at < since) {
+		if is, asked, at := c.quiet(); is && may(asked) && at <= since {
 			oldest, since = c, at
 		}
 	}
@@ -120,6 +124,14 @@
 	return oldest != nil && oldest.left(true)
 }
 
+// asks counts a client that has sent its first query. Some ask once and keep the connection for good: where so many
+// do that others find no place, the one that has been quiet longest makes room.
+func (s *Server) asks() {
+	if s.asked.Add(1) > int64(s.Sockets.Usual()) {
+		s.spare(s.Clock.Now(), func(asked bool) bool { return asked })
+	}
+}
+
 // claim takes a query's id for it; false: another query in hand has that id. Cache servers tell queries apart by
 // their ids, and could give one the other's answer or take it for a second copy.
 func (s *Server) claim(x *exchange.Exchange) bool {
--- a/node/clients/clients_test.go
+++ b/node/clients/clients_test.go
@@ -208,7 +208,7 @@
 	other := r.dial()
 	other.Write([]byte(command("KV.SET", "k", "i", "c=put,d=5,k=1", strings.Repeat("v", 1<<20))))
 	other.wants("-ERR a value larger than 64 KiB\r\n")
-	for deadline := time.Now().Add(5 * time.Second); !r.server.Spare(false); time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); !r.server.Spare(0, false); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("no connection is quiet")
 		}
@@ -350,10 +350,11 @@
 
 // Where descriptors run out, those who have asked nothing make room first, then the one that has been quiet longest.
 func TestDescriptorsAreShared(t *testing.T) {
-	r := newRig(t, func(s *Server) { // three may be open
-		s.Sockets = quota.New(10)
-		s.Sockets.Spare(true, func() bool { return s.Spare(true) })
-		s.Sockets.Spare(true, func() bool { return s.Spare(false) })
+	r := newRig(t, func(s *Server) { // ten may be open
+		s.Sockets = quota.New(30)
+		s.Sockets.Spare(true, func() bool { return s.Spare(400, false) })
+		s.Sockets.Spare(true, func() bool { return s.Spare(0, true) })
+		s.Sockets.Spare(true, func() bool { return s.Spare(0, false) })
 	})
 	quiet, busy := r.dial(), r.dial()
 	quiet.Write([]byte(command("KV.GET", "k", "0", extra)))
@@ -368,7 +369,7 @@
 	}
 	quiet.Write([]byte(command("PING")))
 	quiet.wants("+PONG\r\n")
-	for k := range 2 {
+	for k := range 9 {
 		c := r.dial()
 		c.Write([]byte(command("KV.GET", "k", fmt.Sprint(k+2), extra)))
 		r.next()
@@ -378,6 +379,56 @@
 	busy.wants("$1\r\nv\r\n")
 }
 
+// Where those who have asked and stay hold all that clients may, they make room, and not a newcomer whose query is on
+// its way: each once took the place of the one before it, and nobody was served.
+func TestNewcomersAreNotTradedForNewcomers(t *testing.T) {
+	r := newRig(t, func(s *Server) { // three may be open
+		s.Sockets = quota.New(10)
+		s.Sockets.Spare(true, func() bool { return s.Spare(100, false) })
+		s.Sockets.Spare(true, func() bool { return s.Spare(0, true) })
+	})
+	for k := range 3 {
+		c := r.dial()
+		c.Write([]byte(command("KV.GET", "k", fmt.Sprint(k), extra)))
+		r.next().Answer(exchange.Answer{Value: []byte("v")})
+		c.wants("$1\r\nv\r\n")
+	}
+	time.Sleep(120 * time.Millisecond)
+	first := r.dial()
+	for range 2 {
+		r.dial()
+	}
+	time.Sleep(20 * time.Millisecond)
+	first.Write([]byte(command("KV.GET", "k", "9", extra)))
+	r.next().Answer(exchange.Answer{Value: []byte("w")})
+	first.wants("$1\r\nw\r\n")
+}
+
+// Clients may ask once on each connection and keep it: what opens connections for them stops at their part, so that
+// the one quiet longest makes room before that is reached. Those whose query is in hand do not.
+func TestThoseWhoAskOnceMakeRoom(t *testing.T) {
+	r := newRig(t, func(s *Server) { s.Sockets = quota.New(120) })
+	waits := r.dial()
+	waits.Write([]byte(command("KV.GET", "k", "w", extra)))
+	x := r.next()
+	var all []*client
+	for k := range 40 {
+		c := r.dial()
+		c.Write([]byte(command("KV.GET", "k", fmt.Sprint(k), extra)))
+		r.next().Answer(exchange.Answer{Value: []byte("v")})
+		c.wants("$1\r\nv\r\n")
+		all = append(all, c)
+	}
+	if open := r.server.Open(); open > 31 {
+		t.Errorf("%d connections are open", open)
+	}
+	all[0].wantsEnd()
+	all[39].Write([]byte(command("PING")))
+	all[39].wants("+PONG\r\n")
+	x.Answer(exchange.Answer{Value: []byte("w")})
+	waits.wants("$1\r\nw\r\n")
+}
+
 // Who connects and says nothing, or begins and does not end, is closed. A client that has asked may be quiet for long.
 func TestSilentConnectionsAreClosed(t *testing.T) {
 	r := newRig(t, func(s *Server) { s.Patience = 150 })
--- a/node/clients/conn.go
+++ b/node/clients/conn.go
@@ -165,10 +165,16 @@
 		return
 	}
 	x.Back = c
-	if c.push(slot{x: x, size: size}) {
-		c.server.Node.Take(x)
-	} else {
+	c.mu.Lock()
+	first := !c.asked
+	c.mu.Unlock()
+	if !c.push(slot{x: x, size: size}) {
 		c.server.release(x)
+		return
+	}
+	c.server.Node.Take(x)
+	if first {
+		c.server.asks()
 	}
 }
 
@@ -302,6 +308,9 @@
 	}
 	slots := c.slots
 	c.book(-c.held)
+	if c.asked {
+		c.server.asked.Add(-1)
+	}
 	c.closed, c.ended, c.slots = true, true, nil
 	c.cond.Broadcast()
 	c.mu.Unlock()
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -228,7 +228,7 @@
 // forgot tells whether a connection broke because its peer, or what stands between, had forgotten it while it was
 // idle, as some do long before they say so. Those idle as long are closed: the next execution would meet the same.
 func (l *Link) forgot(c *conn, e *Execution) bool {
-	if !c.used || e.reach == exchange.AnswerBegun || c.idle < l.group.ConnectTimeout/5 {
+	if e.reach == exchange.AnswerBegun || c.idle < l.group.ConnectTimeout/5 {
 		return false
 	}
 	l.closeOlder(l.group.Clock.Now() - c.idle)
--- a/node/node.go
+++ b/node/node.go
@@ -113,9 +113,12 @@
 			n.inbox.post(listed{mode, u.Members})
 		},
 		Failed: func(err error) { n.inbox.post(unlisted{err}) }}
-	sockets.Spare(true, func() bool { return n.front.Spare(true) })
+	// Who has asked and stays goes before who has just come: where the quiet ones held all there is, each newcomer took
+	// the place of the one before it, whose query was still on its way.
+	sockets.Spare(true, func() bool { return n.front.Spare(patience, false) })
+	sockets.Spare(true, func() bool { return n.front.Spare(0, true) })
 	sockets.Spare(false, n.group.Spare)
-	sockets.Spare(true, func() bool { return n.front.Spare(false) })
+	sockets.Spare(true, func() bool { return n.front.Spare(0, false) })
 	now := n.clock.Now()
 	b.Site.Limits.Subscribe = true // over HTTP nothing comes unasked, also where the settings say that changes do
 	n.mind = decide.New(now, b.Site.Limits, &n.slab)
--- a/node/quota/sockets.go
+++ b/node/quota/sockets.go
@@ -35,6 +35,10 @@
 	return &Sockets{free: free, kept: min(limit/3, free/2), most: max(1, min(limit/3+limit/10, free*2/3))}
 }
 
+// Usual is how many connections clients with queries may keep before the quietest has to go. It is less than the part
+// left to them: what opens connections for clients stops at that part, also where most of them are idle.
+func (s *Sockets) Usual() int { return s.kept * 3 / 4 }
+
 // Spare adds a way of making room: each call closes one connection that can be done without, or tells that there is
 // none. Those added first are tried first.
 func (s *Sockets) Spare(client bool, f func() bool) {
