--- a/decide/decide.go
+++ b/decide/decide.go
@@ -326,7 +326,8 @@
 		n.sent(s, q)
 		if q.Stage = out; s == n.origin {
 			q.Stage = fetching
-		} else if n.looksBack(q) {
+		}
+		if n.looksBack(q) {
 			n.hold(q, n.now+n.patience(q, s))
 		}
 	case fleet.Reject, fleet.Abort:
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -362,28 +362,44 @@
 }
 
 // A connection may fall silent while its server answers others. The execution on it is given up long before its time
-// is over, and the query goes to the same server, which has its copy.
+// is over, and the query goes to the same server: a cache has its copy, and the origin is where it was missed for.
 func TestSilentConnectionIsGivenUp(t *testing.T) {
-	lim := plainLimits()
-	lim.SecondCopies = false
-	w := newWorld(lim)
-	w.servers(4)
-	for i := range 200 {
-		w.end(w.ask(0, fleet.Key(i), false, 900), 0, fleet.Completed, fleet.NoteHit)
-		w.pass(5)
-	}
-	lost := w.ask(0, 7, false, 900)
-	own := lost.runs[0].server
-	for key := fleet.Key(1000); len(lost.runs) == 1 && w.now < 3000; key++ {
-		tr := w.ask(0, key, false, 900)
-		w.pass(5)
-		w.end(tr, 0, fleet.Completed, fleet.NoteHit)
-	}
-	if len(lost.runs) != 2 || lost.runs[1].server != own {
-		t.Errorf("the lost execution has %+v", lost.runs)
-	}
-	if w.failed != "" {
-		t.Error(w.failed)
+	for _, c := range []struct {
+		at         int     // number of the execution that is lost
+		late       float64 // while answers are late, long ones are no sign of that
+		least, end float64
+	}{{0, 0, 0, 400}, {1, 0, 0, 400}, {0, 1, 220, 900}} {
+		at := c.at
+		lim := plainLimits()
+		lim.SecondCopies = false
+		w := newWorld(lim)
+		w.servers(4)
+		ask := func(key fleet.Key) *trace {
+			tr := w.ask(0, key, false, 900)
+			if at == 1 {
+				w.end(tr, 0, fleet.Missed, fleet.NoteMiss)
+			}
+			return tr
+		}
+		for i := range 200 {
+			w.end(ask(fleet.Key(i)), at, fleet.Completed, fleet.NoteHit)
+			w.pass(5)
+		}
+		w.node.late = c.late
+		lost := ask(7)
+		for key := fleet.Key(1000); len(lost.runs) == at+1 && w.now < 3000; key++ {
+			tr := ask(key)
+			w.pass(5)
+			w.end(tr, at, fleet.Completed, fleet.NoteHit)
+		}
+		took := w.now - lost.runs[at].sent
+		same := len(lost.runs) == at+2 && (lost.runs[at+1].server == lost.runs[at].server || c.late > 0)
+		if !same || took < c.least || took > c.end {
+			t.Errorf("the lost execution has %+v at %v", lost.runs, w.now)
+		}
+		if w.failed != "" {
+			t.Error(w.failed)
+		}
 	}
 }
 
--- a/decide/health.go
+++ b/decide/health.go
@@ -15,7 +15,7 @@
 	cell    fleet.CellID
 	started float64
 
-	listed, news bool // news: its report has moved no point yet
+	listed, news, open bool // news: its report has moved no point yet; open: may have a connection to it
 
 	home, size      float64 // the hash of its id, and its nominal size
 	spots           [2]spot // on the whole ring and on its zone's
@@ -28,7 +28,6 @@
 	rt, ah, rtAt    float64 // recent answer time, what was ahead then, and when
 	bad             float64 // recent share of failures
 	tryAt, pause    float64 // sick: when the next trial may go, and how long from one to the next
-	open            bool    // may have a connection to it
 	usedAt          float64 // last sent to
 	tokens, tokenAt float64 // cold: work that may still be sent, and when that was reckoned
 }
@@ -183,19 +182,19 @@
 	e := &q.Execs[q.N-1]
 	s, slo := n.servers[e.Server], n.lim.workloads[q.Workload].slo
 	next := n.now + slo/8
-	if !n.looksBack(q) || q.Stage != out || q.Out != 1 || e.Result != fleet.Pending || e.Quit ||
+	if !n.looksBack(q) || q.Out != 1 || e.Result != fleet.Pending || e.Quit ||
 		q.N >= n.lim.maxExecs || next >= q.Deadline-n.lim.slack {
 		return fleet.Move{Action: fleet.Hold}
 	}
-	lost := s.quiet > e.Sent && n.now-e.Sent > max(slo/2, 6*s.est(n))
-	if n.copies < 1 || !lost && n.now-max(s.quiet, e.Sent) < n.patience(q, s) {
+	lost := s.quiet > e.Sent && n.late <= overload && n.now-e.Sent > max(slo/2, 6*s.est(n))
+	if n.copies < 1 || !lost && (s == n.origin || n.now-max(s.quiet, e.Sent) < n.patience(q, s)) {
 		return n.hold(q, next)
 	}
 	t := n.origin // another cache seldom has the key; the origin always does
 	if t == nil || n.store.busy(n) >= 0.5 {
 		t = n.route(q)
 	}
-	if t == nil || t == s || t.est(n) >= (n.now-e.Sent)/2 {
+	if (t == nil || t == s || t.est(n) >= (n.now-e.Sent)/2) && (!lost || n.lim.copies) {
 		return n.hold(q, next)
 	}
 	n.copies--
