Forget servers that are long gone, and use their places again

A place is used again once its server is gone for longer than any query can be in hand and the grace has passed; its link leaves the group. Test: 300 replacements leave at most 16 places.

--- a/node/events.go
+++ b/node/events.go
@@ -119,7 +119,7 @@
 func (e listed) handle(n *Node, now float64) {
 	members := make([]fleet.Member, 0, len(e.entries))
 	for _, text := range e.entries {
-		m, err := n.member(text)
+		m, err := n.member(now, text)
 		if err != nil {
 			n.log.WithError(err).Warn("an entry of the list cannot be read")
 			continue
@@ -127,7 +127,7 @@
 		members = append(members, m)
 	}
 	if e.mode != fleet.ListDelta {
-		n.missing(members)
+		n.missing(now, members)
 	}
 	n.mind.Members(now, e.mode, members)
 	for _, p := range n.peers {
@@ -138,15 +138,14 @@
 }
 
 // missing shuts the links to servers that a whole list no longer names.
-func (n *Node) missing(named []fleet.Member) {
+func (n *Node) missing(now float64, named []fleet.Member) {
 	there := make([]bool, len(n.peers))
 	for _, m := range named {
 		there[m.ID] = true
 	}
 	for i, p := range n.peers {
 		if !there[i] {
-			p.state = fleet.Gone
-			p.link.Aim("", false)
+			p.turn(now, fleet.Gone)
 		}
 	}
 }
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mintspring/fleet"
@@ -74,10 +75,15 @@
 	Stall          float64 // an answer that has begun may stand still for so long, ms; 0: for ever
 	Rest           float64 // a connection is not used for so long after an answer, in ms, for more may come behind it
 
+	opened atomic.Int64
+
 	mu    sync.Mutex
 	links []*Link
 }
 
+// Opened is how many connections were opened so far.
+func (g *Group) Opened() int { return int(g.opened.Load()) }
+
 // Spare closes the connection of the group that has been idle longest, and tells whether there was one.
 func (g *Group) Spare() bool {
 	g.mu.Lock()
@@ -105,7 +111,6 @@
 	waiting []*Execution
 	dialing int
 	resting int // connections that will be free in a moment
-	opened  int // connections opened so far
 }
 
 // New makes a link that is shut.
@@ -117,6 +122,13 @@
 	return l
 }
 
+// Drop takes the link of a server that is long gone out of the group.
+func (l *Link) Drop() {
+	l.group.mu.Lock()
+	l.group.links = slices.DeleteFunc(slices.Clone(l.group.links), func(o *Link) bool { return o == l })
+	l.group.mu.Unlock()
+}
+
 // Aim says where the peer is and whether executions may go to it. Connections to an address of before are
 // not used again; what waits for one when the link is shut is not sent.
 func (l *Link) Aim(addr string, open bool) {
@@ -235,13 +247,6 @@
 	return true
 }
 
-// Opened is how many connections were opened so far.
-func (l *Link) Opened() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.opened
-}
-
 // closeIdle closes the n connections that have been idle longest.
 func (l *Link) closeIdle(n int) {
 	for _, c := range l.idle[:n] {
@@ -314,7 +319,7 @@
 	l.dialing--
 	if err == nil {
 		c := &conn{link: l, net: nc, addr: addr, work: make(chan *Execution, 1)}
-		l.opened++
+		l.group.opened.Add(1)
 		go c.writes()
 		go c.reads()
 		l.free(c)
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -215,26 +215,26 @@
 		r.send("q", 1000)
 		r.wants("one after another", fleet.Completed)
 	}
-	if k := r.link.Opened(); k != 1 {
+	if k := r.link.group.Opened(); k != 1 {
 		t.Errorf("%d connections for five executions in turn", k)
 	}
 	r.send("last", 1000)
 	r.end()
 	r.send("q", 1000)
 	r.wants("after the peer's last", fleet.Completed)
-	if k := r.link.Opened(); k != 2 {
+	if k := r.link.group.Opened(); k != 2 {
 		t.Errorf("%d connections", k)
 	}
 	r.link.LetGo()
 	r.send("q", 1000)
 	r.wants("after letting go", fleet.Completed)
-	if k := r.link.Opened(); k != 3 {
+	if k := r.link.group.Opened(); k != 3 {
 		t.Errorf("%d connections", k)
 	}
 	time.Sleep(350 * time.Millisecond)
 	r.send("q", 1000) // the peer may be closing the one that has been idle for long
 	r.wants("after a long pause", fleet.Completed)
-	if k := r.link.Opened(); k != 4 {
+	if k := r.link.group.Opened(); k != 4 {
 		t.Errorf("%d connections", k)
 	}
 	time.Sleep(350 * time.Millisecond)
@@ -329,7 +329,7 @@
 	if v := string(r.end().Reply.Value); v != "q" {
 		t.Errorf("answered with %q", v)
 	}
-	if k := r.link.Opened(); k != 2 {
+	if k := r.link.group.Opened(); k != 2 {
 		t.Errorf("%d connections", k)
 	}
 }
@@ -431,6 +431,9 @@
 			t.Errorf("after %d: %d and %d idle", i+1, len(other.idle), len(r.link.idle))
 		}
 	}
+	if other.Drop(); len(r.link.group.links) != 1 {
+		t.Errorf("%d links after one was dropped", len(r.link.group.links))
+	}
 }
 
 func TestNoDescriptorLeft(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -54,6 +54,7 @@
 type peer struct {
 	entry list.Entry
 	state fleet.State
+	gone  float64 // since when it is, in the time of the loop
 	link  *link.Link
 }
 
@@ -75,6 +76,7 @@
 	byRef    map[fleet.Ref]*hand
 	ids      map[string]fleet.ServerID
 	peers    []*peer
+	keeps    float64 // the place of a server that is gone is kept for so long, ms
 	lastID   fleet.QueryID
 	tally    tally
 	ending   bool
@@ -119,6 +121,7 @@
 	sockets.Spare(true, func() bool { return n.front.Spare(0, true) })
 	sockets.Spare(false, n.group.Spare)
 	sockets.Spare(true, func() bool { return n.front.Spare(0, false) })
+	n.keeps = longest + b.Site.Limits.StopSendingWithin
 	now := n.clock.Now()
 	b.Site.Limits.Subscribe = true // over HTTP nothing comes unasked, also where the settings say that changes do
 	n.mind = decide.New(now, b.Site.Limits, &n.slab)
@@ -248,12 +251,10 @@
 
 // upkeep closes connections that have been idle for long and logs what went through.
 func (n *Node) upkeep() {
-	opened := 0
 	for _, p := range n.peers {
 		p.link.Reap()
-		opened += p.link.Opened()
 	}
-	n.tally.log(n.log, len(n.hands), n.front, opened)
+	n.tally.log(n.log, len(n.hands), n.front, n.group.Opened())
 }
 
 // act does what the module answered.
@@ -296,7 +297,7 @@
 }
 
 // member takes an entry of the list in over what was known of the server, and aims the link at it.
-func (n *Node) member(text json.RawMessage) (fleet.Member, error) {
+func (n *Node) member(now float64, text json.RawMessage) (fleet.Member, error) {
 	e, err := list.Over(list.Entry{}, text)
 	if err != nil {
 		return fleet.Member{}, err
@@ -307,7 +308,7 @@
 			return fleet.Member{}, err
 		}
 	} else {
-		id = fleet.ServerID(len(n.peers))
+		id = n.place(now)
 	}
 	m := fleet.Member{ID: id, Name: e.ID, Kind: fleet.KindID(slices.Index(n.site.Kinds, e.Flavor)),
 		Zone: fleet.ZoneID(slices.Index(n.site.Zones, e.Locality)), Cell: fleet.CellID(e.Cell), Size: e.Size,
@@ -327,10 +328,34 @@
 			w = origin.Wire{}
 		}
 		n.ids[e.ID] = id
-		n.peers = append(n.peers, &peer{link: link.New(n.group, w)})
+		n.peers[id] = &peer{link: link.New(n.group, w)}
 	}
 	p := n.peers[id]
-	p.entry, p.state = e, m.State
-	p.link.Aim(e.HostPort, m.State == fleet.Ready)
+	p.entry = e
+	p.turn(now, m.State)
 	return m, nil
 }
+
+// turn takes in what the list says of the server.
+func (p *peer) turn(now float64, to fleet.State) {
+	if to == fleet.Gone && p.state != fleet.Gone {
+		p.gone = now
+	}
+	p.state = to
+	p.link.Aim(p.entry.HostPort, to == fleet.Ready)
+}
+
+// place finds a place for a server that was not known: that of one long gone, or a new one. Where servers are replaced
+// all the time by ones with ids of their own, what is known of each must not stay for ever. No query in hand is as old
+// as a place that is used again.
+func (n *Node) place(now float64) fleet.ServerID {
+	for i, p := range n.peers {
+		if p.state == fleet.Gone && now-p.gone > n.keeps {
+			delete(n.ids, p.entry.ID)
+			p.link.Drop()
+			return fleet.ServerID(i)
+		}
+	}
+	n.peers = append(n.peers, nil)
+	return fleet.ServerID(len(n.peers) - 1)
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand"
@@ -259,12 +260,46 @@
 		{`{"id":"d","host_port":"127.0.0.1:1","phase":"new","locality":"z","flavor":"box"}`,
 			fleet.Member{ID: 3, Name: "d", Zone: -1, State: fleet.Draining}},
 	} {
-		if m, err := n.member([]byte(c.text)); err != nil || m != c.want {
+		if m, err := n.member(0, []byte(c.text)); err != nil || m != c.want {
 			t.Errorf("%s: %+v, %v", c.text, m, err)
 		}
 	}
 }
 
+// Where servers are replaced all the time by ones with ids of their own, also at addresses of before, the node keeps no
+// more of them than there are, once nothing in hand can be about those that are gone. One that comes back is known.
+func TestServersLongGoneAreForgotten(t *testing.T) {
+	w := newTown(t, 1, hit, fromOrigin)
+	n := New(Birth{Site: w.node.site, Discovery: "127.0.0.1:1"}, logrus.New())
+	now := 0.0
+	tell := func(mode fleet.ListMode, entries ...string) {
+		var raw []json.RawMessage
+		for _, e := range entries {
+			raw = append(raw, json.RawMessage(e))
+		}
+		listed{mode, raw}.handle(n, now)
+	}
+	for i := range 300 {
+		tell(fleet.ListDelta, entry(fmt.Sprint("s", i), fmt.Sprint("127.0.0.1:", 1000+i%3), "box", "in_service"))
+		if i > 2 && i%2 == 0 {
+			tell(fleet.ListDelta, fmt.Sprintf(`{"id":"s%d","phase":"terminated"}`, i-3))
+		} else if i > 2 {
+			tell(fleet.ListFull, entry(fmt.Sprint("s", i), "127.0.0.1:1000", "box", "in_service"),
+				entry(fmt.Sprint("s", i-1), "127.0.0.1:1001", "box", "in_service"))
+		}
+		now += n.keeps / 4
+	}
+	if k := len(n.peers); k > 16 || len(n.ids) > k {
+		t.Errorf("%d places, %d ids", k, len(n.ids))
+	}
+	id := n.ids["s299"]
+	tell(fleet.ListDelta, `{"id":"s299","phase":"terminated"}`)
+	tell(fleet.ListDelta, entry("s299", "127.0.0.1:1002", "box", "in_service"))
+	if n.ids["s299"] != id || n.peers[id].state != fleet.Ready || n.peers[id].entry.HostPort != "127.0.0.1:1002" {
+		t.Errorf("the server that came back is %+v", n.peers[n.ids["s299"]])
+	}
+}
+
 // At a planned restart what is in hand is answered, new clients are served for the grace, and it ends by itself.
 func TestStopAnswersWhatIsInHand(t *testing.T) {
 	w := newTown(t, 2, func(c redcon.Conn, key, id string) { time.Sleep(60 * time.Millisecond); hit(c, key, id) }, fromOrigin)
