--- /dev/null
+++ b/baseline/baseline.go
@@ -0,0 +1,160 @@
+// Package baseline holds plain policies that the node can be run with in place of its own decisions, so that an
+// experiment shows what those are worth: random choice and plain consistent hashing. They keep the first three rules
+// as a careful client would, and know nothing of load, health or cold servers.
+package baseline
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	"mintspring/fleet"
+)
+
+// Names of the policies.
+const (
+	Random = "random"
+	Hash   = "hash"
+)
+
+// Policy is one balancer. It answers the calls that decide.Node answers.
+type Policy struct {
+	lim    fleet.Limits
+	random bool
+	slab   *fleet.Slab
+	alarms fleet.Alarms
+	draws  uint64
+	askAt  float64
+
+	servers map[fleet.ServerID]fleet.Member
+	caches  []fleet.Member // ready ones, by their points
+	origin  fleet.ServerID
+}
+
+// New starts a policy by its name.
+func New(name string, now float64, l fleet.Limits, slab *fleet.Slab) (*Policy, error) {
+	if name != Random && name != Hash {
+		return nil, fmt.Errorf("no baseline is called %q; there are %s and %s", name, Random, Hash)
+	}
+	return &Policy{lim: l, random: name == Random, slab: slab, askAt: now, origin: fleet.NoServer,
+		servers: map[fleet.ServerID]fleet.Member{}}, nil
+}
+
+func (p *Policy) chance() float64 {
+	var b [16]byte
+	p.draws++
+	binary.LittleEndian.PutUint64(b[:], p.lim.Seed)
+	binary.LittleEndian.PutUint64(b[8:], p.draws)
+	h := fnv.New64a()
+	h.Write(b[:])
+	return fleet.Unit(h.Sum64())
+}
+
+// Members takes in the list.
+func (p *Policy) Members(now float64, mode fleet.ListMode, entries []fleet.Member) {
+	if mode == fleet.ListFailed {
+		p.askAt = now + 500
+		return
+	}
+	if mode == fleet.ListFull {
+		clear(p.servers)
+	}
+	for _, m := range entries {
+		p.servers[m.ID] = m
+	}
+	p.caches, p.origin = p.caches[:0], fleet.NoServer
+	for _, m := range p.servers {
+		switch {
+		case m.State != fleet.Ready:
+		case p.lim.OriginKind >= 0 && m.Kind == p.lim.OriginKind:
+			p.origin = m.ID
+		default:
+			p.caches = append(p.caches, m)
+		}
+	}
+	slices.SortFunc(p.caches, func(a, b fleet.Member) int { return cmp.Compare(fleet.Home(a.Name), fleet.Home(b.Name)) })
+}
+
+// Where says where a query goes, and without one does what is due.
+func (p *Policy) Where(now float64, q *fleet.Query) fleet.Move {
+	if q == nil {
+		if now >= p.askAt {
+			p.askAt = math.Inf(1)
+			return fleet.Move{Action: fleet.Subscribe}
+		}
+		return fleet.Move{}
+	}
+	if q.Closed || q.Out > 0 {
+		return fleet.Move{}
+	}
+	return p.place(now, q)
+}
+
+// After says what comes after an outcome.
+func (p *Policy) After(now float64, q *fleet.Query, o fleet.Outcome) fleet.Move {
+	if o.Exec < 0 || o.Exec >= q.N || q.Execs[o.Exec].Result != fleet.Pending {
+		return fleet.Move{}
+	}
+	q.Execs[o.Exec].Result = o.Result
+	q.Out--
+	if o.Over || q.Closed {
+		q.Closed = true
+		return fleet.Move{}
+	}
+	return p.place(now, q)
+}
+
+// Wait says when something is due.
+func (p *Policy) Wait(now float64) (fleet.Ref, float64) { return fleet.NoQuery, max(0, p.askAt-now) }
+
+// Left takes in that a client has gone.
+func (p *Policy) Left(now float64, q *fleet.Query) { q.Closed = true }
+
+func (p *Policy) place(now float64, q *fleet.Query) fleet.Move {
+	to := p.choose(q)
+	w := &p.lim.Workloads[q.Workload]
+	again, harmless := true, true
+	for _, e := range q.Execs[:q.N] {
+		if e.Result.NeverRan() || w.Effect == fleet.Idempotent {
+			continue
+		}
+		harmless = harmless && w.Effect == fleet.Deduplicated && w.Scope == fleet.ScopeAll
+		s, t := p.servers[e.Server], p.servers[to]
+		again = again && w.Effect == fleet.Deduplicated && now+p.lim.Quantum < e.Sent+w.DedupSpan &&
+			(w.Scope == fleet.ScopeAll || w.Scope == fleet.ScopeZone && s.Zone == t.Zone || s.Zone == t.Zone && s.Cell == t.Cell)
+	}
+	if to == fleet.NoServer || !again || q.N >= min(max(p.lim.MaxExecutions, 1), fleet.MaxExecs) ||
+		q.Deadline-now <= p.lim.Quantum {
+		q.Closed = true
+		if harmless {
+			return fleet.Move{Action: fleet.Reject}
+		}
+		return fleet.Move{Action: fleet.Abort}
+	}
+	no := q.N
+	q.Execs[no] = fleet.Exec{Server: to, Sent: now}
+	q.N++
+	q.Out++
+	return fleet.Move{Action: fleet.Send, Server: to, Exec: no, Limit: q.Deadline - now}
+}
+
+// choose picks by chance, or the key's owner and, once that has failed, those behind it on the ring.
+func (p *Policy) choose(q *fleet.Query) fleet.ServerID {
+	missed := false
+	for _, e := range q.Execs[:q.N] {
+		missed = missed || e.Result == fleet.Missed || e.Server == p.origin
+	}
+	if p.lim.OriginKind >= 0 && (q.Write || missed) || len(p.caches) == 0 {
+		return p.origin
+	}
+	if p.random {
+		return p.caches[int(p.chance()*float64(len(p.caches)))].ID
+	}
+	at, _ := slices.BinarySearchFunc(p.caches, q.Key.Point(), func(m fleet.Member, x float64) int {
+		return cmp.Compare(fleet.Home(m.Name), x)
+	})
+	return p.caches[(at+q.N)%len(p.caches)].ID
+}
--- /dev/null
+++ b/cmd/mintrig/main.go
@@ -0,0 +1,363 @@
+// Mintrig plays stand-ins, load and experiments, on loopback addresses only.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/schollz/progressbar/v3"
+
+	"mintspring/baseline"
+	"mintspring/rig"
+)
+
+type words struct {
+	Serve   serveCmd   `cmd:"" help:"Stand-ins in the foreground: cache servers, the origin and discovery."`
+	Try     tryCmd     `cmd:"" help:"A node among stand-ins: one query and a short load, and all of it ends."`
+	Ask     askCmd     `cmd:"" help:"Send one query to a node."`
+	Load    loadCmd    `cmd:"" help:"Load on one node, without stand-ins."`
+	Run     runCmd     `cmd:"" help:"Play experiments and say what held."`
+	Report  reportCmd  `cmd:"" help:"One page about the runs in a folder."`
+	Compare compareCmd `cmd:"" help:"Figures of two folders side by side."`
+	Names   namesCmd   `cmd:"" help:"List what an expectation can name."`
+	Node    nodeCmd    `cmd:"" hidden:"" help:"A node that a baseline decides for."`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	w := words{}
+	k := kong.Parse(&w, kong.Name("mintrig"), kong.Description("Stand-ins, load and experiments on loopback."),
+		kong.BindTo(ctx, (*context.Context)(nil)))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "mintrig:", err)
+		os.Exit(1)
+	}
+}
+
+// beside is a program in the folder of this one.
+func beside(name string) string {
+	self, err := os.Executable()
+	if err != nil {
+		return name
+	}
+	return filepath.Join(filepath.Dir(self), name)
+}
+
+func program(p string) (string, error) {
+	if p == "" {
+		p = beside("mintspring")
+	}
+	if _, err := os.Stat(p); err != nil {
+		return "", fmt.Errorf("the node's program: %w; make build makes it", err)
+	}
+	return p, nil
+}
+
+const plain = `name = "plain"
+about = "Three boxes that hold little and cost little, to try a node with."
+[fleet]
+zones = ["hall-a", "hall-b"]
+[[fleet.boxes]]
+count = 3
+[[workloads]]
+name = "read"
+share = 0.9
+slo = "200ms"
+timeout = "1s"
+[[workloads]]
+name = "write"
+write = true
+effect = "deduplicated"
+dedup_span = "5s"
+share = 0.1
+slo = "400ms"
+[nodes]
+count = 1
+[load]
+rate = 300
+`
+
+func plainOr(file string) (*rig.Experiment, error) {
+	if file == "" {
+		return rig.Parse("plain", plain)
+	}
+	return rig.Read(file)
+}
+
+type serveCmd struct {
+	File   string `arg:"" optional:"" help:"An experiment whose fleet is to stand; a small one otherwise."`
+	Listen string `help:"Where the first node is to listen." default:"127.0.0.1:7379"`
+	Dir    string `help:"Configurations of nodes go there." default:"run"`
+	Node   bool   `help:"Start the nodes too."`
+}
+
+func (c *serveCmd) Run(ctx context.Context) error {
+	x, err := plainOr(c.File)
+	if err != nil {
+		return err
+	}
+	var argv []string
+	if c.Node {
+		p, err := program("")
+		if err != nil {
+			return err
+		}
+		argv = []string{p}
+	}
+	s, err := rig.Stand(x, []string{c.Listen}, c.Dir, argv)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for i, f := range s.Files {
+		if c.Node {
+			fmt.Printf("node %d serves on %s\n", i, s.Addrs[i])
+		} else {
+			fmt.Printf("for node %d, on %s: bin/mintspring run --config %s\n", i, s.Addrs[i], f)
+		}
+	}
+	fmt.Println("the fleet stands until it is interrupted")
+	s.Wait(ctx)
+	return nil
+}
+
+type tryCmd struct{}
+
+func (c *tryCmd) Run(ctx context.Context) error {
+	x, err := plainOr("")
+	if err != nil {
+		return err
+	}
+	p, err := program("")
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "mintrig-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	s, err := rig.Stand(x, nil, dir, []string{p})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	v, err := rig.Ask(s.Addrs[0], "read", "all", "greeting", "", false, time.Second)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("KV.GET greeting: %s\n", strings.TrimRight(v, "."))
+	got, err := rig.Pace{Addr: s.Addrs[0], Rate: 300, Clients: 32, For: 3 * time.Second, Workload: "read", Tenant: "all",
+		Timeout: time.Second, Keys: 300}.Run()
+	if err == nil {
+		fmt.Println(got)
+	}
+	return err
+}
+
+type askCmd struct {
+	Key      string        `arg:""`
+	Value    string        `arg:"" optional:"" help:"With a value it is a write."`
+	Addr     string        `default:"127.0.0.1:7379"`
+	Workload string        `help:"read, or write where there is a value, otherwise."`
+	Tenant   string        `default:"all"`
+	Timeout  time.Duration `default:"2s"`
+}
+
+func (c *askCmd) Run() error {
+	w := c.Workload
+	if w == "" {
+		if w = "read"; c.Value != "" {
+			w = "write"
+		}
+	}
+	v, err := rig.Ask(c.Addr, w, c.Tenant, c.Key, c.Value, c.Value != "", c.Timeout)
+	if err == nil {
+		fmt.Println(v)
+	}
+	return err
+}
+
+type loadCmd struct {
+	Addr     string        `arg:""`
+	Rate     float64       `help:"Queries a second, which wait for no answer; 0: each client asks as soon as it is answered." default:"200"`
+	Clients  int           `help:"Connections." default:"16"`
+	For      time.Duration `default:"10s"`
+	Workload string        `default:"read"`
+	Tenant   string        `default:"all"`
+	Timeout  time.Duration `default:"1s"`
+	Keys     int           `default:"1000"`
+}
+
+func (c *loadCmd) Run() error {
+	if err := loopback(c.Addr); err != nil {
+		return err
+	}
+	bar := progress("load")
+	got, err := rig.Pace{Addr: c.Addr, Rate: c.Rate, Clients: c.Clients, For: c.For, Workload: c.Workload, Tenant: c.Tenant,
+		Timeout: c.Timeout, Keys: c.Keys, Progress: bar}.Run()
+	if err == nil {
+		fmt.Println(got)
+	}
+	return err
+}
+
+// loopback refuses addresses of other machines.
+func loopback(addr string) error {
+	if !strings.HasPrefix(addr, "127.") && !strings.HasPrefix(addr, "localhost:") && !strings.HasPrefix(addr, "[::1]:") {
+		return fmt.Errorf("%s is no loopback address", addr)
+	}
+	return nil
+}
+
+// progress is a bar on standard error where that is a terminal.
+func progress(what string) func(float64) {
+	if st, err := os.Stderr.Stat(); err != nil || st.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	bar := progressbar.NewOptions(1000, progressbar.OptionSetDescription(what), progressbar.OptionClearOnFinish(),
+		progressbar.OptionSetWriter(os.Stderr))
+	return func(done float64) { bar.Set(int(1000 * min(1, done))) }
+}
+
+type runCmd struct {
+	Files   []string `arg:"" help:"Experiments."`
+	Seed    uint64   `help:"In place of the files' own."`
+	Out     string   `help:"Verdicts, and logs of nodes, are kept in this folder."`
+	JSON    bool     `name:"json" help:"Print verdicts as JSON."`
+	Against []string `help:"Also play it with random, hash, or another build's program." placeholder:"NAME"`
+	Program string   `help:"The node's program; the one beside this otherwise."`
+}
+
+func (c *runCmd) Run(ctx context.Context) error {
+	p, err := program(c.Program)
+	if err != nil {
+		return err
+	}
+	short := 0
+	for _, file := range c.Files {
+		x, err := rig.Read(file)
+		if err != nil {
+			return err
+		}
+		type player struct {
+			name string
+			argv []string
+		}
+		players := []player{{"mintspring", []string{p}}}
+		for _, a := range c.Against {
+			if a == baseline.Random || a == baseline.Hash {
+				self, err := os.Executable()
+				if err != nil {
+					return err
+				}
+				players = append(players, player{a, []string{self, "node", "--policy", a}})
+				continue
+			}
+			if _, err := os.Stat(a); err != nil {
+				return fmt.Errorf("--against: %w; it is %s, %s or a program", err, baseline.Random, baseline.Hash)
+			}
+			players = append(players, player{filepath.Base(a) + "-before", []string{a}})
+		}
+		var all []rig.Verdict
+		for i, pl := range players {
+			dir := ""
+			if c.Out != "" {
+				dir = filepath.Join(c.Out, x.Name+"-"+pl.name)
+			}
+			r, err := rig.Play(ctx, x, rig.Options{Program: pl.name, Argv: pl.argv, Seed: c.Seed, Dir: dir, Progress: progress(x.Name)})
+			if errors.Is(err, context.Canceled) {
+				return errors.New("interrupted; all that was started has ended")
+			}
+			if err != nil {
+				return fmt.Errorf("%s: %w", file, err)
+			}
+			v := r.Verdict(i == 0)
+			all = append(all, v)
+			if c.Out != "" {
+				if err := v.Save(c.Out); err != nil {
+					return err
+				}
+			}
+			if c.JSON {
+				text, err := v.JSON()
+				if err != nil {
+					return err
+				}
+				fmt.Println(text)
+				continue
+			}
+			fmt.Print(v.Text())
+			if !v.Counts {
+				fmt.Printf("  the machine was too busy: the rig was %.0f ms late at p99 (%d at most), so this run does not count\n", v.Lateness, rig.MostLate)
+			}
+			fmt.Println(v.String())
+			if i == 0 && (!v.Good() || !v.Counts) {
+				short++
+			}
+		}
+		if len(all) > 1 && !c.JSON {
+			fmt.Print(rig.Table(all))
+		}
+	}
+	if short > 0 {
+		return fmt.Errorf("%d of %d experiments fell short", short, len(c.Files))
+	}
+	return nil
+}
+
+type reportCmd struct {
+	Dir string `arg:""`
+}
+
+func (c *reportCmd) Run() error {
+	file, err := rig.Report(c.Dir)
+	if err == nil {
+		fmt.Println(file)
+	}
+	return err
+}
+
+type compareCmd struct {
+	A string `arg:""`
+	B string `arg:""`
+}
+
+func (c *compareCmd) Run() error {
+	as, err := rig.Load(c.A)
+	if err != nil {
+		return err
+	}
+	bs, err := rig.Load(c.B)
+	if err != nil {
+		return err
+	}
+	for _, a := range as {
+		for _, b := range bs {
+			if a.Experiment != b.Experiment || a.Main != b.Main || a.Program != b.Program && !a.Main {
+				continue
+			}
+			fmt.Printf("%s, %s seed %d: %s and %s\n", a.Experiment, a.Program, a.Seed, c.A, c.B)
+			fmt.Print(rig.Table([]rig.Verdict{a, b}))
+		}
+	}
+	return nil
+}
+
+type namesCmd struct{}
+
+func (c *namesCmd) Run() error {
+	for _, d := range rig.FigureDocs() {
+		fmt.Printf("%-22s %s\n", d[0], d[1])
+	}
+	return nil
+}
--- a/cmd/mintspring/main.go
+++ b/cmd/mintspring/main.go
@@ -4,34 +4,117 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
 
 	"mintspring/node"
 	"mintspring/node/clock"
+	"mintspring/operator"
 )
 
+// words is the command line. The platform starts the program without any, which is run.
+type words struct {
+	Run     runCmd     `cmd:"" default:"withargs" help:"Run the node (also with no words)."`
+	Check   checkCmd   `cmd:"" help:"Read the configuration and the operator's file, and say what is wrong or would be on."`
+	Version versionCmd `cmd:"" help:"Say which build this is."`
+}
+
+// files are the two that a node is started with.
+type files struct {
+	Config   string `help:"The configuration; LB_CONFIG names it otherwise." placeholder:"FILE"`
+	Operator string `help:"The operator's own file; without one everything in it is off." placeholder:"FILE"`
+}
+
+// getenv is the environment, with the configuration that the command line names in place of that.
+func (f files) getenv(name string) string {
+	if name == "LB_CONFIG" && f.Config != "" {
+		return f.Config
+	}
+	return os.Getenv(name)
+}
+
+type runCmd struct{ files }
+
+type checkCmd struct{ files }
+
+type versionCmd struct{}
+
 func main() {
-	if err := run(); err != nil {
+	w := words{}
+	ctx := kong.Parse(&w, kong.Name("mintspring"), kong.Description("A client-side router for fleets of cache servers."))
+	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "mintspring:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+// Run prints every fault of the files.
+func (c *checkCmd) Run() error { return check(c.files, os.Stdout) }
+
+func check(f files, out io.Writer) error {
+	faults := 0
+	fault := func(err error) {
+		if err != nil {
+			faults++
+			fmt.Fprintln(out, err)
+		}
+	}
+	cfg, err := readConfiguration(f.getenv)
+	fault(err)
+	op, err := operator.Read(f.Operator)
+	fault(err)
+	if faults > 0 {
+		return fmt.Errorf("%d of the files cannot be used", faults)
+	}
+	on := "nothing"
+	if names := op.On(); len(names) > 0 {
+		on = strings.Join(names, ", ")
+	}
+	fmt.Fprintf(out, "node %s listens on %s, discovery at %s, %d workloads, %d zones; on by the operator's file: %s\n",
+		cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.site.Workloads), len(cfg.site.Zones), on)
+	return nil
+}
+
+// Run says what the Go tool chain wrote into the program.
+func (c *versionCmd) Run() error {
+	rev, dirty := "unknown", ""
+	b, _ := debug.ReadBuildInfo()
+	if b != nil {
+		for _, s := range b.Settings {
+			switch {
+			case s.Key == "vcs.revision":
+				rev = s.Value
+			case s.Key == "vcs.modified" && s.Value == "true":
+				dirty = " with changes"
+			}
+		}
+	}
+	fmt.Printf("mintspring %s%s, %s\n", rev, dirty, runtime.Version())
+	return nil
+}
+
+// Run runs the node until it is told to stop.
+func (r *runCmd) Run() error {
 	// Taken from the first moment on: a hangup that nobody takes ends the process.
 	hangups, signals := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	c, err := readConfiguration(os.Getenv)
+	c, err := readConfiguration(r.getenv)
+	if err != nil {
+		return err
+	}
+	op, err := operator.Read(r.Operator)
 	if err != nil {
 		return err
 	}
@@ -42,8 +125,10 @@
 	}
 	debug.SetGCPercent(400) // the heap is small, and one core serves queries and the collector
 	log := logrus.New()
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
-		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	op.Log.Apply(log)
+	if on := op.On(); len(on) > 0 {
+		log.WithField("on", strings.Join(on, ",")).Info("read the operator's file")
+	}
 	ln, err := listen(c.Listen, 2*time.Second)
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
@@ -55,12 +140,13 @@
 	bound := 600*time.Millisecond + min(3*time.Second, clock.Span(n.LongestTimeout()))
 	served := make(chan error, 1)
 	go func() { served <- n.Serve(ln) }()
+	held := holding{c, op}
 	for {
 		select {
 		case err := <-served:
 			return err
 		case <-hangups:
-			c = reload(c, os.Getenv, n.Follow, log)
+			held = held.reload(r.files, n.Follow, log)
 		case s := <-signals:
 			log.WithField("signal", s.String()).Info("stopping")
 			n.Stop(grace, bound)
@@ -70,26 +156,38 @@
 	}
 }
 
-// reload reads the configuration again and returns the one that holds from now on. Where the list is kept is taken
-// over at once; what else has changed is named, for it holds after a restart only. A file that cannot be used
-// changes nothing.
-func reload(old *configuration, getenv func(string) string, follow func(addr string), log *logrus.Logger) *configuration {
-	c, err := readConfiguration(getenv)
+// holding is what the node runs by.
+type holding struct {
+	c  *configuration
+	op *operator.File
+}
+
+// reload reads both files again and returns what holds from now on. Where the list is kept and how the log is written
+// are taken over at once; what else has changed is named, for it holds after a restart only. A file that cannot be
+// used changes nothing.
+func (h holding) reload(f files, follow func(addr string), log *logrus.Logger) holding {
+	c, err := readConfiguration(f.getenv)
 	if err != nil {
 		log.WithError(err).Error("the new configuration cannot be used; the one held stays")
-		return old
+		return h
+	}
+	op, err := operator.Read(f.Operator)
+	if err != nil {
+		log.WithError(err).Error("the new operator's file cannot be used; what is held stays")
+		return h
 	}
+	op.Log.Apply(log)
 	line := log.WithField("discovery", c.Discovery)
-	if waits := old.differs(c); len(waits) > 0 {
+	if waits := slices.Concat(h.c.differs(c), h.op.Waits(op)); len(waits) > 0 {
 		line = line.WithField("needs_restart", strings.Join(waits, ","))
 	}
-	if c.Discovery != old.Discovery {
+	if c.Discovery != h.c.Discovery {
 		follow(c.Discovery)
 	}
 	line.Info("read the configuration again")
-	held := *old
-	held.Discovery = c.Discovery
-	return &held
+	held, file := *h.c, *h.op
+	held.Discovery, file.Log = c.Discovery, op.Log
+	return holding{&held, &file}
 }
 
 // listen takes the address, for which it waits a little: after a kill the process of before may hold it yet.
--- a/cmd/mintspring/main_test.go
+++ b/cmd/mintspring/main_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"mintspring/operator"
 )
 
 const whole = `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
@@ -96,7 +98,7 @@
 		log := logrus.New()
 		log.SetOutput(&out)
 		moved, want := "", held.Discovery
-		got := reload(held, func(string) string { return file }, func(addr string) { moved = addr }, log)
+		got := holding{held, &operator.File{}}.reload(files{Config: file}, func(addr string) { moved = addr }, log).c
 		if c.moved != "" {
 			want = c.moved
 		}
@@ -133,7 +135,7 @@
 	put(first.Listener.Addr().String())
 	t.Setenv("LB_CONFIG", file)
 	ended := make(chan error, 1)
-	go func() { ended <- run() }()
+	go func() { ended <- (&runCmd{}).Run() }()
 	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
 		if c, err := net.Dial("tcp", free.Addr().String()); err == nil {
 			c.Close()
@@ -168,6 +170,39 @@
 	}
 }
 
+// Check tells every fault of both files, or what would be on.
+func TestCheck(t *testing.T) {
+	dir := t.TempDir()
+	put := func(name, text string) string {
+		file := filepath.Join(dir, name)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
+	good, bad := put("good.json", whole), put("bad.json", strings.Replace(whole, `"SloTime":1000`, `"SloTime":0`, 1))
+	on, off := put("on.toml", "[log]\nformat = \"json\"\n"), put("off.toml", "[log]\nformat = \"csv\"\n")
+	for _, c := range []struct {
+		f    files
+		ok   bool
+		want []string
+	}{
+		{files{Config: good}, true, []string{"node n3", "operator's file: nothing"}},
+		{files{good, on}, true, []string{"operator's file: log"}},
+		{files{bad, off}, false, []string{"bad.json: settings: Workloads[0].SloTime", "off.toml:2: log.format"}},
+	} {
+		var out strings.Builder
+		if err := check(c.f, &out); (err == nil) != c.ok {
+			t.Errorf("%+v: %v", c.f, err)
+		}
+		for _, w := range c.want {
+			if !strings.Contains(out.String(), w) {
+				t.Errorf("%+v says %q, wanted %q", c.f, out.String(), w)
+			}
+		}
+	}
+}
+
 func TestListenWaitsForTheAddress(t *testing.T) {
 	old, err := listen("127.0.0.1:0", 0)
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,16 @@
 	Site      settings.Deployment
 	MemoryMB  int
 	Sockets   int
+	Mind      func(now float64, l fleet.Limits, slab *fleet.Slab) Mind // nil: decide's
+}
+
+// Mind is what the loop asks. decide.Node is the one that operators run; others are baselines of experiments.
+type Mind interface {
+	Where(now float64, q *fleet.Query) fleet.Move
+	After(now float64, q *fleet.Query, o fleet.Outcome) fleet.Move
+	Wait(now float64) (fleet.Ref, float64)
+	Members(now float64, mode fleet.ListMode, entries []fleet.Member)
+	Left(now float64, q *fleet.Query)
 }
 
 // hand is a query in hand: its exchange and its executions by number.
@@ -70,7 +80,7 @@
 	ready atomic.Bool
 
 	// Owned by the loop.
-	mind     *decide.Node
+	mind     Mind
 	slab     fleet.Slab
 	hands    map[*exchange.Exchange]*hand
 	byRef    map[fleet.Ref]*hand
@@ -124,7 +134,11 @@
 	n.keeps = longest + b.Site.Limits.StopSendingWithin
 	now := n.clock.Now()
 	b.Site.Limits.Subscribe = true // over HTTP nothing comes unasked, also where the settings say that changes do
-	n.mind = decide.New(now, b.Site.Limits, &n.slab)
+	if b.Mind == nil {
+		n.mind = decide.New(now, b.Site.Limits, &n.slab)
+	} else {
+		n.mind = b.Mind(now, b.Site.Limits, &n.slab)
+	}
 	n.calls.Start(b.Known.Revision)
 	listed{fleet.ListCached, b.Known.Members}.handle(n, now)
 	return n
--- /dev/null
+++ b/rig/figures.go
@@ -0,0 +1,390 @@
+package rig
+
+import (
+	"fmt"
+	"math"
+	"sort"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"mintspring/model"
+	"mintspring/rig/audit"
+	"mintspring/standin"
+)
+
+// Sample is what was seen at one moment.
+type Sample struct {
+	At      float64 // Unix ms
+	Looks   []standin.Look
+	Memory  []float64 // resident MB by node; 0 where none was taken
+	Handles []int     // open descriptors by node
+}
+
+// Event is one thing that the experiment did.
+type Event struct {
+	At   float64
+	What string
+}
+
+// Run is one run of an experiment as it was seen.
+type Run struct {
+	X        *Experiment
+	Program  string
+	Seed     uint64
+	From, To float64 // of what is measured, Unix ms
+
+	Queries    []Query
+	Tries      []audit.Try
+	Executions []*model.Execution
+	Opens      []standin.Open
+	Told       []standin.Told
+	Samples    []Sample
+	Events     []Event
+	Falls      []audit.Fall
+	Stops      int // of the origin
+	Breaches   []audit.Breach
+	Lateness   float64 // p99 of how late the rig itself was, ms
+}
+
+// Span of a measurement: what it is of, and when.
+type span struct {
+	workload int // -1: all
+	box      model.ServerID
+	from, to float64
+}
+
+const every model.ServerID = -1
+
+// figure is one thing that can be measured.
+type figure struct {
+	unit string
+	of   func(r *Run, s span) float64
+}
+
+// figures are all of them, by the names that files use.
+var figures map[string]figure
+
+func init() {
+	figures = map[string]figure{
+		"in_slo": {"share of the importance asked for", (*Run).inSLO},
+		"completed": {"share of queries", func(r *Run, s span) float64 {
+			return r.share(s, func(q *Query) bool { return q.Kind == audit.Completed })
+		}},
+		"rejected": {"share of queries", func(r *Run, s span) float64 {
+			return r.share(s, func(q *Query) bool { return q.Kind == audit.Rejected })
+		}},
+		"aborted": {"share of queries", func(r *Run, s span) float64 {
+			return r.share(s, func(q *Query) bool { return q.Kind == audit.Aborted })
+		}},
+		"unanswered": {"share of queries", func(r *Run, s span) float64 {
+			return r.share(s, func(q *Query) bool { return q.Kind == audit.None })
+		}},
+		"p50_ms":  {"ms from due to answer", func(r *Run, s span) float64 { return r.quantile(s, 50) }},
+		"p99_ms":  {"ms from due to answer", func(r *Run, s span) float64 { return r.quantile(s, 99) }},
+		"p999_ms": {"ms from due to answer", func(r *Run, s span) float64 { return r.quantile(s, 99.9) }},
+		"tries_per_query": {"tries", func(r *Run, s span) float64 {
+			n, tries := 0, 0
+			r.each(s, func(q *Query) { n, tries = n+1, tries+q.Tries })
+			return ratio(float64(tries), float64(n))
+		}},
+		"executions_per_query": {"executions", func(r *Run, s span) float64 {
+			n := 0
+			r.each(s, func(q *Query) { n++ })
+			return ratio(float64(len(r.execs(s))), float64(n))
+		}},
+		"hit_share":        {"share of reads at boxes", (*Run).hits},
+		"repeats":          {"effects beyond the first of a mark", func(r *Run, s span) float64 { return float64(audit.Repeats(r.execs(s))) }},
+		"opens":            {"connections opened", func(r *Run, s span) float64 { return float64(len(r.opens(s, false))) }},
+		"opens_refused":    {"connections beyond a server's table", func(r *Run, s span) float64 { return float64(len(r.opens(s, true))) }},
+		"opens_per_s":      {"greatest number at one box in one second", (*Run).opensPerS},
+		"box_load":         {"greatest utilisation of a box in one second", func(r *Run, s span) float64 { return r.peakLoad(s, false) }},
+		"box_queue":        {"greatest number waiting at a box", func(r *Run, s span) float64 { return r.peakQueue(s, false) }},
+		"box_per_s":        {"greatest number of executions at one box in one second", func(r *Run, s span) float64 { return r.perS(s, false) }},
+		"box_executions":   {"executions at boxes", func(r *Run, s span) float64 { return float64(len(r.at(s, false))) }},
+		"origin_load":      {"greatest utilisation in one second", func(r *Run, s span) float64 { return r.peakLoad(s, true) }},
+		"origin_queue":     {"greatest number waiting", func(r *Run, s span) float64 { return r.peakQueue(s, true) }},
+		"origin_per_s":     {"greatest number of executions in one second", func(r *Run, s span) float64 { return r.perS(s, true) }},
+		"origin_stops":     {"times that the origin was pushed over", func(r *Run, s span) float64 { return float64(r.Stops) }},
+		"boxes_fallen":     {"boxes pushed over while cold", (*Run).fallen},
+		"drain_ms":         {"longest time from a drain being told to the last execution sent there", (*Run).drain},
+		"node_memory_mb":   {"greatest resident memory of a node", (*Run).memory},
+		"node_descriptors": {"greatest number of open descriptors of a node", (*Run).descriptors},
+		"breaches":         {"rules broken", func(r *Run, s span) float64 { return float64(len(r.Breaches)) }},
+	}
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+func (r *Run) each(s span, f func(q *Query)) {
+	for i := range r.Queries {
+		if q := &r.Queries[i]; q.Due >= s.from && q.Due < s.to && (s.workload < 0 || s.workload == q.Workload) {
+			f(q)
+		}
+	}
+}
+
+func (r *Run) share(s span, is func(q *Query) bool) float64 {
+	n, k := 0, 0
+	r.each(s, func(q *Query) {
+		if n++; is(q) {
+			k++
+		}
+	})
+	return ratio(float64(k), float64(n))
+}
+
+func (r *Run) inSLO(s span) float64 {
+	asked, got := 0.0, 0.0
+	r.each(s, func(q *Query) {
+		w := &r.X.Workloads[q.Workload]
+		if asked += w.Importance; q.InSLO {
+			got += w.Importance
+		}
+	})
+	return ratio(got, asked)
+}
+
+func (r *Run) quantile(s span, q float64) float64 {
+	h := hdrhistogram.New(1, 600_000_000, 3)
+	r.each(s, func(x *Query) {
+		if x.Kind == audit.Completed {
+			h.RecordValue(int64(max(1, 1000*(x.Done-x.Due))))
+		}
+	})
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+func (r *Run) execs(s span) []*model.Execution {
+	var out []*model.Execution
+	for _, e := range r.Executions {
+		if e.First >= s.from && e.First < s.to && (s.box == every || s.box == e.Server) &&
+			(s.workload < 0 || r.X.Workloads[s.workload].Name == e.Workload) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// originID is the place of the origin: the last.
+func (r *Run) originID() model.ServerID { return model.ServerID(len(r.X.names()) - 1) }
+
+func (r *Run) at(s span, origin bool) []*model.Execution {
+	var out []*model.Execution
+	last := r.originID()
+	for _, e := range r.execs(s) {
+		if (e.Server == last) == origin {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (r *Run) hits(s span) float64 {
+	hits, all := 0, 0
+	for _, e := range r.at(s, false) {
+		switch {
+		case e.Write:
+		case e.How == model.Served:
+			hits, all = hits+1, all+1
+		case e.How == model.Missed:
+			all++
+		}
+	}
+	return ratio(float64(hits), float64(all))
+}
+
+func (r *Run) opens(s span, refused bool) []standin.Open {
+	var out []standin.Open
+	for _, o := range r.Opens {
+		if o.At >= s.from && o.At < s.to && o.Refused == refused && (s.box == every || s.box == o.Server) {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+type inSecond struct {
+	server model.ServerID
+	no     int
+}
+
+func (r *Run) opensPerS(s span) float64 {
+	n := map[inSecond]int{}
+	most := 0
+	for _, o := range r.opens(s, false) {
+		k := inSecond{o.Server, int((o.At - r.From) / 1000)}
+		if o.Server != r.originID() {
+			n[k]++
+			most = max(most, n[k])
+		}
+	}
+	return float64(most)
+}
+
+func (r *Run) perS(s span, origin bool) float64 {
+	n := map[inSecond]int{}
+	most := 0
+	for _, e := range r.at(s, origin) {
+		k := inSecond{e.Server, int((e.First - r.From) / 1000)}
+		n[k]++
+		most = max(most, n[k])
+	}
+	return float64(most)
+}
+
+// overSamples calls f with each server's looks about a second apart.
+func (r *Run) overSamples(s span, origin bool, f func(id model.ServerID, was, is standin.Look, ms float64)) {
+	last := r.originID()
+	for i := range r.Samples {
+		is := &r.Samples[i]
+		if is.At < s.from || is.At > s.to {
+			continue
+		}
+		j := sort.Search(i, func(j int) bool { return r.Samples[j].At > is.At-1050 })
+		was := &r.Samples[j]
+		if is.At-was.At < 900 {
+			continue
+		}
+		for id := range is.Looks {
+			if sid := model.ServerID(id); (sid == last) == origin && (s.box == every || s.box == sid) {
+				f(sid, was.Looks[id], is.Looks[id], is.At-was.At)
+			}
+		}
+	}
+}
+
+func (r *Run) peakLoad(s span, origin bool) float64 {
+	most := 0.0
+	specs := r.X.specs()
+	r.overSamples(s, origin, func(id model.ServerID, was, is standin.Look, ms float64) {
+		most = max(most, (is.Busy-was.Busy)/ms/float64(specs[id].Traits.Cores))
+	})
+	return most
+}
+
+func (r *Run) peakQueue(s span, origin bool) float64 {
+	most := 0
+	r.overSamples(s, origin, func(_ model.ServerID, _, is standin.Look, _ float64) { most = max(most, is.Waiting) })
+	return float64(most)
+}
+
+func (r *Run) fallen(span) float64 {
+	n := 0
+	for _, f := range r.Falls {
+		if !f.Origin {
+			n++
+		}
+	}
+	return float64(n)
+}
+
+func (r *Run) drain(s span) float64 {
+	type who struct {
+		node   model.NodeID
+		server model.ServerID
+	}
+	since := map[who]float64{}
+	longest := 0.0
+	told := r.Told
+	for _, e := range r.Executions {
+		for len(told) > 0 && told[0].At <= e.First {
+			w := who{told[0].Node, told[0].Server}
+			if told[0].Phase == standin.InService {
+				delete(since, w)
+			} else if _, already := since[w]; !already {
+				since[w] = told[0].At
+			}
+			told = told[1:]
+		}
+		if at, draining := since[who{e.Node, e.Server}]; draining && e.First >= s.from && e.First < s.to {
+			longest = max(longest, e.First-at)
+		}
+	}
+	return longest
+}
+
+func (r *Run) memory(s span) float64 {
+	most := 0.0
+	for _, x := range r.Samples {
+		for _, mb := range x.Memory {
+			most = max(most, mb)
+		}
+	}
+	return most
+}
+
+func (r *Run) descriptors(s span) float64 {
+	most := 0
+	for _, x := range r.Samples {
+		for _, k := range x.Handles {
+			most = max(most, k)
+		}
+	}
+	return float64(most)
+}
+
+// Figure measures one thing over the whole run, or over what an expectation says.
+func (r *Run) Figure(e Expect) float64 {
+	s := span{-1, every, r.From, r.To}
+	for i, w := range r.X.Workloads {
+		if w.Name == e.Workload && e.Workload != "" {
+			s.workload = i
+		}
+	}
+	for i, name := range r.X.names() {
+		if name == e.Box && e.Box != "" {
+			s.box = model.ServerID(i)
+		}
+	}
+	if e.From > 0 {
+		s.from = r.From + e.From.Ms()
+	}
+	if e.To > 0 {
+		s.to = r.From + e.To.Ms()
+	}
+	return figures[e.What].of(r, s)
+}
+
+// Held is one expectation with its figure.
+type Held struct {
+	Expect string
+	Value  float64
+	Held   bool
+	Binds  bool
+}
+
+// Held tells of each expectation whether it held.
+func (r *Run) Held(main bool) []Held {
+	var out []Held
+	for _, e := range r.X.Expect {
+		v := r.Figure(e)
+		h := Held{Value: v, Held: !math.IsNaN(v), Binds: main || e.Baseline}
+		where := ""
+		for _, w := range []string{e.Workload, e.Box} {
+			if w != "" {
+				where += " of " + w
+			}
+		}
+		if e.From > 0 || e.To > 0 {
+			to := e.To
+			if to == 0 {
+				to = r.X.Length
+			}
+			where += fmt.Sprintf(" from %v to %v", e.From.D(), to.D())
+		}
+		if e.AtLeast != nil {
+			h.Expect = fmt.Sprintf("%s%s at least %.4g", e.What, where, *e.AtLeast)
+			h.Held = h.Held && v >= *e.AtLeast
+		} else {
+			h.Expect = fmt.Sprintf("%s%s at most %.4g", e.What, where, *e.AtMost)
+			h.Held = h.Held && v <= *e.AtMost
+		}
+		out = append(out, h)
+	}
+	return out
+}
--- /dev/null
+++ b/rig/nodes.go
@@ -0,0 +1,312 @@
+package rig
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"mintspring/model"
+	"mintspring/rig/audit"
+	"mintspring/standin"
+)
+
+// program is how nodes are started: a command, and the name it goes by in reports.
+type program struct {
+	Name string
+	Argv []string
+}
+
+// nodeProc is one node as a process of its own.
+type nodeProc struct {
+	no     int
+	addr   string
+	dir    string
+	prog   program
+	log    *os.File
+	config map[string]any
+	op     string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	ended   chan struct{} // of the process that runs
+	wanted  bool          // it is to run
+	seen    float64       // an end that nobody wanted
+	downs   []audit.Down
+	crashes []string
+}
+
+// nodes are all of them.
+type nodes struct {
+	all   []*nodeProc
+	fleet *standin.Fleet
+}
+
+// startNodes starts them and waits until each serves.
+func startNodes(x *Experiment, f *standin.Fleet, p program, dir string, seed uint64) (*nodes, error) {
+	ns := &nodes{fleet: f}
+	for i := range x.Nodes.Count {
+		addr, err := freeAddr()
+		if err != nil {
+			return ns, err
+		}
+		n := &nodeProc{no: i, addr: addr, dir: dir, prog: p, op: x.operatorFile()}
+		n.config = x.configuration(i, addr, f.Discovery.Addr(i), seed)
+		if n.log, err = os.Create(filepath.Join(dir, fmt.Sprintf("node-%d.log", i))); err != nil {
+			return ns, fmt.Errorf("a log of a node: %w", err)
+		}
+		ns.all = append(ns.all, n)
+	}
+	for _, n := range ns.all {
+		if err := n.start(); err != nil {
+			return ns, err
+		}
+	}
+	for _, n := range ns.all {
+		if err := n.ready(10 * time.Second); err != nil {
+			return ns, err
+		}
+	}
+	return ns, nil
+}
+
+// freeAddr finds an address that nobody listens on.
+func freeAddr() (string, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("a free port: %w", err)
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// configuration is the file that a node is started with, in the platform's names.
+func (x *Experiment) configuration(no int, listen, discovery string, seed uint64) map[string]any {
+	us := func(ms float64) int64 { return int64(ms * 1000) }
+	var workloads, tenants []map[string]any
+	for _, w := range x.Workloads {
+		m := map[string]any{"Name": w.Name, "SloTime": us(w.SLO.Ms()), "StatementTimeout": us(w.Timeout.Ms()),
+			"Importance": w.Importance, "TardyImportance": w.LateShare,
+			"Effect": map[audit.Effect]string{audit.Idempotent: "pure", audit.Deduplicated: "token", audit.NonIdempotent: "side_effect"}[w.effect]}
+		if w.effect == audit.Deduplicated {
+			m["DedupScope"], m["MemorySpan"] = "all", us(w.DedupSpan.Ms())
+		}
+		workloads = append(workloads, m)
+	}
+	for _, t := range x.Tenants {
+		tenants = append(tenants, map[string]any{"Name": t.Name, "Share": t.Share})
+	}
+	b := x.Fleet.Boxes[0]
+	r := x.Rules
+	return map[string]any{"name": fmt.Sprint("n", no), "listen": listen, "discovery": discovery,
+		"seed":   fmt.Sprintf("%016x", seed*1000003+uint64(no)+1),
+		"limits": map[string]any{"cores": x.Nodes.Cores, "memory_mb": x.Nodes.MemoryMB, "sockets": x.Nodes.Sockets},
+		"settings": map[string]any{"NInstances": x.Nodes.Count, "Discovery": "subscribe", "FailureDomains": x.Fleet.Zones,
+			"Locality": no % len(x.Fleet.Zones), "Kinds": []string{standin.BoxKind, standin.OriginKind},
+			"FamilyInfo": map[string]any{"Mode": "aside", "OriginKind": 1}, "Tenants": tenants, "Workloads": workloads,
+			"Quantum": us(x.Nodes.Quantum.Ms()),
+			"PolicyLimits": map[string]any{"Cancelling": true, "ConnIdle": us(r.ConnIdle.Ms()), "ConnectTimeout": us(r.ConnTimeout.Ms()),
+				"MaxExecutions": r.MaxExecutions, "MaxRetryAfter": us(r.MaxRetryAfter.Ms()), "RetryAfter": r.MaxRetryAfter > 0,
+				"SecondCopies": r.SecondCopies},
+			"Guarantees": map[string]any{"AnswerSlack": us(r.AnswerSlack.Ms()), "MustAskIn": us(r.MustAskIn.Ms()),
+				"StopSendingWithin": us(r.Grace.Ms()), "StartCapacity": b.StartCapacity, "WarmWithin": us(b.WarmWithin.Ms()),
+				"FallMultiple": b.FallMultiple, "TipAfter": us(b.FallAfter.Ms())}}}
+}
+
+func (n *nodeProc) file() string { return filepath.Join(n.dir, fmt.Sprintf("node-%d.json", n.no)) }
+
+// rewrite writes its configuration.
+func (n *nodeProc) rewrite() error {
+	text, err := json.MarshalIndent(n.config, "", " ")
+	if err == nil {
+		err = os.WriteFile(n.file(), text, 0o644)
+	}
+	if err != nil {
+		return fmt.Errorf("the configuration of node %d: %w", n.no, err)
+	}
+	return nil
+}
+
+// waitEnded waits until the process of before is gone.
+func (n *nodeProc) waitEnded() {
+	n.mu.Lock()
+	ended := n.ended
+	n.mu.Unlock()
+	<-ended
+}
+
+// start starts the process.
+func (n *nodeProc) start() error {
+	if err := n.rewrite(); err != nil {
+		return err
+	}
+	argv := n.prog.Argv
+	if n.op != "" && len(argv) == 1 {
+		argv = append(argv[:1:1], "run", "--operator", n.op)
+	}
+	cmd := exec.Command(argv[0], argv[1:]...)
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+n.file())
+	cmd.Stdout, cmd.Stderr = n.log, n.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing is left running when the rig is killed
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("starting node %d: %w", n.no, err)
+	}
+	ended := make(chan struct{})
+	n.mu.Lock()
+	n.cmd, n.ended, n.wanted = cmd, ended, true
+	n.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		n.mu.Lock()
+		if n.wanted {
+			n.wanted = false
+			n.crashes = append(n.crashes, fmt.Sprintf("node %d: %v: %s", n.no, err, n.lastWords()))
+			n.downs = append(n.downs, audit.Down{Node: model.NodeID(n.no), From: standin.Now(), To: standin.Now() + 3.6e6})
+		}
+		n.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// lastWords is the last line of its log.
+func (n *nodeProc) lastWords() string {
+	text, err := os.ReadFile(n.log.Name())
+	if err != nil {
+		return "no log"
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
+// ready waits until the node answers a PING.
+func (n *nodeProc) ready(within time.Duration) error {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		n.mu.Lock()
+		crashes := n.crashes
+		n.mu.Unlock()
+		if len(crashes) > 0 {
+			return errors.New(crashes[0])
+		}
+		if pings(n.addr) {
+			return nil
+		}
+	}
+	return fmt.Errorf("node %d does not serve within %v: %s", n.no, within, n.lastWords())
+}
+
+func pings(addr string) bool {
+	c, err := net.DialTimeout("tcp4", addr, 200*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	if _, err := c.Write([]byte("*1\r\n$4\r\nPING\r\n")); err != nil {
+		return false
+	}
+	b := make([]byte, 16)
+	k, err := c.Read(b)
+	return err == nil && string(b[:k]) == "+PONG\r\n"
+}
+
+// end sends a signal after which the process is gone: SIGKILL, or SIGTERM with time to answer.
+func (n *nodeProc) end(sig syscall.Signal) {
+	n.mu.Lock()
+	if !n.wanted {
+		n.mu.Unlock()
+		return
+	}
+	n.wanted = false
+	cmd, ended := n.cmd, n.ended
+	n.downs = append(n.downs, audit.Down{Node: model.NodeID(n.no), From: standin.Now(), To: standin.Now() + 3.6e6})
+	at := len(n.downs) - 1
+	if sig == syscall.SIGTERM {
+		n.downs[at].From = standin.Now() + 3.6e6 // what it has taken must be answered still
+	}
+	n.mu.Unlock()
+	cmd.Process.Signal(sig)
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		cmd.Process.Kill()
+		<-ended
+	}
+	if sig == syscall.SIGTERM {
+		n.mu.Lock()
+		n.downs[at].From = standin.Now()
+		n.mu.Unlock()
+	}
+}
+
+// again starts a node that was ended.
+func (n *nodeProc) again() error {
+	if err := n.start(); err != nil {
+		return err
+	}
+	err := n.ready(10 * time.Second)
+	n.mu.Lock()
+	if k := len(n.downs); k > 0 {
+		n.downs[k-1].To = standin.Now()
+	}
+	n.mu.Unlock()
+	return err
+}
+
+// hangup makes it read its files again.
+func (n *nodeProc) hangup() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.wanted {
+		n.cmd.Process.Signal(syscall.SIGHUP)
+	}
+}
+
+// runs tells whether the process is up.
+func (n *nodeProc) runs() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.wanted
+}
+
+// usage is the resident memory in MB and the open descriptors of the process.
+func (n *nodeProc) usage() (mb float64, descriptors int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.wanted {
+		return 0, 0
+	}
+	dir := filepath.Join("/proc", strconv.Itoa(n.cmd.Process.Pid))
+	if text, err := os.ReadFile(filepath.Join(dir, "status")); err == nil {
+		if _, rest, ok := strings.Cut(string(text), "VmRSS:"); ok {
+			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			mb = kb / 1024
+		}
+	}
+	if fds, err := os.ReadDir(filepath.Join(dir, "fd")); err == nil {
+		descriptors = len(fds)
+	}
+	return mb, descriptors
+}
+
+// close ends all nodes, side by side.
+func (ns *nodes) close() {
+	var done sync.WaitGroup
+	for _, n := range ns.all {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			n.end(syscall.SIGKILL)
+			n.log.Close()
+		}()
+	}
+	done.Wait()
+}
--- /dev/null
+++ b/rig/play.go
@@ -0,0 +1,382 @@
+package rig
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+
+	"mintspring/model"
+	"mintspring/rig/audit"
+	"mintspring/standin"
+)
+
+// Options say how an experiment is played.
+type Options struct {
+	Program  string   // how reports call what is measured
+	Argv     []string // how a node of it is started; LB_CONFIG names its configuration
+	Seed     uint64   // 0: the file's
+	Dir      string   // logs and configurations of nodes go there; "" for a folder that goes afterwards
+	Progress func(done float64)
+}
+
+// MostLate is how late the rig itself may be, p99 in ms, for a run to count. A machine that is too busy makes nodes
+// look bad that are not.
+const MostLate = 20
+
+// Play plays an experiment and returns what was seen. Whatever it started has ended when it returns.
+func Play(ctx context.Context, x *Experiment, o Options) (*Run, error) {
+	seed := cmp.Or(o.Seed, x.Seed)
+	dir := o.Dir
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "mintrig-"); err != nil {
+			return nil, fmt.Errorf("a folder for the run: %w", err)
+		}
+		defer os.RemoveAll(dir)
+	} else if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("a folder for the run: %w", err)
+	}
+	f, err := standin.Start(x.specs(), x.Nodes.Count, x.tolls(), x.Load.Bytes, seed)
+	if err != nil {
+		return nil, fmt.Errorf("starting the stand-ins: %w", err)
+	}
+	defer f.Close()
+	f.Discovery.Late(x.Fleet.Late.D())
+	ns, err := startNodes(x, f, program{o.Program, o.Argv}, dir, seed)
+	defer func() { ns.close() }()
+	if err != nil {
+		return nil, err
+	}
+	var addrs []string
+	for _, n := range ns.all {
+		addrs = append(addrs, n.addr)
+	}
+	fr := newFront(addrs, x.Nodes.Notice.D())
+	defer fr.close()
+	l := newLoad(x, fr, seed)
+	l.warm(f, seed)
+
+	start := time.Now().Add(50 * time.Millisecond)
+	from := start.Add(x.Settle.D())
+	to := from.Add(x.Length.D())
+	r := &Run{X: x, Program: o.Program, Seed: seed, From: ms(from), To: ms(to)}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var rest sync.WaitGroup
+	rest.Add(2)
+	go func() { defer rest.Done(); r.sample(ctx, f, ns) }()
+	st := &stage{x: x, fleet: f, nodes: ns, load: l, run: r, rng: rand.New(rand.NewPCG(seed, 17))}
+	go func() { defer rest.Done(); st.play(ctx, from) }()
+	done := make(chan struct{})
+	go func() { defer close(done); l.run(start, to, seed, o.Progress) }()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	err = ctx.Err()
+	stop()
+	rest.Wait()
+	if err == nil {
+		err = st.err
+	}
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(100 * time.Millisecond) // what is sent after an answer would come now
+	ns.close()
+	f.Close()
+	r.Executions, r.Opens, r.Told = f.Account(), f.Opens(), f.Discovery.ToldAll()
+	r.Queries, r.Tries = l.queries, l.tries
+	slices.SortFunc(r.Queries, func(a, b Query) int { return cmp.Compare(a.Due, b.Due) })
+	r.judge(f, ns)
+	return r, nil
+}
+
+func ms(t time.Time) float64 { return float64(t.UnixNano()) / 1e6 }
+
+// judge audits the rules and measures the rig's own lateness.
+func (r *Run) judge(f *standin.Fleet, ns *nodes) {
+	var late []float64
+	for _, q := range r.Queries {
+		late = append(late, q.Late)
+	}
+	if sort.Float64s(late); len(late) > 0 {
+		r.Lateness = late[len(late)*99/100]
+	}
+	for _, b := range f.Boxes() {
+		n, part := f.Falls(b.ID())
+		if b.Origin {
+			r.Stops = n
+		}
+		if n > 0 {
+			r.Falls = append(r.Falls, audit.Fall{Server: b.Name, Origin: b.Origin, Part: part})
+		}
+	}
+	e := audit.Evidence{Tries: r.Tries, Executions: r.Executions, Told: r.Told, Falls: r.Falls,
+		Grace: r.X.Rules.Grace.Ms(), Slack: 50 + r.X.Rules.AnswerSlack.Ms() + r.Lateness}
+	for _, n := range ns.all {
+		e.Down, e.Crashes = append(e.Down, n.downs...), append(e.Crashes, n.crashes...)
+	}
+	r.Breaches = audit.Judge(e)
+}
+
+// sample looks at everything ten times a second, and at the nodes' processes once.
+func (r *Run) sample(ctx context.Context, f *standin.Fleet, ns *nodes) {
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for i := 0; ; i++ {
+		now := standin.Now()
+		s := Sample{At: now, Looks: f.Look(now)}
+		if i%10 == 0 {
+			for _, n := range ns.all {
+				mb, k := n.usage()
+				s.Memory, s.Handles = append(s.Memory, mb), append(s.Handles, k)
+			}
+		}
+		r.Samples = append(r.Samples, s)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// warm stores the keys asked for most at all boxes that have been running, as many as each keeps.
+func (l *load) warm(f *standin.Fleet, seed uint64) {
+	if !l.x.Load.Warm {
+		return
+	}
+	at := 0
+	for _, p := range l.x.Fleet.Boxes {
+		for range p.Count {
+			if b := f.Boxes()[at]; !p.Empty {
+				keys := slices.Clone(l.keys[:min(len(l.keys), p.Keeps)])
+				slices.Reverse(keys) // the most popular are used last
+				f.FillKeys(b, keys)
+			}
+			at++
+		}
+	}
+}
+
+// stage does what the timeline says.
+type stage struct {
+	x     *Experiment
+	fleet *standin.Fleet
+	nodes *nodes
+	load  *load
+	run   *Run
+	rng   *rand.Rand
+	err   error
+	busy  sync.WaitGroup
+}
+
+type cue struct {
+	at   time.Duration
+	step Step
+	undo bool
+}
+
+func (st *stage) play(ctx context.Context, from time.Time) {
+	var cues []cue
+	for _, s := range st.x.At {
+		for i := range max(1, s.Times) {
+			at := s.Time.D() + time.Duration(i)*s.Every.D()
+			cues = append(cues, cue{at, s, false})
+			if s.For > 0 {
+				cues = append(cues, cue{at + s.For.D(), s, true})
+			}
+		}
+	}
+	slices.SortStableFunc(cues, func(a, b cue) int { return cmp.Compare(a.at, b.at) })
+	defer st.busy.Wait()
+	for _, c := range cues {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(from.Add(c.at))):
+		}
+		s := c.step
+		if c.undo {
+			s.Do = undone[s.Do]
+			s.Value = map[string]float64{"slow": 1, "rate": 1}[s.Do]
+		}
+		if err := st.do(s); err != nil {
+			st.err = cmp.Or(st.err, fmt.Errorf("%s at %v: %w", s.Do, c.at, err))
+			return
+		}
+	}
+}
+
+// targets are the boxes that a step is done to. A share picks the same ones each time it is undone.
+func (st *stage) targets(s Step) []*standin.Box {
+	var boxes, out []*standin.Box
+	for _, b := range st.fleet.Boxes() {
+		if !b.Origin {
+			boxes = append(boxes, b)
+		}
+	}
+	switch {
+	case s.Box != "":
+		return []*standin.Box{st.fleet.Box(s.Box)}
+	case s.Zone != "":
+		for _, b := range boxes {
+			if b.Zone == s.Zone {
+				out = append(out, b)
+			}
+		}
+	default:
+		order := rand.New(rand.NewPCG(st.run.Seed, 19)).Perm(len(boxes))
+		for _, i := range order[:int(math.Ceil(s.Share*float64(len(boxes))))] {
+			out = append(out, boxes[i])
+		}
+	}
+	return out
+}
+
+func (st *stage) do(s Step) error {
+	what := s.Do
+	for _, w := range []string{s.Box, s.Zone} {
+		if w != "" {
+			what += " " + w
+		}
+	}
+	if s.Share > 0 {
+		what += fmt.Sprintf(" a share of %.2g", s.Share)
+	}
+	if s.Node != nil {
+		what += fmt.Sprintf(" %d", *s.Node)
+	}
+	if s.Value > 0 {
+		what += fmt.Sprintf(" %.4g", s.Value)
+	}
+	st.run.Events = append(st.run.Events, Event{standin.Now(), what})
+	d := st.fleet.Discovery
+	switch s.Do {
+	case "rate":
+		st.load.scale(s.Value)
+	case "fleet_slow":
+		for _, b := range st.fleet.Boxes() {
+			if !b.Origin {
+				b.Slow(s.Value)
+			}
+		}
+	case "discovery_late":
+		late := st.x.Fleet.Late.D()
+		if s.Value > 0 {
+			late = time.Duration(s.Value * 1e6)
+		}
+		d.Late(late)
+	case "discovery_down", "discovery_up":
+		d.Down(s.Do == "discovery_down")
+	case "discovery_anew":
+		d.Anew()
+	case "discovery_moves":
+		if err := d.Move(); err != nil {
+			return err
+		}
+		for _, n := range st.nodes.all {
+			n.config["discovery"] = d.Addr(n.no)
+			if err := n.rewrite(); err != nil {
+				return err
+			}
+			n.hangup()
+		}
+	case "kill_node", "stop_node", "start_node", "hangup_node":
+		n := st.nodes.all[*s.Node]
+		st.busy.Add(1)
+		go func() { // a stop takes its time, and the timeline goes on
+			defer st.busy.Done()
+			switch s.Do {
+			case "kill_node":
+				n.end(syscall.SIGKILL)
+			case "stop_node":
+				n.end(syscall.SIGTERM)
+			case "start_node":
+				n.waitEnded()
+				n.again()
+			default:
+				n.hangup()
+			}
+		}()
+	default:
+		for _, b := range st.targets(s) {
+			if err := st.doTo(s, b); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (st *stage) doTo(s Step, b *standin.Box) error {
+	d := st.fleet.Discovery
+	share := s.Value
+	if share == 0 {
+		share = 1
+	}
+	switch s.Do {
+	case "kill":
+		b.Kill()
+		d.Say(b, standin.Terminated)
+	case "return":
+		if err := b.Return(s.Value > 0); err != nil {
+			return err
+		}
+		d.Say(b, standin.InService)
+	case "replace":
+		b.Kill()
+		d.Say(b, standin.Terminated)
+		b.Rename()
+		if err := b.Return(s.Value > 0); err != nil {
+			return err
+		}
+		d.Say(b, standin.InService)
+	case "drain":
+		d.Say(b, standin.Terminating)
+	case "undrain":
+		d.Say(b, standin.InService)
+	case "remove":
+		d.Say(b, standin.Terminated)
+	case "halt", "resume":
+		b.Halt(s.Do == "halt")
+	case "slow":
+		b.Slow(s.Value)
+	case "refuse", "accept":
+		return b.Refuse(s.Do == "refuse")
+	case "reset":
+		b.ResetAll()
+	case "cut", "join":
+		var only []model.NodeID
+		if s.Node != nil {
+			only = append(only, model.NodeID(*s.Node))
+		}
+		b.CutOff(s.Do == "cut", only...)
+	case "errors":
+		b.Fault(standin.Faults{Errors: share})
+	case "resets":
+		b.Fault(standin.Faults{Reset: share})
+	case "half_answers":
+		b.Fault(standin.Faults{Half: share})
+	case "spoilt":
+		b.Fault(standin.Faults{Spoilt: share})
+	case "surplus":
+		b.Fault(standin.Faults{Surplus: share})
+	case "late_surplus":
+		b.Fault(standin.Faults{Late: share})
+	case "lost_answers":
+		b.Fault(standin.Faults{Cut: share})
+	case "mend":
+		b.Fault(standin.Faults{})
+	}
+	return nil
+}
--- /dev/null
+++ b/rig/serve.go
@@ -0,0 +1,69 @@
+package rig
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"mintspring/standin"
+)
+
+// Standing is a fleet in the foreground, with configurations for nodes beside it.
+type Standing struct {
+	Fleet *standin.Fleet
+	Files []string // configurations, by node
+	Addrs []string // where the nodes are to listen
+	nodes *nodes
+}
+
+// Stand starts the stand-ins of an experiment. Nodes listen from an address on, counting the port up; each one's
+// configuration is written into a folder. With a program the nodes are started too.
+func Stand(x *Experiment, listen []string, dir string, argv []string) (*Standing, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("a folder for configurations: %w", err)
+	}
+	f, err := standin.Start(x.specs(), x.Nodes.Count, x.tolls(), x.Load.Bytes, x.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("starting the stand-ins: %w", err)
+	}
+	f.Forget() // it may stand for days
+	s := &Standing{Fleet: f, nodes: &nodes{fleet: f}}
+	for i := range x.Nodes.Count {
+		addr := ""
+		if i < len(listen) {
+			addr = listen[i]
+		} else if addr, err = freeAddr(); err != nil {
+			s.Close()
+			return nil, err
+		}
+		n := &nodeProc{no: i, addr: addr, dir: dir, prog: program{Argv: argv}, op: x.operatorFile(),
+			config: x.configuration(i, addr, f.Discovery.Addr(i), cmp.Or(x.Seed, 1))}
+		if err = n.rewrite(); err == nil {
+			n.log, err = os.Create(filepath.Join(dir, fmt.Sprintf("node-%d.log", i)))
+		}
+		s.Files, s.Addrs = append(s.Files, n.file()), append(s.Addrs, addr)
+		s.nodes.all = append(s.nodes.all, n)
+		if err == nil && len(argv) > 0 {
+			if err = n.start(); err == nil {
+				err = n.ready(10 * time.Second)
+			}
+		}
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// Wait stands until the context ends.
+func (s *Standing) Wait(ctx context.Context) { <-ctx.Done() }
+
+// Close ends all of it.
+func (s *Standing) Close() {
+	s.nodes.close()
+	s.Fleet.Close()
+}
--- /dev/null
+++ b/rig/verdict.go
@@ -0,0 +1,214 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"mintspring/model"
+)
+
+// Verdict is what a run comes to.
+type Verdict struct {
+	Experiment string             `json:"experiment"`
+	Program    string             `json:"program"`
+	Seed       uint64             `json:"seed"`
+	Counts     bool               `json:"counts"` // the machine was quick enough
+	Lateness   float64            `json:"lateness_p99_ms"`
+	Expects    []Held             `json:"expects"`
+	Breaches   []string           `json:"breaches"`
+	Figures    map[string]float64 `json:"figures"`
+	Series     Series             `json:"series"`
+	Boxes      []string           `json:"boxes"`
+	Events     []Event            `json:"events"` // At in seconds from the start of what is measured
+	About      string             `json:"about"`
+	Main       bool               `json:"main"`
+	Queries    int                `json:"queries"`
+	Load       map[string]any     `json:"size"`
+}
+
+// Series are figures second by second, the first one that of what is measured.
+type Series struct {
+	P50, P99, InSLO []float64
+	Origin          []float64   // executions
+	Executions      [][]float64 // by box
+	Load            [][]float64 // by box: utilisation
+}
+
+// Verdict sums a run up. Baselines are bound by few expectations.
+func (r *Run) Verdict(main bool) Verdict {
+	v := Verdict{Experiment: r.X.Name, Program: r.Program, Seed: r.Seed, Counts: r.Lateness <= MostLate, Lateness: r.Lateness,
+		Expects: r.Held(main), Figures: map[string]float64{}, Boxes: r.X.names(), About: r.X.About, Main: main, Queries: len(r.Queries),
+		Load: map[string]any{"boxes": len(r.X.names()) - 1, "nodes": r.X.Nodes.Count, "rate": r.X.Load.Rate, "length_s": r.X.Length.D().Seconds()}}
+	for _, b := range r.Breaches {
+		v.Breaches = append(v.Breaches, b.String())
+	}
+	all := span{-1, every, r.From, r.To}
+	for name, f := range figures {
+		v.Figures[name] = f.of(r, all)
+	}
+	for _, e := range r.Events {
+		v.Events = append(v.Events, Event{(e.At - r.From) / 1000, e.What})
+	}
+	n := int(r.X.Length.D() / time.Second)
+	count := map[inSecond]float64{}
+	for _, e := range r.Executions {
+		count[inSecond{e.Server, int((e.First - r.From) / 1000)}]++
+	}
+	boxes := len(v.Boxes) - 1
+	v.Series.Executions, v.Series.Load = make([][]float64, boxes), make([][]float64, boxes)
+	for i := range n {
+		s := span{-1, every, r.From + float64(i)*1000, r.From + float64(i+1)*1000}
+		v.Series.P50 = append(v.Series.P50, r.quantile(s, 50))
+		v.Series.P99 = append(v.Series.P99, r.quantile(s, 99))
+		v.Series.InSLO = append(v.Series.InSLO, r.inSLO(s))
+		v.Series.Origin = append(v.Series.Origin, count[inSecond{r.originID(), i}])
+		for b := range boxes {
+			s.box = model.ServerID(b)
+			v.Series.Executions[b] = append(v.Series.Executions[b], count[inSecond{s.box, i}])
+			v.Series.Load[b] = append(v.Series.Load[b], r.peakLoad(s, false))
+		}
+	}
+	return v
+}
+
+// Kept is how many expectations that bind held, and how many there are.
+func (v *Verdict) Kept() (held, all int) {
+	for _, e := range v.Expects {
+		if e.Binds {
+			if all++; e.Held {
+				held++
+			}
+		}
+	}
+	return held, all
+}
+
+// Good tells whether all that binds held. A baseline may break rules: it is there to be compared with.
+func (v *Verdict) Good() bool {
+	held, all := v.Kept()
+	return held == all && (!v.Main || len(v.Breaches) == 0)
+}
+
+// String is the run's last line.
+func (v *Verdict) String() string {
+	held, all := v.Kept()
+	rules := "kept"
+	if n := len(v.Breaches); n > 0 {
+		rules = fmt.Sprintf("broken: %s", v.Breaches[0])
+		if n > 1 {
+			rules += fmt.Sprintf(" (and %d more)", n-1)
+		}
+	}
+	name := v.Experiment
+	if !v.Main {
+		name += " (" + v.Program + ")"
+	}
+	return fmt.Sprintf("experiment %s seed %d: held %d of %d, rules %s", name, v.Seed, held, all, rules)
+}
+
+// Text prints the expectations with their figures.
+func (v *Verdict) Text() string {
+	var b strings.Builder
+	for _, e := range v.Expects {
+		word := "held "
+		if !e.Held {
+			word = "SHORT"
+		}
+		if !e.Binds {
+			word = "     "
+		}
+		fmt.Fprintf(&b, "  %s  %-56s %.4g\n", word, e.Expect, e.Value)
+	}
+	for i, x := range v.Breaches {
+		if i == 5 {
+			fmt.Fprintf(&b, "  ... and %d more\n", len(v.Breaches)-i)
+			break
+		}
+		fmt.Fprintf(&b, "  BROKEN %s\n", x)
+	}
+	return b.String()
+}
+
+// Save writes the verdict to a folder.
+func (v *Verdict) Save(dir string) error {
+	text, err := json.MarshalIndent(v, "", " ")
+	if err == nil {
+		err = os.MkdirAll(dir, 0o755)
+	}
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, fmt.Sprintf("%s-%s-%d.json", v.Experiment, v.Program, v.Seed)), text, 0o644)
+	}
+	if err != nil {
+		return fmt.Errorf("saving the verdict: %w", err)
+	}
+	return nil
+}
+
+// Load reads the verdicts of a folder, by name.
+func Load(dir string) ([]Verdict, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil || len(files) == 0 {
+		return nil, fmt.Errorf("%s holds no verdicts", dir)
+	}
+	sort.Strings(files)
+	var out []Verdict
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			return nil, fmt.Errorf("reading a verdict: %w", err)
+		}
+		var v Verdict
+		if err := json.Unmarshal(text, &v); err != nil {
+			return nil, fmt.Errorf("%s: %w", f, err)
+		}
+		out = append(out, v)
+	}
+	return out, nil
+}
+
+// Table sets figures of verdicts side by side.
+func Table(vs []Verdict) string {
+	var names []string
+	for name := range figures {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-22s", "")
+	for _, v := range vs {
+		fmt.Fprintf(&b, " %14s", v.Program)
+	}
+	b.WriteByte('\n')
+	for _, name := range names {
+		fmt.Fprintf(&b, "%-22s", name)
+		for _, v := range vs {
+			fmt.Fprintf(&b, " %14.4g", v.Figures[name])
+		}
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// FigureDocs lists what can be measured, with its unit.
+func FigureDocs() [][2]string {
+	var out [][2]string
+	for name, f := range figures {
+		out = append(out, [2]string{name, f.unit})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i][0] < out[j][0] })
+	return out
+}
+
+// JSON is the verdict on one line.
+func (v *Verdict) JSON() (string, error) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return "", fmt.Errorf("wording the verdict: %w", err)
+	}
+	return string(text), nil
+}
--- /dev/null
+++ b/standin/discovery.go
@@ -0,0 +1,316 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"mintspring/model"
+)
+
+// Phases of a server in discovery's words.
+const (
+	InService   = "in_service"
+	Terminating = "terminating"
+	Terminated  = "terminated"
+)
+
+// heartbeat is how often a watch brings an empty line while nothing changes.
+const heartbeat = 2 * time.Second
+
+// Told is one thing that a node was told of a server.
+type Told struct {
+	At      float64 // Unix ms
+	Node    model.NodeID
+	Server  model.ServerID
+	Name    string // under which it was listed
+	Phase   string
+	Started float64 // 0: long ago
+}
+
+// Discovery plays the list of servers, at an address of its own for each node.
+type Discovery struct {
+	fleet *Fleet
+
+	mu       sync.Mutex
+	late     time.Duration // changes are told so much later
+	down     bool
+	revision int64
+	changes  []change // in order of their revisions
+	lns      []net.Listener
+	servers  []*http.Server
+	told     []Told
+	changed  chan struct{} // closed at each change
+	quit     chan struct{}
+}
+
+type change struct {
+	revision int64
+	at       time.Time // it is told from then on
+	box      *Box
+	name     string // the id under which the server is listed
+	phase    string
+	started  float64
+}
+
+func startDiscovery(f *Fleet, nodes int) (*Discovery, error) {
+	d := &Discovery{fleet: f, changed: make(chan struct{}), quit: make(chan struct{})}
+	for _, b := range f.boxes {
+		d.revision++
+		d.changes = append(d.changes, change{d.revision, time.Time{}, b, b.Name, InService, 0})
+	}
+	for n := range nodes {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("discovery listens: %w", err)
+		}
+		d.lns, d.servers = append(d.lns, ln), append(d.servers, nil)
+		d.serve(n)
+	}
+	return d, nil
+}
+
+func (d *Discovery) serve(n int) {
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.call(model.NodeID(n), w, r) })}
+	d.servers[n] = s
+	go s.Serve(d.lns[n])
+}
+
+// Addr is where a node asks.
+func (d *Discovery) Addr(n int) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lns[n].Addr().String()
+}
+
+// Say changes what the list says of a server, under the id that it goes by.
+func (d *Discovery) Say(b *Box, phase string) {
+	name := b.Listed()
+	d.fleet.mu.Lock()
+	started := b.started
+	d.fleet.mu.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision++
+	d.changes = append(d.changes, change{d.revision, time.Now().Add(d.late), b, name, phase, started})
+	d.stir()
+}
+
+func (d *Discovery) stir() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Late makes changes come so much later from now on.
+func (d *Discovery) Late(by time.Duration) {
+	d.mu.Lock()
+	d.late = by
+	d.mu.Unlock()
+}
+
+// Down makes every call fail and ends the watches, or serves again.
+func (d *Discovery) Down(down bool) {
+	d.mu.Lock()
+	d.down = down
+	d.stir()
+	d.mu.Unlock()
+}
+
+// Anew makes its revision start again, as after a loss of its state.
+func (d *Discovery) Anew() {
+	d.mu.Lock()
+	now := d.stand(time.Now())
+	d.revision = 0
+	d.changes = nil
+	for _, c := range now {
+		d.revision++
+		c.revision = d.revision
+		d.changes = append(d.changes, c)
+	}
+	d.stir()
+	d.mu.Unlock()
+}
+
+// Move serves at another address for each node. The old ones refuse.
+func (d *Discovery) Move() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for n := range d.lns {
+		d.servers[n].Close()
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("discovery moves: %w", err)
+		}
+		d.lns[n] = ln
+		d.serve(n)
+	}
+	return nil
+}
+
+func (d *Discovery) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.quit:
+		return
+	default:
+	}
+	close(d.quit)
+	for _, s := range d.servers {
+		s.Close()
+	}
+}
+
+// ToldAll is all that was told to nodes.
+func (d *Discovery) ToldAll() []Told {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.told
+}
+
+// knows tells whether a node had been told of the server's last start.
+func (d *Discovery) knows(n model.NodeID, b *Box, now float64) bool {
+	if b.started == 0 {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := len(d.told) - 1; i >= 0; i-- {
+		if t := d.told[i]; t.Node == n && t.Server == b.server.ID && t.Started == b.started {
+			return true
+		}
+	}
+	return now-b.started > ToldAfter
+}
+
+// ToldAfter is when a change counts as told, whether or not it arrived, in ms.
+const ToldAfter = 6000
+
+// stand is the list as it is told at a time: the last change of each id. Called with the lock held.
+func (d *Discovery) stand(now time.Time) []change {
+	last := map[string]int{}
+	var out []change
+	for _, c := range d.changes {
+		if c.at.After(now) {
+			continue
+		}
+		if i, there := last[c.name]; there {
+			out[i] = c
+			continue
+		}
+		last[c.name] = len(out)
+		out = append(out, c)
+	}
+	return out
+}
+
+type member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  float64 `json:"up_since_ms"`
+}
+
+// lines gives what is to be told to a node from a revision on: changes, or the whole list for -1. Called with the lock
+// held. It also says when the next change that is held back is due.
+func (d *Discovery) lines(n model.NodeID, from int64, now time.Time) (text []byte, upTo int64, due time.Time) {
+	type update struct {
+		Revision int64    `json:"revision"`
+		Complete bool     `json:"complete"`
+		Members  []member `json:"members"`
+	}
+	u := update{Revision: from, Members: []member{}}
+	which := d.changes
+	if from < 0 || from > d.revision {
+		u.Complete, which, u.Revision = true, d.stand(now), 0
+	}
+	for _, c := range which {
+		if !u.Complete && c.revision <= from {
+			continue
+		}
+		if c.at.After(now) {
+			due = c.at
+			break
+		}
+		u.Revision = max(u.Revision, c.revision)
+		d.told = append(d.told, Told{Now(), n, c.box.ID(), c.name, c.phase, c.started})
+		if u.Complete && c.phase == Terminated {
+			continue // a whole list tells so by leaving it out
+		}
+		flavor := BoxKind
+		if c.box.Origin {
+			flavor = OriginKind
+		}
+		u.Members = append(u.Members, member{c.name, c.box.Addr(n), c.box.Zone, flavor, c.box.Cell, c.phase, c.box.Size, math.Floor(c.started)})
+	}
+	if len(u.Members) == 0 && !u.Complete {
+		return nil, from, due
+	}
+	text, _ = json.Marshal(u)
+	return append(text, '\n'), u.Revision, due
+}
+
+func (d *Discovery) call(n model.NodeID, w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	if d.down || r.URL.Path != "/catalog/members" {
+		d.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.URL.Query().Get("watch") != "1" {
+		text, _, _ := d.lines(n, -1, time.Now())
+		d.mu.Unlock()
+		w.Write(text)
+		return
+	}
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		from = -1
+	}
+	if from == 0 {
+		from = -1
+	}
+	for {
+		now := time.Now()
+		text, upTo, due := d.lines(n, from, now)
+		from = upTo
+		changed, down := d.changed, d.down
+		d.mu.Unlock()
+		if down {
+			return
+		}
+		if text == nil {
+			text = []byte("\n")
+		}
+		if _, err := w.Write(text); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		wait := heartbeat
+		if !due.IsZero() {
+			wait = min(wait, time.Until(due))
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-r.Context().Done():
+			timer.Stop()
+			return
+		case <-d.quit:
+			timer.Stop()
+			return
+		}
+		timer.Stop()
+		d.mu.Lock()
+	}
+}
