--- a/cmd/mintspring/main.go
+++ b/cmd/mintspring/main.go
@@ -21,6 +21,7 @@
 	"mintspring/node"
 	"mintspring/node/clock"
 	"mintspring/operator"
+	"mintspring/platform"
 )
 
 // words is the command line. The platform starts the program without any, which is run.
@@ -70,7 +71,7 @@
 			fmt.Fprintln(out, err)
 		}
 	}
-	cfg, err := readConfiguration(f.getenv)
+	cfg, err := platform.Read(f.getenv)
 	fault(err)
 	op, err := operator.Read(f.Operator)
 	fault(err)
@@ -82,7 +83,7 @@
 		on = strings.Join(names, ", ")
 	}
 	fmt.Fprintf(out, "node %s listens on %s, discovery at %s, %d workloads, %d zones; on by the operator's file: %s\n",
-		cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.site.Workloads), len(cfg.site.Zones), on)
+		cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Site.Workloads), len(cfg.Site.Zones), on)
 	return nil
 }
 
@@ -110,7 +111,7 @@
 	hangups, signals := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	c, err := readConfiguration(r.getenv)
+	c, err := platform.Read(r.getenv)
 	if err != nil {
 		return err
 	}
@@ -133,7 +134,7 @@
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
-	n := node.New(c.birth(), log)
+	n := node.New(c.Birth(), log)
 	// Clients may come for 0.4 s more, and the process is killed 0.7 s after the longest statement timeout, 3 s at
 	// most, has passed.
 	const grace = 500 * time.Millisecond
@@ -158,7 +159,7 @@
 
 // holding is what the node runs by.
 type holding struct {
-	c  *configuration
+	c  *platform.Configuration
 	op *operator.File
 }
 
@@ -166,7 +167,7 @@
 // are taken over at once; what else has changed is named, for it holds after a restart only. A file that cannot be
 // used changes nothing.
 func (h holding) reload(f files, follow func(addr string), log *logrus.Logger) holding {
-	c, err := readConfiguration(f.getenv)
+	c, err := platform.Read(f.getenv)
 	if err != nil {
 		log.WithError(err).Error("the new configuration cannot be used; the one held stays")
 		return h
@@ -178,7 +179,7 @@
 	}
 	op.Log.Apply(log)
 	line := log.WithField("discovery", c.Discovery)
-	if waits := slices.Concat(h.c.differs(c), h.op.Waits(op)); len(waits) > 0 {
+	if waits := slices.Concat(h.c.Differs(c), h.op.Waits(op)); len(waits) > 0 {
 		line = line.WithField("needs_restart", strings.Join(waits, ","))
 	}
 	if c.Discovery != h.c.Discovery {
--- a/cmd/mintspring/main_test.go
+++ b/cmd/mintspring/main_test.go
@@ -16,63 +16,20 @@
 	"github.com/sirupsen/logrus"
 
 	"mintspring/operator"
+	"mintspring/platform"
 )
 
 const whole = `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
  "limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"revision":41,"complete":true,"members":[{"id":"s"}]},
  "settings":{"Workloads":[{"Name":"read","SloTime":1000,"StatementTimeout":2000}]},"later":[1]}`
 
-func readText(t *testing.T, text string) (*configuration, error) {
+func readText(t *testing.T, text string) (*platform.Configuration, error) {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return readConfiguration(func(name string) string {
-		return map[string]string{"LB_CONFIG": file, "LB_LISTEN": "127.0.0.1:9"}[name]
-	})
-}
-
-func TestConfiguration(t *testing.T) {
-	c, err := readText(t, whole)
-	if err != nil {
-		t.Fatal(err)
-	}
-	b := c.birth()
-	if b.Site.Limits.Seed != 0x8c1f30d27a5be964 || b.Known.Revision != 41 || b.Sockets != 1024 || b.MemoryMB != 192 ||
-		b.Site.Workloads[0] != "read" || b.Site.Limits.Workloads[0].StatementTimeout != 2 {
-		t.Errorf("read as %+v", b)
-	}
-	if c, err = readText(t, strings.Replace(whole, `"listen":"127.0.0.1:1",`, "", 1)); err != nil || c.Listen != "127.0.0.1:9" {
-		t.Errorf("listens on %v, %v", c, err)
-	}
-}
-
-// What is wrong with the file is told in one line that names the file and the field.
-func TestConfigurationThatCannotBeUsed(t *testing.T) {
-	for _, c := range []struct{ old, new, want string }{
-		{whole, "", "unexpected end"},
-		{whole, "[]", "configuration"},
-		{`"listen":"127.0.0.1:1"`, `"listen":7`, "listen"},
-		{`"listen":"127.0.0.1:1"`, `"listen":"here"`, "listen"},
-		{`"discovery":"127.0.0.1:2",`, "", "discovery"},
-		{`"8c1f30d27a5be964"`, `"xyz"`, "seed"},
-		{`"settings":{`, `"other":{`, "settings: missing"},
-		{`"Workloads"`, `"Other"`, "Workloads"},
-		{`"SloTime":1000`, `"SloTime":"soon"`, "SloTime"},
-		{`"Name":"read",`, "", "Workloads[0].Name"},
-		{`"StatementTimeout":2000`, `"StatementTimeout":0`, "Workloads[0].StatementTimeout"},
-		{`"sockets":1024`, `"sockets":-1`, "limits"},
-	} {
-		_, err := readText(t, strings.Replace(whole, c.old, c.new, 1))
-		if err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), "config.json") ||
-			strings.Contains(err.Error(), "\n") {
-			t.Errorf("%q in place of %q: error %v", c.new, c.old, err)
-		}
-	}
-	if _, err := readConfiguration(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
-		t.Errorf("error %v", err)
-	}
+	return platform.Read(files{Config: file}.getenv)
 }
 
 // A file that cannot be used changes nothing, and what only a restart can bring is named.
--- a/rig/nodes.go
+++ b/rig/nodes.go
@@ -21,10 +21,15 @@
 
 // program is how nodes are started: a command, and the name it goes by in reports.
 type program struct {
-	Name string
-	Argv []string
+	Name  string
+	Argv  []string
+	Serve Serve
 }
 
+// Serve runs a node within this process, for tests: it serves clients on the listener until the function that it
+// returns is called. The file is its configuration.
+type Serve func(file string, ln net.Listener) (stop func(), err error)
+
 // nodeProc is one node as a process of its own.
 type nodeProc struct {
 	no     int
@@ -36,7 +41,8 @@
 	op     string
 
 	mu      sync.Mutex
-	cmd     *exec.Cmd
+	cmd     *exec.Cmd // nil within this process
+	stop    func()
 	ended   chan struct{} // of the process that runs
 	wanted  bool          // it is to run
 	seen    float64       // an end that nobody wanted
@@ -148,6 +154,9 @@
 	if err := n.rewrite(); err != nil {
 		return err
 	}
+	if n.prog.Serve != nil {
+		return n.serve()
+	}
 	argv := n.prog.Argv
 	if n.op != "" && len(argv) == 1 {
 		argv = append(argv[:1:1], "run", "--operator", n.op)
@@ -177,6 +186,21 @@
 	return nil
 }
 
+func (n *nodeProc) serve() error {
+	ln, err := net.Listen("tcp4", n.addr)
+	if err != nil {
+		return fmt.Errorf("starting node %d: %w", n.no, err)
+	}
+	stop, err := n.prog.Serve(n.file(), ln)
+	if err != nil {
+		return fmt.Errorf("starting node %d: %w", n.no, err)
+	}
+	n.mu.Lock()
+	n.stop, n.ended, n.wanted = stop, make(chan struct{}), true
+	n.mu.Unlock()
+	return nil
+}
+
 // lastWords is the last line of its log.
 func (n *nodeProc) lastWords() string {
 	text, err := os.ReadFile(n.log.Name())
@@ -232,7 +256,13 @@
 	if sig == syscall.SIGTERM {
 		n.downs[at].From = standin.Now() + 3.6e6 // what it has taken must be answered still
 	}
+	stop := n.stop
 	n.mu.Unlock()
+	if cmd == nil {
+		stop()
+		close(ended)
+		return
+	}
 	cmd.Process.Signal(sig)
 	select {
 	case <-ended:
@@ -265,7 +295,7 @@
 func (n *nodeProc) hangup() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.wanted {
+	if n.wanted && n.cmd != nil {
 		n.cmd.Process.Signal(syscall.SIGHUP)
 	}
 }
@@ -281,7 +311,7 @@
 func (n *nodeProc) usage() (mb float64, descriptors int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.wanted {
+	if !n.wanted || n.cmd == nil {
 		return 0, 0
 	}
 	dir := filepath.Join("/proc", strconv.Itoa(n.cmd.Process.Pid))
--- a/rig/play.go
+++ b/rig/play.go
@@ -22,6 +22,7 @@
 type Options struct {
 	Program  string   // how reports call what is measured
 	Argv     []string // how a node of it is started; LB_CONFIG names its configuration
+	Serve    Serve    // in place of a process for each node
 	Seed     uint64   // 0: the file's
 	Dir      string   // logs and configurations of nodes go there; "" for a folder that goes afterwards
 	Progress func(done float64)
@@ -50,7 +51,7 @@
 	}
 	defer f.Close()
 	f.Discovery.Late(x.Fleet.Late.D())
-	ns, err := startNodes(x, f, program{o.Program, o.Argv}, dir, seed)
+	ns, err := startNodes(x, f, program{o.Program, o.Argv, o.Serve}, dir, seed)
 	defer func() { ns.close() }()
 	if err != nil {
 		return nil, err
