--- a/rig/load.go
+++ b/rig/load.go
@@ -176,7 +176,8 @@
 		if err != nil {
 			c.net.Close()
 			timedOut := errors.Is(err, os.ErrDeadlineExceeded)
-			if !timedOut && c.used && attempt == 0 {
+			// A node that was killed may have carried the query on; one that is up has closed between two queries.
+			if !timedOut && c.used && attempt == 0 && pings(l.front.addrs[no]) {
 				continue
 			}
 			if !timedOut {
--- a/standin/door.go
+++ b/standin/door.go
@@ -31,8 +31,10 @@
 	fill  []net.Conn // connections that keep the queue of a silent door full
 }
 
+const anyPort = "127.0.0.1:0"
+
 func newDoor(b *Box, n model.NodeID) (*door, error) {
-	d := &door{box: b, node: n, addr: "127.0.0.1:0", conns: map[*conn]struct{}{}}
+	d := &door{box: b, node: n, addr: anyPort, conns: map[*conn]struct{}{}}
 	return d, d.open()
 }
 
@@ -53,7 +55,9 @@
 			return err
 		}
 	}
-	d.ln, d.addr = ln.(*net.TCPListener), ln.Addr().String()
+	if d.ln = ln.(*net.TCPListener); d.addr == anyPort {
+		d.addr = ln.Addr().String()
+	}
 	go d.accept(d.ln)
 	return nil
 }
