--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
-.PHONY: build test lint run toy
+.PHONY: build test lint try
 
-build: ## the node and the bench's adapter, in bin/
+build: ## all programs, in bin/
 	mkdir -p bin && go build -o bin/ ./cmd/...
 
 test:
@@ -10,8 +10,5 @@
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet ./...
 
-run: build ## a node with the example's configuration; start `make toy` first
-	LB_CONFIG=example/config.json bin/mintspring
-
-toy: ## stand-ins for all that the node speaks with
-	go run ./example/toy
+try: build ## a node among stand-ins: one query and a short load
+	bin/mintrig try
