--- a/cmd/mintrig/main.go
+++ b/cmd/mintrig/main.go
@@ -126,8 +126,7 @@
 		}
 	}
 	fmt.Println("the fleet stands until it is interrupted")
-	s.Wait(ctx)
-	return nil
+	return s.Wait(ctx)
 }
 
 type tryCmd struct{}
@@ -274,7 +273,7 @@
 			if c.Out != "" {
 				dir = filepath.Join(c.Out, x.Name+"-"+pl.name)
 			}
-			r, err := rig.Play(ctx, x, rig.Options{Program: pl.name, Argv: pl.argv, Seed: c.Seed, Dir: dir, Progress: progress(x.Name)})
+			r, err := rig.Play(ctx, x, rig.Options{Program: pl.name, Argv: pl.argv, Plain: i > 0, Seed: c.Seed, Dir: dir, Progress: progress(x.Name)})
 			if errors.Is(err, context.Canceled) {
 				return errors.New("interrupted; all that was started has ended")
 			}
--- a/cmd/mintspring/main.go
+++ b/cmd/mintspring/main.go
@@ -134,7 +134,9 @@
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
-	n := node.New(c.Birth(), log)
+	b := c.Birth()
+	b.Operator = op
+	n := node.New(b, log)
 	// Clients may come for 0.4 s more, and the process is killed 0.7 s after the longest statement timeout, 3 s at
 	// most, has passed.
 	const grace = 500 * time.Millisecond
--- a/node/events.go
+++ b/node/events.go
@@ -177,13 +177,13 @@
 	answers  [3]int
 	outcomes [fleet.Missed + 1]int
 	left     int
-	opened   int
+	pools    link.Counts
 
 	lastBreak error // one is enough for on-call staff to see what kind it is
 }
 
-func (t *tally) log(log *logrus.Entry, inHand int, front *clients.Server, opened int) {
-	o := &t.outcomes
+func (t *tally) log(log *logrus.Entry, inHand int, front *clients.Server, c link.Counts) {
+	o, was := &t.outcomes, t.pools
 	refused, bad, silent := front.Counts()
 	if t.lastBreak != nil {
 		log = log.WithField("last_break", t.lastBreak.Error())
@@ -192,9 +192,11 @@
 		"completed": t.answers[exchange.Completed], "rejected": t.answers[exchange.Rejected],
 		"aborted": t.answers[exchange.Aborted], "left": t.left, "in_hand": inHand, "clients": front.Open(),
 		"clients_refused": refused, "clients_silent": silent, "bad_commands": bad,
-		"connections_opened": opened - t.opened, "missed": o[fleet.Missed], "failed": o[fleet.Failed],
+		"connections_opened": c.Opened - was.Opened, "connections_reused": c.Reused - was.Reused,
+		"connection_waits": c.Waited - was.Waited, "waited_too_long": c.Late - was.Late, "crowded": c.Crowded - was.Crowded,
+		"surplus": c.Surplus - was.Surplus, "missed": o[fleet.Missed], "failed": o[fleet.Failed],
 		"full": o[fleet.Full], "timed_out": o[fleet.TimedOut], "connect_failed": o[fleet.ConnectFailed],
 		"reset": o[fleet.Reset], "cancelled": o[fleet.Cancelled], "not_sent": o[fleet.NotSent],
 	}).Info("traffic")
-	*t = tally{opened: opened}
+	*t = tally{pools: c}
 }
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -92,13 +92,16 @@
 func (b *Break) NeverRan() bool { return b.Reach < WhollyWritten }
 
 // Outcome is what the break means to the decision module. An execution that the node itself took back before
-// its last byte went was not sent; one that the peer or the network stopped there could not connect.
+// its last byte went was not sent; one that the peer or the network stopped there could not connect; one for which the
+// server's pool had no connection in time found it full.
 func (b *Break) Outcome() fleet.Result {
 	switch {
 	case !b.NeverRan():
 		return b.Result
 	case b.Result == fleet.Reset || b.Result == fleet.ConnectFailed:
 		return fleet.ConnectFailed
+	case b.Result == fleet.Full:
+		return fleet.Full
 	}
 	return fleet.NotSent
 }
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -15,13 +15,16 @@
 
 // conn is one connection. One goroutine writes and one reads, so that a peer that closes it is noticed at once.
 type conn struct {
-	link  *Link
-	net   net.Conn
-	addr  string
-	work  chan *Execution
-	since float64 // idle since
-	idle  float64 // how long it was before what is out on it
-	used  bool    // an answer has come on it
+	link   *Link
+	net    net.Conn
+	addr   string
+	work   chan *Execution
+	opened float64
+	chance float64 // from [0,1), so that those opened together do not end together
+	since  float64 // idle since
+	ready  float64 // it has rested by then
+	idle   float64 // how long it was idle before what is out on it
+	used   bool    // an answer has come on it
 
 	// Held under the link's lock.
 	cur     *Execution
@@ -101,8 +104,10 @@
 		l.mu.Lock()
 		e := c.cur
 		if e == nil || c.closed {
+			l.surplus(c, at)
 			l.shut(c)
 			l.drop(c)
+			l.serve(at)
 			l.mu.Unlock()
 			return
 		}
@@ -124,13 +129,18 @@
 			c.net.SetReadDeadline(time.Time{})
 		}
 		in.Skip(n)
-		if reply.Last || in.Len() > 0 {
+		if in.Len() > 0 {
+			c.since = at
+			l.surplus(c, at)
+		}
+		if reply.Last || in.Len() > 0 || l.judged(c, reply, at) {
 			l.shut(c)
 		}
 		in.Rest()
-		c.cur, c.used = nil, true
+		l.leave(c)
+		c.used = true
 		ended := l.finish(e)
-		l.rest(c)
+		l.free(c, at)
 		l.mu.Unlock()
 		if ended {
 			l.group.Done(e, Ending{At: at, Reply: reply})
@@ -157,12 +167,14 @@
 		l.mu.Unlock()
 		return
 	}
-	c.cur = nil
+	l.leave(c)
 	if e != nil && partly && e.reach == exchange.WhollyWritten {
 		e.reach = exchange.PartlyWritten
 	}
 	if e != nil {
 		e.stale = l.forgot(c, e)
+	} else {
+		l.serve(l.group.Clock.Now()) // it may have been what something waits for
 	}
 	l.mu.Unlock()
 	if e != nil {
@@ -191,7 +203,7 @@
 // lock held.
 func (l *Link) again(c *conn) {
 	e := c.cur
-	c.cur = nil
+	l.leave(c)
 	l.shut(c)
 	if e != nil && !e.done {
 		e.conn = nil
@@ -199,10 +211,30 @@
 	}
 }
 
+// surplus takes in that more came on a connection than was asked for. Called with the lock held.
+func (l *Link) surplus(c *conn, at float64) {
+	if !c.closed {
+		l.group.counts.surplus.Add(1)
+		l.pool.Surplus(at, max(0, at-c.since))
+	}
+}
+
+// judged takes in what an answer says of the server's room for connections, and tells whether this one is one too many.
+func (l *Link) judged(c *conn, r Reply, at float64) bool {
+	if r.Result == fleet.Full {
+		return l.pool.Full(at, !c.used, l.unused()+l.inUse-1)
+	}
+	l.answered = at
+	l.pool.Fine(at)
+	return false
+}
+
 // drop takes a connection off the idle ones.
 func (l *Link) drop(c *conn) {
-	if i := slices.Index(l.idle, c); i >= 0 {
-		l.idle = slices.Delete(l.idle, i, i+1)
+	for _, from := range []*[]*conn{&l.idle, &l.resting} {
+		if i := slices.Index(*from, c); i >= 0 {
+			*from = slices.Delete(*from, i, i+1)
+		}
 	}
 }
 
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -16,6 +18,7 @@
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/quota"
+	"mintspring/pool"
 )
 
 // Wire is the protocol spoken with a peer.
@@ -50,6 +53,7 @@
 	Until float64 // it is given up then
 
 	conn  *conn
+	since float64 // it waits for a connection since then
 	reach exchange.Reach
 	stale bool // its connection was forgotten by the peer
 	done  bool
@@ -62,6 +66,8 @@
 	errCancelled = errors.New("it was cancelled")
 	errShut      = errors.New("nothing new may go to this server")
 	errSockets   = errors.New("no descriptor is left")
+	errWaited    = errors.New("it waited too long for a connection")
+	errCrowded   = errors.New("too many wait for a connection")
 )
 
 // Group is what the links of a node share.
@@ -71,18 +77,42 @@
 	Done           func(*Execution, Ending) // called once an execution, from any goroutine; must not block
 	Panicked       func(any)                // a panic in a connection's code, which closes that connection
 	ConnectTimeout float64
-	ConnIdle       float64
-	Stall          float64 // an answer that has begun may stand still for so long, ms; 0: for ever
-	Rest           float64 // a connection is not used for so long after an answer, in ms, for more may come behind it
+	Stall          float64        // an answer that has begun may stand still for so long, ms; 0: for ever
+	Chance         func() float64 // from [0,1), from any goroutine; nil: always 0
 
-	opened atomic.Int64
+	counts counts
+	mu     sync.Mutex
+	links  []*Link
+}
 
-	mu    sync.Mutex
-	links []*Link
+type counts struct {
+	opened, reused, waited, late, crowded, surplus, old atomic.Int64
 }
 
-// Opened is how many connections were opened so far.
-func (g *Group) Opened() int { return int(g.opened.Load()) }
+// Counts say what the pools of a node have done so far.
+type Counts struct {
+	Opened  int // connections
+	Reused  int // executions on a connection that was there
+	Waited  int // executions that had to wait for one
+	Late    int // of these, turned back for waiting too long
+	Crowded int // turned back at once, for too many waited
+	Surplus int // connections closed because more came on them than was asked for
+	Old     int // closed for their age
+}
+
+// Counts returns them.
+func (g *Group) Counts() Counts {
+	c := &g.counts
+	return Counts{int(c.opened.Load()), int(c.reused.Load()), int(c.waited.Load()), int(c.late.Load()),
+		int(c.crowded.Load()), int(c.surplus.Load()), int(c.old.Load())}
+}
+
+func (g *Group) chance() float64 {
+	if g.Chance == nil {
+		return 0
+	}
+	return g.Chance()
+}
 
 // Spare closes the connection of the group that has been idle longest, and tells whether there was one.
 func (g *Group) Spare() bool {
@@ -99,29 +129,45 @@
 	return oldest != nil && oldest.spare()
 }
 
-// Link is the connections to one peer.
+// Link is the connections to one peer. What its pool holds is the pool's to decide.
 type Link struct {
 	group *Group
 	wire  Wire
 
-	mu      sync.Mutex
-	addr    string
-	open    bool
-	idle    []*conn // the one used last stands last
-	waiting []*Execution
-	dialing int
-	resting int // connections that will be free in a moment
+	mu       sync.Mutex
+	addr     string
+	open     bool
+	pool     *pool.Pool
+	resting  []*conn // not used, and resting after an answer; the one ready first stands first
+	idle     []*conn // not used, and rested; the one used last stands last
+	inUse    int     // connections on which an execution is out
+	waiting  []*Execution
+	dialing  int
+	answered float64 // when an answer came last
+	timer    *time.Timer
+	due      float64 // when it goes off; 0: it does not
 }
 
-// New makes a link that is shut.
-func New(g *Group, w Wire) *Link {
-	l := &Link{group: g, wire: w}
+// New makes a link that is shut. The name tells its server from others; the terms are those of its pool.
+func New(g *Group, w Wire, name string, t pool.Terms) *Link {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	l := &Link{group: g, wire: w, pool: pool.New(t, fleet.Mix(h.Sum64()), g.chance())}
+	l.timer = time.AfterFunc(time.Hour, l.tick)
+	l.timer.Stop()
 	g.mu.Lock()
 	g.links = append(g.links, l)
 	g.mu.Unlock()
 	return l
 }
 
+// Started says when the peer's process last started, Unix ms; 0: long ago.
+func (l *Link) Started(at float64) {
+	l.mu.Lock()
+	l.pool.Started(at)
+	l.mu.Unlock()
+}
+
 // Drop takes the link of a server that is long gone out of the group.
 func (l *Link) Drop() {
 	l.group.mu.Lock()
@@ -140,8 +186,9 @@
 		left, l.waiting = l.waiting, nil
 	}
 	if moved || !open {
-		l.closeIdle(len(l.idle))
+		l.closeIdle(l.unused())
 	}
+	l.serve(l.group.Clock.Now())
 	l.mu.Unlock()
 	for _, e := range left {
 		l.end(e, fleet.NotSent, errShut)
@@ -160,28 +207,106 @@
 	return e
 }
 
-// place gives an execution the connection that was used last, or has it wait for one.
+// place gives an execution a connection, or has it wait for one.
 func (l *Link) place(e *Execution) {
-	switch k := len(l.idle); {
+	now := l.group.Clock.Now()
+	switch {
 	case !l.open:
 		go l.end(e, fleet.NotSent, errShut)
-	case k > 0:
-		c := l.idle[k-1]
-		l.idle = l.idle[:k-1]
-		c.idle = l.group.Clock.Now() - c.since
-		l.assign(c, e)
+	case l.pool.Crowded(len(l.waiting)):
+		l.group.counts.crowded.Add(1)
+		go l.end(e, fleet.Full, errCrowded)
 	default:
-		// Whichever connection comes free first takes it: one that is busy now, or the new one.
+		e.since = now
 		l.waiting = append(l.waiting, e)
-		l.dialAll()
+		l.serve(now)
+	}
+}
+
+// serve gives connections to what waits, has others opened, and sees to it that it is called again when something is
+// due. Of the connections that have rested, the one used last is taken. Called with the lock held.
+func (l *Link) serve(now float64) {
+	again := math.Inf(1)
+	l.rested(now)
+	for len(l.waiting) > 0 && len(l.idle) > 0 {
+		k := len(l.idle) - 1
+		c := l.idle[k]
+		l.idle = l.idle[:k]
+		if l.pool.TooOld(now, c.opened, c.chance) {
+			l.group.counts.old.Add(1)
+			l.shut(c)
+			continue
+		}
+		e := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		if now > e.since {
+			l.group.counts.waited.Add(1)
+		}
+		if c.used {
+			l.group.counts.reused.Add(1)
+			l.pool.Waited(now - e.since)
+		}
+		c.idle = now - c.since
+		l.assign(c, e)
+	}
+	if l.open && (len(l.waiting) > 0 || l.pool.Keen()) {
+		s := l.state()
+		n, at := l.pool.Open(now, s)
+		for range n {
+			l.dialing++
+			go l.dial(l.addr)
+		}
+		again = at
+	}
+	if len(l.waiting) > 0 {
+		if len(l.resting) > 0 {
+			again = min(again, l.resting[0].ready)
+		}
+		again = min(again, l.pool.Gives(l.waiting[0].since))
+	}
+	if math.IsInf(again, 1) {
+		return
+	}
+	if l.due == 0 || again < l.due {
+		l.due = again
+		l.timer.Reset(clock.Span(max(0, again-now)))
 	}
 }
 
-// dialAll sees to it that a connection is on its way for each execution that waits.
-func (l *Link) dialAll() {
-	for l.open && l.dialing+l.resting < len(l.waiting) {
-		l.dialing++
-		go l.dial(l.addr)
+// rested takes the connections that have rested to those that may be used.
+func (l *Link) rested(now float64) {
+	n := 0
+	for n < len(l.resting) && l.resting[n].ready <= now {
+		n++
+	}
+	if n > 0 {
+		l.idle = append(l.idle, l.resting[:n]...)
+		l.resting = slices.Delete(l.resting, 0, n)
+	}
+}
+
+// unused is how many connections nothing is out on.
+func (l *Link) unused() int { return len(l.idle) + len(l.resting) }
+
+func (l *Link) state() pool.State {
+	return pool.State{Open: l.unused() + l.inUse, InUse: l.inUse, Resting: len(l.resting), Dialing: l.dialing, Waiting: len(l.waiting)}
+}
+
+// tick does what is due: it turns back what has waited too long, and serves the rest.
+func (l *Link) tick() {
+	l.mu.Lock()
+	now := l.group.Clock.Now()
+	l.due = 0
+	var late []*Execution
+	for len(l.waiting) > 0 && l.pool.Gives(l.waiting[0].since) <= now {
+		late = append(late, l.waiting[0])
+		l.waiting = l.waiting[1:]
+	}
+	l.serve(now)
+	l.mu.Unlock()
+	for _, e := range late {
+		l.group.counts.late.Add(1)
+		l.end(e, fleet.Full, errWaited)
 	}
 }
 
@@ -191,7 +316,7 @@
 // LetGo closes the idle connections.
 func (l *Link) LetGo() {
 	l.mu.Lock()
-	l.closeIdle(len(l.idle))
+	l.closeIdle(l.unused())
 	l.mu.Unlock()
 }
 
@@ -199,32 +324,37 @@
 func (l *Link) idleSince() (float64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.idle) == 0 {
+	if l.unused() == 0 {
 		return 0, false
 	}
-	return l.idle[0].since, true
+	return slices.Concat(l.idle, l.resting)[0].since, true
 }
 
 // spare closes that connection.
 func (l *Link) spare() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	had := len(l.idle) > 0
-	l.closeIdle(min(1, len(l.idle)))
+	had := l.unused() > 0
+	l.closeIdle(min(1, l.unused()))
 	return had
 }
 
-// Reap closes what has been idle for so long that the peer may close it any time: what is written to it then
-// could be lost in a way that nobody can tell from its having run.
+// Reap closes what has been idle for so long that the peer may close it any time, for what is written to it then could be
+// lost in a way that nobody can tell from its having run, and what is not needed any more. It opens what is to be there.
 func (l *Link) Reap() {
 	l.mu.Lock()
-	l.reap(l.group.Clock.Now())
+	now := l.group.Clock.Now()
+	l.reap(now)
+	if extra := l.unused() - l.pool.Keeps(now, l.state()); extra > 0 {
+		l.closeIdle(extra)
+	}
+	l.serve(now)
 	l.mu.Unlock()
 }
 
 func (l *Link) reap(now float64) {
-	if l.group.ConnIdle > 0 {
-		l.closeOlder(now - 0.75*l.group.ConnIdle)
+	if stale := l.pool.Stale(); stale > 0 {
+		l.closeOlder(now - stale)
 	}
 }
 
@@ -249,10 +379,14 @@
 
 // closeIdle closes the n connections that have been idle longest.
 func (l *Link) closeIdle(n int) {
-	for _, c := range l.idle[:n] {
-		l.shut(c)
+	for range n {
+		from := &l.idle
+		if len(l.idle) == 0 {
+			from = &l.resting
+		}
+		l.shut((*from)[0])
+		*from = slices.Delete(*from, 0, 1)
 	}
-	l.idle = slices.Delete(l.idle, 0, n)
 }
 
 // shut closes a connection once. Its goroutines end by that.
@@ -268,9 +402,19 @@
 // assign gives an execution to a connection on which nothing is out.
 func (l *Link) assign(c *conn, e *Execution) {
 	c.cur, e.conn = e, c
+	l.inUse++
+	l.pool.Use(l.group.Clock.Now(), l.inUse)
 	c.work <- e
 }
 
+// leave takes its execution off a connection.
+func (l *Link) leave(c *conn) {
+	if c.cur != nil {
+		c.cur = nil
+		l.inUse--
+	}
+}
+
 // finish marks an execution ended; false: it had ended before.
 func (l *Link) finish(e *Execution) bool {
 	if e.done {
@@ -290,12 +434,15 @@
 		return
 	}
 	if e.conn != nil {
-		e.conn.cur = nil
+		l.leave(e.conn)
 		l.shut(e.conn)
 	}
 	if i := slices.Index(l.waiting, e); i >= 0 {
 		l.waiting = slices.Delete(l.waiting, i, i+1)
 	}
+	if e.conn != nil {
+		l.serve(l.group.Clock.Now()) // there is room for another
+	}
 	b := &exchange.Break{Reach: e.reach, Result: r, Stale: e.stale, Cause: cause}
 	l.mu.Unlock()
 	l.group.Done(e, Ending{At: l.group.Clock.Now(), Break: b})
@@ -306,6 +453,7 @@
 	var nc net.Conn
 	err := error(errSockets)
 	result := fleet.NotSent
+	began := l.group.Clock.Now()
 	if l.group.Sockets.Take(false) {
 		ctx, stop := context.WithTimeout(context.Background(), clock.Span(l.group.ConnectTimeout))
 		d := net.Dialer{KeepAlive: -1}
@@ -317,57 +465,50 @@
 	}
 	l.mu.Lock()
 	l.dialing--
+	now := l.group.Clock.Now()
 	if err == nil {
-		c := &conn{link: l, net: nc, addr: addr, work: make(chan *Execution, 1)}
-		l.group.opened.Add(1)
+		c := &conn{link: l, net: nc, addr: addr, work: make(chan *Execution, 1), opened: now, chance: l.group.chance()}
+		l.group.counts.opened.Add(1)
 		go c.writes()
 		go c.reads()
-		l.free(c)
-		l.dialAll() // the peer may have moved meanwhile, and the connection be of no use
+		l.free(c, now)
 		l.mu.Unlock()
 		return
 	}
-	var e *Execution
-	if len(l.waiting) > 0 {
-		e, l.waiting = l.waiting[0], l.waiting[1:]
+	if result == fleet.ConnectFailed {
+		l.pool.NotUp(now, l.unused()+l.inUse, l.answered >= began)
 	}
+	// The one that waits longest ends with it, and all if nothing is left that could serve them.
+	k := min(1, len(l.waiting))
+	if l.unused()+l.inUse+l.dialing == 0 {
+		k = len(l.waiting)
+	}
+	failed := slices.Clone(l.waiting[:k])
+	l.waiting = l.waiting[k:]
+	l.serve(now)
 	l.mu.Unlock()
-	if e != nil {
+	for _, e := range failed {
 		l.end(e, result, err)
 	}
 }
 
-// rest keeps a connection from use for a moment after an answer. A second copy or noise that comes behind it closes
-// the connection then; later it would be read as the answer of the next execution.
-func (l *Link) rest(c *conn) {
-	if c.closed || l.group.Rest <= 0 {
-		l.free(c)
-		return
-	}
-	l.resting++
-	time.AfterFunc(clock.Span(l.group.Rest), func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.resting--
-		l.free(c)
-		l.dialAll() // something may have come, and the connection be of no use
-	})
-}
-
-// free lets a connection take what waits, or stand idle. The state of the peer is looked at here once more:
-// since the execution was handed over, its grace may have run out.
-func (l *Link) free(c *conn) {
+// free has a connection stand idle, or serve what waits once it has rested: a second copy or noise that comes behind an
+// answer closes it until then; later that would be read as the answer of the next execution. The state of the peer is
+// looked at here once more: since the execution was handed over, its grace may have run out.
+func (l *Link) free(c *conn, now float64) {
 	switch {
 	case c.closed:
 	case !l.open || c.addr != l.addr:
 		l.shut(c)
-	case len(l.waiting) > 0:
-		e := l.waiting[0]
-		l.waiting = l.waiting[1:]
-		c.idle = 0
-		l.assign(c, e)
 	default:
-		c.since = l.group.Clock.Now()
-		l.idle = append(l.idle, c)
+		if c.since, c.ready = now, now; c.used {
+			c.ready = now + l.pool.Rests(now)
+		}
+		if c.used {
+			l.resting = append(l.resting, c)
+		} else {
+			l.idle = append(l.idle, c)
+		}
 	}
+	l.serve(now)
 }
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -13,6 +13,7 @@
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/quota"
+	"mintspring/pool"
 )
 
 // lines is a wire of one line each way. A line "boom" makes its code panic.
@@ -65,9 +66,9 @@
 			go serve(c)
 		}
 	}()
-	r.link = New(&Group{Clock: clock.New(), Sockets: quota.New(1000), ConnectTimeout: 200, ConnIdle: 400,
+	r.link = New(&Group{Clock: clock.New(), Sockets: quota.New(1000), ConnectTimeout: 200,
 		Done:     func(_ *Execution, end Ending) { r.ended <- end },
-		Panicked: func(p any) { r.panics <- p }}, lines{})
+		Panicked: func(p any) { r.panics <- p }}, lines{}, "s", pool.Terms{Idle: 300})
 	r.link.Aim(ln.Addr().String(), true)
 	return r
 }
@@ -154,7 +155,7 @@
 	go c.writes()
 	go c.reads()
 	l.mu.Lock()
-	l.free(c)
+	l.free(c, l.group.Clock.Now())
 	l.mu.Unlock()
 	return far
 }
@@ -215,26 +216,26 @@
 		r.send("q", 1000)
 		r.wants("one after another", fleet.Completed)
 	}
-	if k := r.link.group.Opened(); k != 1 {
+	if k := r.link.group.Counts().Opened; k != 1 {
 		t.Errorf("%d connections for five executions in turn", k)
 	}
 	r.send("last", 1000)
 	r.end()
 	r.send("q", 1000)
 	r.wants("after the peer's last", fleet.Completed)
-	if k := r.link.group.Opened(); k != 2 {
+	if k := r.link.group.Counts().Opened; k != 2 {
 		t.Errorf("%d connections", k)
 	}
 	r.link.LetGo()
 	r.send("q", 1000)
 	r.wants("after letting go", fleet.Completed)
-	if k := r.link.group.Opened(); k != 3 {
+	if k := r.link.group.Counts().Opened; k != 3 {
 		t.Errorf("%d connections", k)
 	}
 	time.Sleep(350 * time.Millisecond)
 	r.send("q", 1000) // the peer may be closing the one that has been idle for long
 	r.wants("after a long pause", fleet.Completed)
-	if k := r.link.group.Opened(); k != 4 {
+	if k := r.link.group.Counts().Opened; k != 4 {
 		t.Errorf("%d connections", k)
 	}
 	time.Sleep(350 * time.Millisecond)
@@ -329,7 +330,7 @@
 	if v := string(r.end().Reply.Value); v != "q" {
 		t.Errorf("answered with %q", v)
 	}
-	if k := r.link.group.Opened(); k != 2 {
+	if k := r.link.group.Counts().Opened; k != 2 {
 		t.Errorf("%d connections", k)
 	}
 }
@@ -343,7 +344,7 @@
 			c.Write([]byte(s))
 		}
 	})
-	r.link.group.Rest = 20
+	r.link.pool = pool.New(pool.Terms{Rest: 20, Patience: 200, Idle: 300}, 1, 0)
 	go func() {
 		for range r.conns {
 		}
@@ -420,7 +421,7 @@
 // Of all links the connection that has been idle longest makes room.
 func TestSpareIsTheOldest(t *testing.T) {
 	r := newRig(t, echo)
-	other := New(r.link.group, lines{})
+	other := New(r.link.group, lines{}, "other", pool.Terms{Idle: 300})
 	other.Aim(r.ln.Addr().String(), true)
 	for _, l := range []*Link{other, r.link} {
 		l.Send(&exchange.Exchange{Key: []byte("q")}, 0, 1000)
@@ -442,3 +443,116 @@
 	r.send("q", 1000)
 	r.wants("without a descriptor", fleet.NotSent)
 }
+
+// A burst that wants more connections than there may be waits for those there are, and what has waited too long is turned
+// back as never sent; nothing waits that cannot be served in time.
+func TestBoundedPool(t *testing.T) {
+	r := newRig(t, func(c net.Conn) {
+		for s := read(c); s != ""; s = read(c) {
+			time.Sleep(30 * time.Millisecond)
+			c.Write([]byte(s))
+		}
+	})
+	r.link.pool = pool.New(pool.Terms{Most: 2, Wait: 100, Queue: 12, Idle: 300}, 1, 0)
+	for i := range 20 {
+		r.send(fmt.Sprint("q", i), 1000)
+	}
+	results := map[fleet.Result]int{}
+	for range 20 {
+		if e := r.end(); e.Break != nil {
+			if results[e.Break.Outcome()]++; !e.Break.Outcome().NeverRan() {
+				t.Errorf("%v", e.Break)
+			}
+		} else {
+			results[e.Reply.Result]++
+		}
+	}
+	c := r.link.group.Counts()
+	if c.Opened != 2 || results[fleet.Completed] < 4 || results[fleet.Full] != 20-results[fleet.Completed] || c.Late+c.Crowded != results[fleet.Full] || c.Late == 0 || c.Crowded == 0 {
+		t.Errorf("outcomes %v, counts %+v", results, c)
+	}
+}
+
+// Connects that fail end what waits, also where few connects may be out at a time.
+func TestBoundedPoolAtADeadServer(t *testing.T) {
+	r := newRig(t, echo)
+	r.ln.Close()
+	r.link.pool = pool.New(pool.Terms{Most: 1, Idle: 300}, 1, 0)
+	for range 10 {
+		r.send("q", 2000)
+	}
+	start := time.Now()
+	for range 10 {
+		r.wants("a dead server", fleet.ConnectFailed)
+	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("told after %v", took)
+	}
+}
+
+// A connection is not used past its age, and one beyond a server's table is closed as one too many.
+func TestAgeAndTable(t *testing.T) {
+	r := newRig(t, echo)
+	r.link.pool = pool.New(pool.Terms{Age: 50, Idle: 300}, 1, 0)
+	r.send("q", 1000)
+	r.wants("young", fleet.Completed)
+	time.Sleep(60 * time.Millisecond)
+	r.send("q", 1000)
+	r.wants("old", fleet.Completed)
+	if c := r.link.group.Counts(); c.Opened != 2 || c.Old != 1 {
+		t.Errorf("counts %+v", c)
+	}
+}
+
+// Connections are opened ahead of need, and kept no longer than they are needed.
+func TestFloorIsOpenedAhead(t *testing.T) {
+	r := newRig(t, echo)
+	r.link.pool = pool.New(pool.Terms{Floor: 3, Idle: 300}, 1, 0)
+	r.link.Reap()
+	for end := time.Now().Add(2 * time.Second); r.link.group.Counts().Opened < 3; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not opened")
+		}
+	}
+	r.send("q", 1000)
+	r.wants("the first", fleet.Completed)
+	if c := r.link.group.Counts(); c.Opened != 3 || c.Waited != 0 {
+		t.Errorf("counts %+v", c)
+	}
+}
+
+// What a server sends late behind an answer never reaches another query, at any pace of use.
+func TestSurplusReachesNoQuery(t *testing.T) {
+	r := newRig(t, func(c net.Conn) {
+		n := 0
+		for s := read(c); s != ""; s = read(c) {
+			c.Write([]byte(s))
+			switch n++; n % 5 {
+			case 0: // in halves
+				time.AfterFunc(2*time.Millisecond, func() { c.Write([]byte(s[:len(s)/2])) })
+				time.AfterFunc(4*time.Millisecond, func() { c.Write([]byte(s[len(s)/2:])) })
+			case 2:
+				time.AfterFunc(time.Millisecond, func() { c.Write([]byte(s)) })
+			}
+		}
+	})
+	r.link.pool = pool.New(pool.Terms{Rest: 15, Patience: 30, Idle: 300}, 1, 0)
+	go func() {
+		for range r.conns {
+		}
+	}()
+	for i := range 200 {
+		key := fmt.Sprint("q", i)
+		r.send(key, 1000)
+		e := r.end()
+		if e.Break == nil && string(e.Reply.Value) != key {
+			t.Fatalf("%s is answered with %s", key, e.Reply.Value)
+		}
+		if e.Break != nil {
+			t.Errorf("%s: %v; %+v", key, e.Break, r.link.state())
+		}
+	}
+	if c := r.link.group.Counts(); c.Surplus < 20 {
+		t.Errorf("counts %+v", c)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,8 @@
 	"mintspring/node/origin"
 	"mintspring/node/quota"
 	"mintspring/node/servers"
+	"mintspring/operator"
+	"mintspring/pool"
 	"mintspring/settings"
 )
 
@@ -34,6 +36,7 @@
 	Site      settings.Deployment
 	MemoryMB  int
 	Sockets   int
+	Operator  *operator.File                                           // nil: nothing in it is on
 	Mind      func(now float64, l fleet.Limits, slab *fleet.Slab) Mind // nil: decide's
 }
 
@@ -78,21 +81,23 @@
 	calls *list.Caller
 	inbox inbox
 	ready atomic.Bool
+	draws atomic.Uint64
 
 	// Owned by the loop.
-	mind     Mind
-	slab     fleet.Slab
-	hands    map[*exchange.Exchange]*hand
-	byRef    map[fleet.Ref]*hand
-	ids      map[string]fleet.ServerID
-	peers    []*peer
-	keeps    float64 // the place of a server that is gone is kept for so long, ms
-	lastID   fleet.QueryID
-	tally    tally
-	ending   bool
-	answered bool
-	idle     chan struct{} // closed when the node is ending and all is answered
-	quit     chan struct{} // closed when the loop is to end
+	mind              Mind
+	slab              fleet.Slab
+	hands             map[*exchange.Exchange]*hand
+	byRef             map[fleet.Ref]*hand
+	ids               map[string]fleet.ServerID
+	peers             []*peer
+	pools, originPool pool.Terms
+	keeps             float64 // the place of a server that is gone is kept for so long, ms
+	lastID            fleet.QueryID
+	tally             tally
+	ending            bool
+	answered          bool
+	idle              chan struct{} // closed when the node is ending and all is answered
+	quit              chan struct{} // closed when the loop is to end
 }
 
 // New makes a node that knows what it was started with.
@@ -107,7 +112,8 @@
 		longest, soonest = max(longest, w.StatementTimeout), min(soonest, w.SLOTime)
 	}
 	n.group = &link.Group{Clock: n.clock, Sockets: sockets, Done: n.done, Panicked: n.panicked,
-		ConnectTimeout: b.Site.ConnectTimeout, ConnIdle: b.Site.ConnIdle, Stall: soonest / 4, Rest: b.Site.Limits.Quantum / 2}
+		ConnectTimeout: b.Site.ConnectTimeout, Stall: soonest / 4,
+		Chance: func() float64 { return fleet.Unit(b.Site.Limits.Seed + n.draws.Add(1)) }}
 	if n.group.ConnectTimeout <= 0 {
 		n.group.ConnectTimeout = longest / 4
 	}
@@ -131,6 +137,7 @@
 	sockets.Spare(true, func() bool { return n.front.Spare(0, true) })
 	sockets.Spare(false, n.group.Spare)
 	sockets.Spare(true, func() bool { return n.front.Spare(0, false) })
+	n.pools, n.originPool = pools(b)
 	n.keeps = longest + b.Site.Limits.StopSendingWithin
 	now := n.clock.Now()
 	b.Site.Limits.Subscribe = true // over HTTP nothing comes unasked, also where the settings say that changes do
@@ -144,6 +151,18 @@
 	return n
 }
 
+// pools are the terms of connections to a cache server and to the origin. Without the operator's section nothing bounds
+// them but the peers.
+func pools(b Birth) (cache, origin pool.Terms) {
+	q := b.Site.Limits.Quantum
+	t := pool.Terms{Nodes: b.Site.Limits.Nodes, Self: b.Site.Self, Rest: q, Patience: 10 * q,
+		Idle: 0.75 * b.Site.ConnIdle, StartFor: b.Site.Limits.WarmWithin}
+	if b.Operator == nil || b.Operator.Connections == nil {
+		return t, t
+	}
+	return b.Operator.Connections.Over(t)
+}
+
 // Serve runs the node on a listener until Stop has come to its end.
 func (n *Node) Serve(ln net.Listener) error {
 	go n.loop()
@@ -268,7 +287,7 @@
 	for _, p := range n.peers {
 		p.link.Reap()
 	}
-	n.tally.log(n.log, len(n.hands), n.front, n.group.Opened())
+	n.tally.log(n.log, len(n.hands), n.front, n.group.Counts())
 }
 
 // act does what the module answered.
@@ -338,14 +357,16 @@
 	}
 	if !known {
 		var w link.Wire = servers.Wire{}
+		terms := n.pools
 		if e.Flavor == originFlavor {
-			w = origin.Wire{}
+			w, terms = origin.Wire{}, n.originPool
 		}
 		n.ids[e.ID] = id
-		n.peers[id] = &peer{link: link.New(n.group, w)}
+		n.peers[id] = &peer{link: link.New(n.group, w, e.ID, terms)}
 	}
 	p := n.peers[id]
 	p.entry = e
+	p.link.Started(e.UpSince)
 	p.turn(now, m.State)
 	return m, nil
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -300,6 +301,36 @@
 	}
 }
 
+// Two thousand servers in turn take no more memory than two hundred, in the loop, the group and the module.
+func TestChurnKeepsTheHeap(t *testing.T) {
+	w := newTown(t, 1, hit, fromOrigin)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := New(Birth{Site: w.node.site, Discovery: "127.0.0.1:1"}, log)
+	now := 1.0
+	heap := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	var first float64
+	for i := range 2000 {
+		gone := fmt.Sprintf(`{"id":"s%d","phase":"terminated"}`, i-3)
+		listed{fleet.ListDelta, []json.RawMessage{json.RawMessage(gone),
+			json.RawMessage(entry(fmt.Sprint("s", i), "127.0.0.1:1", "box", "in_service"))}}.handle(n, now)
+		if now += n.keeps / 2; i == 199 {
+			first = heap()
+		}
+	}
+	last := heap()
+	t.Logf("heap %.2f MB after 200, %.2f MB after 2000; %d places", first/1e6, last/1e6, len(n.peers))
+	if last > 1.05*first+50e3 {
+		t.Errorf("heap %.2f MB after 200 replacements and %.2f MB after 2000", first/1e6, last/1e6)
+	}
+}
+
 // At a planned restart what is in hand is answered, new clients are served for the grace, and it ends by itself.
 func TestStopAnswersWhatIsInHand(t *testing.T) {
 	w := newTown(t, 2, func(c redcon.Conn, key, id string) { time.Sleep(60 * time.Millisecond); hit(c, key, id) }, fromOrigin)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -14,7 +14,8 @@
 
 // File is the file. A section that is nil is off.
 type File struct {
-	Log *Log `toml:"log"`
+	Log         *Log         `toml:"log"`
+	Connections *Connections `toml:"connections"`
 }
 
 // Log is how the node writes its log.
@@ -52,6 +53,9 @@
 			return at.Fault("log.level", "%q is not debug, info, warning or error", l.Level)
 		}
 	}
+	if c := f.Connections; c != nil {
+		return c.check(at)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,267 @@
+// Package pool decides what a pool of connections to one server holds: when one is opened, which is used, when one is
+// closed, and how long a query may wait for one. It does no I/O and reads no clock; times are float ms. The link that owns
+// the connections tells it what happened and does what it says.
+package pool
+
+import "math"
+
+// Terms are what holds for the pools of one node. A zero field sets no bound.
+type Terms struct {
+	Nodes int // nodes that share each server
+	Self  int // this node's number among them, below 0 where it is not known
+
+	Rest      float64 // a connection is not used for so long after an answer, for more may come behind it
+	Patience  float64 // waiting that is worth one more connection
+	Idle      float64 // closed when unused for so long, before the peer does
+	Age       float64 // not used once it is so old
+	Most      int     // connections that a server takes from all nodes together
+	Floor     int     // kept open to each server by this node
+	Ahead     bool    // opened before they are needed, and what is not needed any more is closed
+	PerS      float64 // connections opened in a second to one server, by all nodes together
+	StartPerS float64 // the same while it has just started
+	StartFor  float64 // it has just started for so long
+	Wait      float64 // a query waits for a connection for so long
+	Queue     int     // so many queries may wait for one at a server
+}
+
+// Ratios to the terms.
+const (
+	window     = 0.5 // of Idle: the time over which the peak of use is kept
+	suspicious = 0.5 // of Rest: what comes later than this behind an answer makes rests longer
+	longer     = 4   // times the lateness seen that a connection then rests
+	mostRest   = 40  // times Rest: the longest rest
+	watchful   = 4   // times Idle: so long a server that sent more than it was asked for is watched
+	used       = 0.5 // of a turn, in which one may be opened
+	regain     = 0.2 // of Idle: a bound that was learnt is raised by one so often
+)
+
+// Pool is the policy of one pool. It is not safe for use by several goroutines at once.
+type Pool struct {
+	terms   Terms
+	turn    int64 // this node's place among the nodes' turns to open
+	chance  float64
+	started float64
+
+	until     float64 // the last turn in which one was opened goes until then
+	waited    float64 // waiting since one was opened last
+	learnt    int     // the server seems to take no more; 0: nothing is known
+	learntAt  float64
+	firstFull float64 // fading counts of connections turned away at their first query, and of queries at others
+	laterFull float64
+	fullAt    float64
+
+	peakAt   float64
+	peak     [2]int // most in use in this window and the one before
+	rest     float64
+	watchTil float64
+}
+
+// New starts the pool of one server. The hash tells servers apart, so that a node's turn differs between them; without a
+// number of its own among the nodes, chance from [0,1) gives it a place.
+func New(t Terms, hash uint64, chance float64) *Pool {
+	p := &Pool{terms: t, started: math.Inf(-1), chance: chance, rest: t.Rest}
+	if n := int64(max(t.Nodes, 1)); t.Self >= 0 {
+		p.turn = (int64(t.Self) + int64(hash%uint64(n))) % n
+	} else {
+		p.turn = min(int64(chance*float64(n)), n-1)
+	}
+	return p
+}
+
+// Started says when the server last started, in the time of now. What was learnt of the process before is forgotten.
+func (p *Pool) Started(at float64) {
+	if at == p.started {
+		return
+	}
+	p.started, p.learnt, p.waited = at, 0, 0
+	p.firstFull, p.laterFull = 0, 0
+	p.peak = [2]int{}
+}
+
+// Share is how many connections this node may hold; all nodes together then hold no more than the server takes, but for
+// those that could hold none, which hold one.
+func (p *Pool) Share() int {
+	most := math.MaxInt32
+	if p.terms.Most > 0 {
+		most = max(1, p.terms.Most/max(1, p.terms.Nodes))
+	}
+	if p.learnt > 0 {
+		most = min(most, p.learnt)
+	}
+	return most
+}
+
+// State is what the link holds at a moment.
+type State struct {
+	Open    int // connections, in use or not
+	InUse   int // of these in use
+	Resting int // of these not in use, for they rest after an answer
+	Dialing int
+	Waiting int // queries that wait for one
+}
+
+// Open says how many connections to begin opening now. When more are wanted than may be opened yet, it says when to ask
+// again; +Inf: only when something has changed.
+func (p *Pool) Open(now float64, s State) (n int, again float64) {
+	again = math.Inf(1)
+	want := s.Waiting - s.Dialing
+	if want > 0 && s.Resting > 0 && p.waited < p.terms.Patience {
+		// What rests will be free before a new one were up, and costs the server nothing.
+		want = max(0, want-s.Resting)
+	}
+	want = max(want, p.ahead(now, s)-s.Open-s.Dialing)
+	want = min(want, p.Share()-s.Open-s.Dialing)
+	for ; want > 0; want-- {
+		at, until := p.mayOpen(now)
+		if at > now {
+			return n, at
+		}
+		p.until = until
+		n++
+	}
+	if n > 0 {
+		p.waited = 0
+	}
+	return n, again
+}
+
+// Keen tells whether connections are opened that no query waits for.
+func (p *Pool) Keen() bool { return p.terms.Ahead || p.terms.Floor > 0 }
+
+// ahead is how many should be there before a query wants one.
+func (p *Pool) ahead(now float64, s State) int {
+	want := p.terms.Floor
+	if p.terms.Ahead {
+		p.Use(now, s.InUse)
+		if peak := max(p.peak[0], p.peak[1]); peak > 0 {
+			// Arrivals vary by about the root of their number.
+			want = max(want, peak+int(math.Ceil(math.Sqrt(float64(peak)))))
+		}
+	}
+	return want
+}
+
+// mayOpen says when the next one may be opened, and until when the turn goes in which that is. Where the opens of all
+// nodes together are bounded, time is cut into turns of one open each, which nodes take one after the other by the clock
+// that they share: no two open in one turn, and nobody has to ask anybody.
+func (p *Pool) mayOpen(now float64) (at, until float64) {
+	perS := p.terms.PerS
+	if p.terms.StartPerS > 0 && now-p.started < p.terms.StartFor {
+		if perS = p.terms.StartPerS; p.terms.PerS > 0 {
+			perS = min(perS, p.terms.PerS)
+		}
+	}
+	if perS <= 0 {
+		return now, p.until
+	}
+	// Turns are a little longer than their part of a second, so that the bound holds in any second, wherever that begins.
+	n, length := int64(max(1, p.terms.Nodes)), 1000/(max(1, math.Floor(perS))-used)
+	// The last turn taken may have been of another length: what counts is when it was over.
+	slot := int64(math.Ceil(max(now/length-used, p.until/length)))
+	slot += ((p.turn-slot)%n + n) % n
+	return max(now, float64(slot)*length), float64(slot+1) * length
+}
+
+// Use takes in how many connections are in use.
+func (p *Pool) Use(now float64, inUse int) {
+	if span := p.terms.Idle * window; span > 0 && now-p.peakAt > span {
+		if p.peak[1] = p.peak[0]; now-p.peakAt > 2*span {
+			p.peak[1] = 0
+		}
+		p.peak[0], p.peakAt = 0, now
+	}
+	if p.learnt > 0 && now-p.learntAt > regain*p.terms.Idle {
+		p.learnt, p.learntAt = p.learnt+1, now // it may take more again
+	}
+	p.peak[0] = max(p.peak[0], inUse)
+}
+
+// Waited takes in that a query got its connection after waiting for one that rested.
+func (p *Pool) Waited(ms float64) { p.waited += ms }
+
+// Crowded tells whether a query that wants a connection now is to be turned back at once.
+func (p *Pool) Crowded(waiting int) bool { return p.terms.Queue > 0 && waiting >= p.terms.Queue }
+
+// Gives is when a query that began to wait at a time is turned back, +Inf for never.
+func (p *Pool) Gives(since float64) float64 {
+	if p.terms.Wait <= 0 {
+		return math.Inf(1)
+	}
+	return since + p.terms.Wait
+}
+
+// Rests is how long a connection rests after an answer.
+func (p *Pool) Rests(now float64) float64 {
+	if now > p.watchTil {
+		p.rest = p.terms.Rest
+	}
+	return p.rest
+}
+
+// Surplus takes in that more came on a connection than was asked for, so long after its last answer. From a server that
+// does that late, connections rest for several times as long, for a while.
+func (p *Pool) Surplus(now, late float64) {
+	p.watchTil = now + watchful*max(p.terms.Idle, mostRest*p.terms.Rest)
+	if late > suspicious*p.terms.Rest {
+		p.rest = min(max(p.rest, longer*late), mostRest*p.terms.Rest)
+	}
+}
+
+// Keeps is the number of connections not in use that are not worth closing; those used longest ago go.
+func (p *Pool) Keeps(now float64, s State) int {
+	if !p.terms.Ahead {
+		return math.MaxInt32
+	}
+	p.Use(now, s.InUse)
+	return max(0, max(p.ahead(now, s), 1)-s.InUse)
+}
+
+// Stale is how long a connection may be unused, and TooOld whether one is not to be used any more. Ages differ a little,
+// so that those opened together do not end together.
+func (p *Pool) Stale() float64 { return p.terms.Idle }
+
+// TooOld tells whether a connection opened at a time is to be closed rather than used.
+func (p *Pool) TooOld(now, opened, chance float64) bool {
+	return p.terms.Age > 0 && now-opened > p.terms.Age*(0.8+0.2*chance)
+}
+
+// Fine takes in an answer that was none of the server's being full. It may say that others are not turned away.
+func (p *Pool) Fine(now float64) { p.fade(now) }
+
+func (p *Pool) fade(now float64) {
+	if span := max(p.terms.Idle*window, 1); now-p.fullAt > span {
+		p.firstFull, p.laterFull, p.fullAt = p.firstFull/2, p.laterFull/2, now
+	}
+}
+
+// Full takes in that a query was turned away, at the first query of its connection or later. A server whose table is full
+// turns new connections away and goes on answering on the old ones; one whose waiting room is full does both. It tells
+// whether the connection is one too many and should be closed.
+func (p *Pool) Full(now float64, first bool, others int) bool {
+	p.fade(now)
+	if !first {
+		p.laterFull++
+		return false
+	}
+	p.firstFull++
+	if p.firstFull > 2*p.laterFull && others > 0 {
+		p.bound(now, others)
+		return true
+	}
+	return false
+}
+
+// NotUp takes in that a connect failed while others were open. One that has answered since says that the server lives and
+// takes no more.
+func (p *Pool) NotUp(now float64, others int, answering bool) {
+	if answering && others > 0 {
+		p.bound(now, others)
+	}
+}
+
+func (p *Pool) bound(now float64, n int) {
+	if p.learnt == 0 || n < p.learnt {
+		p.learnt = max(1, n)
+	}
+	p.learntAt = now
+}
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,201 @@
+package pool
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "11", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil { // the verdict must not vary
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func usual() Terms {
+	return Terms{Nodes: 1, Self: 0, Rest: 5, Patience: 50, Idle: 10000, StartFor: 4000}
+}
+
+// A connection that rests is waited for until the waiting has cost as much as one more.
+func TestOneMoreWhereWaitingIsDearer(t *testing.T) {
+	p := New(usual(), 1, 0)
+	s := State{Open: 1, Resting: 1, Waiting: 1}
+	for i := range 10 {
+		if n, _ := p.Open(float64(i), s); n != 0 {
+			t.Fatalf("opens after %d waits", i)
+		}
+		p.Waited(5)
+	}
+	if n, _ := p.Open(10, s); n != 1 {
+		t.Error("opens none though the waits have cost one")
+	}
+	if n, _ := p.Open(11, s); n != 0 {
+		t.Error("opens another at once")
+	}
+	if n, _ := p.Open(12, State{Open: 3, InUse: 3, Waiting: 2}); n != 2 {
+		t.Error("what is in use is not waited for where more may be opened")
+	}
+}
+
+// Nodes that share a bound hold no more than it together.
+func TestShare(t *testing.T) {
+	for _, c := range []struct{ most, nodes, want int }{{100, 20, 5}, {10, 3, 3}, {4, 20, 1}, {0, 20, math.MaxInt32}} {
+		terms := usual()
+		terms.Most, terms.Nodes = c.most, c.nodes
+		p := New(terms, 1, 0)
+		if got := p.Share(); got != c.want {
+			t.Errorf("%+v: %d", c, got)
+		}
+		if n, _ := p.Open(0, State{Waiting: 50}); c.want < 50 && n != c.want {
+			t.Errorf("%+v: opens %d", c, n)
+		}
+	}
+}
+
+// Whatever nodes want and whenever they ask, together they open no more at a server in any second than is stated, also
+// while it has just started, and each gets its turn.
+func TestOpensOfAllNodes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		terms := usual()
+		terms.Nodes = rapid.IntRange(1, 30).Draw(t, "nodes")
+		terms.PerS = rapid.Float64Range(2, 200).Draw(t, "a second")
+		terms.StartPerS = rapid.Float64Range(1, 50).Draw(t, "a second at the start")
+		epoch := rapid.SampledFrom([]float64{0, 1.78e12}).Draw(t, "epoch") // turns are counted from it: there are many
+		hash := rapid.Uint64().Draw(t, "server")
+		var nodes []*Pool
+		for i := range terms.Nodes {
+			terms.Self = i
+			p := New(terms, hash, 0)
+			p.Started(epoch + 1000)
+			nodes = append(nodes, p)
+		}
+		var opens []float64
+		got := make([]int, terms.Nodes)
+		step := rapid.Float64Range(0.3, 7).Draw(t, "step")
+		for now := epoch + 1000; now < epoch+9000; now += step {
+			for i, p := range nodes {
+				n, again := p.Open(now, State{Waiting: 3})
+				for range n {
+					opens = append(opens, now)
+				}
+				if got[i] += n; n < 3 && !(again > now) {
+					t.Fatalf("node %d opens %d and asks again at %v, now %v", i, n, again, now)
+				}
+			}
+		}
+		for i, at := range opens {
+			in := 0
+			for _, o := range opens[i:] {
+				if o < at+1000 {
+					in++
+				}
+			}
+			bound := terms.PerS
+			switch {
+			case at+1000 < epoch+5000:
+				bound = min(bound, terms.StartPerS)
+			case at < epoch+5000:
+				bound += terms.StartPerS // in part of that second the one holds and in part the other
+			}
+			if float64(in) > max(1, bound) {
+				t.Fatalf("%d opens in the second from %v, where %v are stated", in, at, bound)
+			}
+		}
+		if 3*min(terms.PerS, terms.StartPerS) > float64(2*terms.Nodes) {
+			for i, n := range got {
+				if n == 0 {
+					t.Fatalf("node %d never had a turn", i)
+				}
+			}
+		}
+	})
+}
+
+// Connections are there ahead of need, and those that are not needed go, once the peak of use is past.
+func TestAhead(t *testing.T) {
+	terms := usual()
+	terms.Ahead, terms.Floor = true, 2
+	p := New(terms, 1, 0)
+	if n, _ := p.Open(0, State{}); n != 2 {
+		t.Errorf("opens %d of a floor of two", n)
+	}
+	p.Use(0, 9)
+	if n, _ := p.Open(1, State{Open: 9, InUse: 9}); n != 3 {
+		t.Errorf("opens %d ahead of nine in use", n)
+	}
+	if k := p.Keeps(2, State{Open: 12, InUse: 4}); k != 8 {
+		t.Errorf("keeps %d beside four in use", k)
+	}
+	if k := p.Keeps(30000, State{Open: 12}); k != 2 {
+		t.Errorf("keeps %d after a long quiet", k)
+	}
+}
+
+// A table that is full is told from a waiting room that is, and the bound is tried again by and by.
+func TestLearntBound(t *testing.T) {
+	p := New(usual(), 1, 0)
+	for range 5 {
+		p.Full(10, false, 7)
+	}
+	if p.Full(11, true, 7) || p.Share() != math.MaxInt32 {
+		t.Error("a full waiting room is taken for a full table")
+	}
+	p = New(usual(), 1, 0)
+	if !p.Full(10, true, 7) || p.Share() != 7 {
+		t.Errorf("learnt %d", p.Share())
+	}
+	p.NotUp(11, 5, true)
+	p.NotUp(12, 2, false) // it may be dead
+	if p.Share() != 5 {
+		t.Errorf("learnt %d", p.Share())
+	}
+	p.Use(5000, 1)
+	if p.Share() != 6 {
+		t.Errorf("later %d", p.Share())
+	}
+	p.Started(6000)
+	if p.Share() != math.MaxInt32 {
+		t.Error("a new process has the bound of the one before")
+	}
+}
+
+// A server that sends more than it was asked for, and late, has its connections rest for longer, for a while.
+func TestSurplusLengthensRests(t *testing.T) {
+	p := New(usual(), 1, 0)
+	p.Surplus(0, 0.1)
+	if p.Rests(1) != 5 {
+		t.Errorf("rests %v after surplus that came at once", p.Rests(1))
+	}
+	p.Surplus(0, 30)
+	if p.Rests(1) != 120 {
+		t.Errorf("rests %v", p.Rests(1))
+	}
+	p.Surplus(0, 1e5)
+	if p.Rests(1) != 200 {
+		t.Errorf("rests %v", p.Rests(1))
+	}
+	if p.Rests(1e9) != 5 {
+		t.Error("it is never forgiven")
+	}
+}
+
+func TestWaitsAgesAndQueues(t *testing.T) {
+	terms := usual()
+	if p := New(terms, 1, 0); !math.IsInf(p.Gives(3), 1) || p.Crowded(1e6) || p.TooOld(1e9, 0, 0) {
+		t.Error("bounds where none are stated")
+	}
+	terms.Wait, terms.Queue, terms.Age = 50, 3, 1000
+	p := New(terms, 1, 0)
+	if p.Gives(3) != 53 || p.Crowded(2) || !p.Crowded(3) || p.TooOld(790, 0, 0) || !p.TooOld(810, 0, 0) || p.TooOld(990, 0, 1) {
+		t.Error("bounds are not kept")
+	}
+}
--- a/rig/nodes.go
+++ b/rig/nodes.go
@@ -24,6 +24,7 @@
 	Name  string
 	Argv  []string
 	Serve Serve
+	Plain bool // started without the operator's file
 }
 
 // Serve runs a node within this process, for tests: it serves clients on the listener until the function that it
@@ -115,7 +116,7 @@
 	return map[string]any{"name": fmt.Sprint("n", no), "listen": listen, "discovery": discovery,
 		"seed":   fmt.Sprintf("%016x", seed*1000003+uint64(no)+1),
 		"limits": map[string]any{"cores": x.Nodes.Cores, "memory_mb": x.Nodes.MemoryMB, "sockets": x.Nodes.Sockets},
-		"settings": map[string]any{"NInstances": x.Nodes.Count, "Discovery": "subscribe", "FailureDomains": x.Fleet.Zones,
+		"settings": map[string]any{"NInstances": x.Nodes.Count, "SelfIndex": no, "Discovery": "subscribe", "FailureDomains": x.Fleet.Zones,
 			"Locality": no % len(x.Fleet.Zones), "Kinds": []string{standin.BoxKind, standin.OriginKind},
 			"FamilyInfo": map[string]any{"Mode": "aside", "OriginKind": 1}, "Tenants": tenants, "Workloads": workloads,
 			"Quantum": us(x.Nodes.Quantum.Ms()),
@@ -158,7 +159,7 @@
 		return n.serve()
 	}
 	argv := n.prog.Argv
-	if n.op != "" && len(argv) == 1 {
+	if n.op != "" && !n.prog.Plain {
 		argv = append(argv[:1:1], "run", "--operator", n.op)
 	}
 	cmd := exec.Command(argv[0], argv[1:]...)
--- a/rig/play.go
+++ b/rig/play.go
@@ -22,6 +22,7 @@
 type Options struct {
 	Program  string   // how reports call what is measured
 	Argv     []string // how a node of it is started; LB_CONFIG names its configuration
+	Plain    bool     // nodes are started without the experiment's operator's file, as other builds and baselines are
 	Serve    Serve    // in place of a process for each node
 	Seed     uint64   // 0: the file's
 	Dir      string   // logs and configurations of nodes go there; "" for a folder that goes afterwards
@@ -51,7 +52,7 @@
 	}
 	defer f.Close()
 	f.Discovery.Late(x.Fleet.Late.D())
-	ns, err := startNodes(x, f, program{o.Program, o.Argv, o.Serve}, dir, seed)
+	ns, err := startNodes(x, f, program{o.Program, o.Argv, o.Serve, o.Plain}, dir, seed)
 	defer func() { ns.close() }()
 	if err != nil {
 		return nil, err
@@ -74,7 +75,7 @@
 	var rest sync.WaitGroup
 	rest.Add(2)
 	go func() { defer rest.Done(); r.sample(ctx, f, ns) }()
-	st := &stage{x: x, fleet: f, nodes: ns, load: l, run: r, rng: rand.New(rand.NewPCG(seed, 17))}
+	st := &stage{x: x, fleet: f, nodes: ns, load: l, run: r}
 	go func() { defer rest.Done(); st.play(ctx, from) }()
 	done := make(chan struct{})
 	go func() { defer close(done); l.run(start, to, seed, o.Progress) }()
@@ -176,7 +177,6 @@
 	nodes *nodes
 	load  *load
 	run   *Run
-	rng   *rand.Rand
 	err   error
 	busy  sync.WaitGroup
 }
--- a/rig/serve.go
+++ b/rig/serve.go
@@ -17,6 +17,7 @@
 	Files []string // configurations, by node
 	Addrs []string // where the nodes are to listen
 	nodes *nodes
+	x     *Experiment
 }
 
 // Stand starts the stand-ins of an experiment. Nodes listen from an address on, counting the port up; each one's
@@ -30,7 +31,7 @@
 		return nil, fmt.Errorf("starting the stand-ins: %w", err)
 	}
 	f.Forget() // it may stand for days
-	s := &Standing{Fleet: f, nodes: &nodes{fleet: f}}
+	s := &Standing{Fleet: f, nodes: &nodes{fleet: f}, x: x}
 	for i := range x.Nodes.Count {
 		addr := ""
 		if i < len(listen) {
@@ -59,8 +60,16 @@
 	return s, nil
 }
 
-// Wait stands until the context ends.
-func (s *Standing) Wait(ctx context.Context) { <-ctx.Done() }
+// Wait stands until the context ends, and plays the experiment's timeline once meanwhile.
+func (s *Standing) Wait(ctx context.Context) error {
+	st := &stage{x: s.x, fleet: s.Fleet, nodes: s.nodes, load: newLoad(s.x, nil, s.x.Seed), run: &Run{Seed: s.x.Seed}}
+	st.play(ctx, time.Now().Add(s.x.Settle.D()))
+	if st.err != nil {
+		return st.err
+	}
+	<-ctx.Done()
+	return nil
+}
 
 // Close ends all of it.
 func (s *Standing) Close() {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 
 	Workloads, Tenants, Kinds, Zones []string // names, in the order of their ids
 
+	Self           int     // the node's number among all, below 0 where it is not told
 	MostOpen       int     // queries that a node may hold; 0: no limit is set
 	ConnectTimeout float64 // a connection that is not up by then never comes up
 	ConnIdle       float64 // a peer closes a connection that has stood idle for so long
@@ -25,6 +26,7 @@
 func Read(text []byte, seed uint64) (Deployment, error) {
 	env := struct {
 		NInstances int
+		SelfIndex  *int
 		Workloads  []struct {
 			Name                                                                           string
 			AimStretch, SloTime, StatementTimeout, MemorySpan, Importance, TardyImportance float64
@@ -59,6 +61,9 @@
 	g, p := &env.Guarantees, &env.PolicyLimits
 	d := Deployment{Kinds: env.Kinds, Zones: env.FailureDomains,
 		MostOpen: p.OpenCap, ConnectTimeout: p.ConnectTimeout * ms, ConnIdle: p.ConnIdle * ms}
+	if d.Self = -1; env.SelfIndex != nil {
+		d.Self = *env.SelfIndex
+	}
 	d.Limits = fleet.Limits{
 		Seed: seed, Nodes: max(env.NInstances, 1),
 		Zone: fleet.ZoneID(env.Locality), Zones: len(env.FailureDomains), OriginKind: -1,
