Keep what a node has learnt across restarts, and believe it by age and by what changed

A node that restarted forgot which servers were slow, where points had moved and which keys were popular.

--- /dev/null
+++ b/decide/learnt.go
@@ -0,0 +1,70 @@
+package decide
+
+import (
+	"math"
+
+	"mintspring/fleet"
+)
+
+// Learnt gives out what is worth keeping across a restart, in the space of what is handed in. It walks the
+// servers and the counts of keys once, and changes nothing.
+func (n *Node) Learnt(now float64, l *fleet.Learnt) {
+	*l = fleet.Learnt{Trust: 1, Servers: l.Servers[:0], Keys: l.Keys[:0], HeatSum: float64(n.heatSum / n.unit),
+		Window: n.store.window, OriginRT: n.store.rt, Util: n.util, Homing: n.homing}
+	for _, s := range n.servers {
+		if s == nil || s.state != fleet.Ready {
+			continue
+		}
+		v := fleet.ServerLearnt{ID: s.id, Trust: 1, Started: s.started, Shed: s.shed, Stride: s.stride,
+			Pace: s.pace, Ahead: s.ah, Bad: s.bad, Pause: s.pause, Hits: s.hits, Peak: s.peak}
+		// What has faded already is given out as faded: it must not live again through a restart.
+		w := max(0, 1-(now-s.rtAt)/(horizon*n.lim.period))
+		v.RT = s.pace*(1+s.ah) + w*max(0, s.rt-s.pace*(1+s.ah))
+		l.Servers = append(l.Servers, v)
+	}
+	for i, c := range n.heat {
+		if seen := float64(c / n.unit); seen >= seenEnough {
+			l.Keys = append(l.Keys, fleet.KeyLearnt{Place: int32(i), Count: seen})
+		}
+	}
+}
+
+// Recall takes in what was learnt before a restart, as far as it is trusted. No server is held for sick by it
+// (it gets its trial as if nothing was known), a cold one is cold by its start alone, and the origin's window
+// is no wider than a start's until answers widen it.
+func (n *Node) Recall(now float64, l *fleet.Learnt) {
+	n.now = now
+	mix := func(at *float64, kept, trust float64) { *at += min(max(trust, 0), 1) * (kept - *at) }
+	for i := range l.Servers {
+		v := &l.Servers[i]
+		if v.ID < 0 || int(v.ID) >= len(n.servers) || v.Trust <= 0 {
+			continue
+		}
+		s := n.servers[v.ID]
+		if s == nil || s.state != fleet.Ready || s.started != v.Started || s.rtAt > 0 || s.warmth(n) < 1 {
+			continue // another process, or this node knows it by now, or a cold one, of which the file says nothing
+		}
+		mix(&s.shed, min(v.Shed, 0.75), v.Trust)
+		mix(&s.stride, min(max(v.Stride, 0.02), stride), v.Trust)
+		mix(&s.pace, min(v.Pace, 4*n.lim.sloMin), v.Trust)
+		mix(&s.rt, min(v.RT, 4*n.lim.sloMin), v.Trust)
+		mix(&s.hits, min(v.Hits, 1), v.Trust)
+		mix(&s.peak, max(v.Peak, 1), v.Trust)
+		mix(&s.bad, min(v.Bad, 0.9*failLimit), v.Trust)
+		s.ah, s.rtAt = v.Ahead, now-(1-min(v.Trust, 1))*horizon*n.lim.period
+	}
+	if t := min(max(l.Trust, 0), 1); t > 0 {
+		for _, k := range l.Keys {
+			if k.Place >= 0 && int(k.Place) < len(n.heat) {
+				c := float32(t*min(k.Count, 1e6)) * n.unit
+				n.heat[k.Place] += c
+				n.heatSum += c
+			}
+		}
+		mix(&n.store.rt, min(max(l.OriginRT, 1), n.lim.sloMin), t)
+		mix(&n.util, min(l.Util, 1), t)
+		mix(&n.homing, min(l.Homing, 1), t)
+		n.store.window = min(n.store.window, math.Max(n.lim.leastOut, n.store.window+t*(l.Window-n.store.window)))
+	}
+	n.placePoints()
+}
--- /dev/null
+++ b/decide/learnt_test.go
@@ -0,0 +1,171 @@
+package decide
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"mintspring/fleet"
+)
+
+// moved is a node that has learnt something of each of its servers.
+func moved(lim fleet.Limits, servers int, slab *fleet.Slab) *Node {
+	n := New(1000, lim, slab)
+	n.Members(1000, fleet.ListFull, listOf(servers))
+	for now := 1000.0; now < 60000; now += 200 {
+		for i := range servers {
+			q := slab.Take()
+			q.Key, q.HasKey, q.Arrived, q.Deadline = fleet.Key(fleet.Mix(uint64(i)*1000+uint64(now))), true, now, now+900
+			if m := n.Where(now, q); m.Action == fleet.Send {
+				r := fleet.NewReport()
+				r.Told, r.Util, r.Queue, r.X0 = true, 0.1+0.8*float64(int(m.Server)%3)/2, float64(int(m.Server)%5), 0.8
+				n.After(now+30, q, fleet.Outcome{Exec: m.Exec, Result: fleet.Completed, Took: 30 + float64(m.Server%4)*20, Over: true, Note: fleet.NoteHit, Report: r})
+			}
+			slab.Free(q)
+		}
+		for {
+			ref, wait := n.Wait(now)
+			if wait > 0 {
+				break
+			}
+			if q := slab.Get(ref); q != nil {
+				n.Where(now, q)
+			} else {
+				n.Where(now, nil)
+			}
+		}
+	}
+	return n
+}
+
+func listOf(servers int) []fleet.Member {
+	var all []fleet.Member
+	for i := range servers {
+		all = append(all, fleet.Member{ID: fleet.ServerID(i), Name: fmt.Sprint("s", i), State: fleet.Ready, Size: 1})
+	}
+	return append(all, fleet.Member{ID: fleet.ServerID(servers), Name: "origin", Kind: 1, State: fleet.Ready, Size: 1})
+}
+
+// A node that restarts with what it had learnt routes as it did; one that trusts none of it as if there were none.
+func TestRecallKeepsOwners(t *testing.T) {
+	var slab, other, third fleet.Slab
+	lim := plainLimits()
+	was := moved(lim, 12, &slab)
+	var l fleet.Learnt
+	was.Learnt(60000, &l)
+	same := func(a, b *Node) int {
+		n := 0
+		for i := range 10000 {
+			p := fleet.Key(fleet.Mix(uint64(i))).Point()
+			if a.ring.servers[a.ring.owner(p)%12].id == b.ring.servers[b.ring.owner(p)%12].id {
+				n++
+			}
+		}
+		return n
+	}
+	now, blank := New(61000, lim, &other), New(61000, lim, &third)
+	now.Members(61000, fleet.ListFull, listOf(12))
+	blank.Members(61000, fleet.ListFull, listOf(12))
+	if k := same(was, blank); k > 9800 {
+		t.Fatalf("nothing has moved: %d of 10000 keys are where they began", k)
+	}
+	now.Recall(61000, &l)
+	if k := same(was, now); k != 10000 {
+		t.Errorf("%d of 10000 keys have the owner of before", k)
+	}
+	if now.servers[3].pace != was.servers[3].pace || now.store.window > blank.store.window {
+		t.Errorf("pace %v of %v, window %v", now.servers[3].pace, was.servers[3].pace, now.store.window)
+	}
+	for i := range l.Servers {
+		l.Servers[i].Trust = 0
+	}
+	l.Trust = 0
+	blank.Recall(61000, &l)
+	if k := same(now, blank); k > 9800 || blank.servers[3].rtAt != 0 {
+		t.Errorf("%d keys moved on no trust", 10000-k)
+	}
+}
+
+// A server that the file holds for failing gets its trial as quickly as without it.
+func TestRecallHoldsNoServerForSick(t *testing.T) {
+	var slab fleet.Slab
+	n := New(1000, plainLimits(), &slab)
+	n.Members(1000, fleet.ListFull, listOf(1))
+	n.Recall(1000, &fleet.Learnt{Trust: 1, Servers: []fleet.ServerLearnt{{ID: 0, Trust: 1, Bad: 1, Pause: 1e6, Pace: 1e9, RT: 1e9, Peak: 1}}})
+	q := slab.Take()
+	q.Key, q.HasKey, q.Arrived, q.Deadline = 5, true, 1000, 1900
+	if m := n.Where(1000, q); m.Action != fleet.Send {
+		t.Errorf("the first query is answered with %v", m.Action)
+	}
+	if n.servers[0].sick() {
+		t.Error("held for sick")
+	}
+}
+
+// Whatever a file says, and whenever servers start and nodes restart, a cold server is admitted no more than without it.
+func TestRecallAdmitsNoMoreToTheCold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lim := plainLimits()
+		var a, b fleet.Slab
+		with, without := New(1000, lim, &a), New(1000, lim, &b)
+		list := listOf(4)
+		list[1].Started = 1000 - rapid.Float64Range(0, 25000).Draw(t, "age")
+		trust := rapid.Float64Range(-1, 3).Draw(t, "trust")
+		l := fleet.Learnt{Trust: trust, Window: rapid.Float64Range(0, 100).Draw(t, "window"), OriginRT: rapid.Float64Range(0, 1e4).Draw(t, "rt"),
+			Util: rapid.Float64Range(0, 2).Draw(t, "util"), Homing: rapid.Float64Range(0, 2).Draw(t, "homing")}
+		for i := range 5 {
+			f := func(most float64, name string) float64 { return rapid.Float64Range(0, most).Draw(t, name) }
+			l.Servers = append(l.Servers, fleet.ServerLearnt{ID: fleet.ServerID(i), Trust: trust, Started: list[i].Started, Shed: f(2, "shed"),
+				Stride: f(2, "stride"), Pace: f(1e6, "pace"), RT: f(1e6, "rt"), Ahead: f(100, "ahead"), Bad: f(1, "bad"), Pause: f(1e6, "pause"), Hits: f(2, "hits"), Peak: f(100, "peak")})
+		}
+		for _, n := range []*Node{with, without} {
+			n.Members(1000, fleet.ListFull, list)
+		}
+		with.Recall(1000, &l)
+		cold := with.servers[1]
+		if cold.warmth(with) < 1 && (cold.tokens != without.servers[1].tokens || cold.shed != 0 || cold.pace != without.servers[1].pace) {
+			t.Fatalf("the file says something of a cold server: %+v", cold)
+		}
+		sent := [2]float64{}
+		for k, n := range []*Node{with, without} {
+			slab := []*fleet.Slab{&a, &b}[k]
+			for now := 1001.0; now < 1001+lim.TipAfter; now += 2 {
+				q := slab.Take()
+				q.Key, q.HasKey, q.Arrived, q.Deadline = fleet.Key(fleet.Mix(uint64(now))), true, now, now+900
+				if m := n.Where(now, q); m.Action == fleet.Send {
+					if m.Server == 1 {
+						sent[k]++
+					}
+					n.After(now+1, q, fleet.Outcome{Exec: m.Exec, Result: fleet.Completed, Took: 1, Over: true, Note: fleet.NoteHit, Report: fleet.NewReport()})
+				}
+				slab.Free(q)
+			}
+		}
+		// Both keep the same budget; which keys they spend it on may differ by the points of the others.
+		if g := cold.warmth(with); g < 0.9 && sent[0] > 1.5*sent[1]+10 {
+			t.Fatalf("%v executions at a cold server with the file, %v without", sent[0], sent[1])
+		}
+		for _, s := range with.servers {
+			if s.sick() || math.IsNaN(s.pace) || s.shed > 0.75 || with.store.window > without.store.window+64 {
+				t.Fatalf("%+v", s)
+			}
+		}
+	})
+}
+
+// BenchmarkLearnt is the pause of the loop for a snapshot.
+func BenchmarkLearnt(b *testing.B) {
+	var slab fleet.Slab
+	n := New(1000, plainLimits(), &slab)
+	n.Members(1000, fleet.ListFull, listOf(1000))
+	for i := range n.heat {
+		n.heat[i] = 5
+	}
+	var l fleet.Learnt
+	b.ReportAllocs()
+	for range b.N {
+		n.Learnt(2000, &l)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -189,3 +189,32 @@
 	LetGo  bool    // also close the idle connections to server Close
 	Close  ServerID
 }
+
+// ServerLearnt is what a node has learnt of one server, to be kept across a restart. Times are ms.
+type ServerLearnt struct {
+	ID         ServerID
+	Trust      float64 // taken in: how far it may be believed, from 0 to 1
+	Started    float64 // of the process that it was learnt of
+	Shed       float64 // share of its arc that moves have handed on
+	Stride     float64 // share of x that its next move takes
+	Pace       float64 // answer time per query ahead
+	RT, Ahead  float64 // recent answer time, and what was ahead then
+	Bad, Pause float64 // share of failures, and time between trials
+	Hits, Peak float64 // level of the hit share, and peak of the queue
+}
+
+// KeyLearnt is a place among the counts of keys, with its share of all queries.
+type KeyLearnt struct {
+	Place int32
+	Count float64
+}
+
+// Learnt is what a node has learnt. What it takes in is believed as far as the trust goes; what it gives out says all.
+type Learnt struct {
+	Trust            float64
+	Servers          []ServerLearnt
+	Keys             []KeyLearnt
+	HeatSum          float64
+	Window, OriginRT float64
+	Util, Homing     float64
+}
--- /dev/null
+++ b/keep/keep_test.go
@@ -0,0 +1,136 @@
+package keep
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"mintspring/fleet"
+	"mintspring/learnt"
+)
+
+func written(at float64) []byte {
+	return learnt.Append(nil, &learnt.State{At: at, Node: "n", Servers: []learnt.Server{{Name: "s", ServerLearnt: fleet.ServerLearnt{Pace: 3}}}})
+}
+
+var errKilled = errors.New("killed")
+
+// dying does some steps of a write and then no more, the last of them by half.
+type dying struct {
+	disk
+	left int
+}
+
+func (d *dying) step(do, half func() error) error {
+	if d.left--; d.left > 0 {
+		return do()
+	}
+	if d.left == 0 && half != nil {
+		half()
+	}
+	return errKilled
+}
+
+func (d *dying) Write(name string, b []byte) error {
+	return d.step(func() error { return d.disk.Write(name, b) }, func() error { return d.disk.Write(name, b[:len(b)/2]) })
+}
+func (d *dying) Sync(name string) error {
+	return d.step(func() error { return d.disk.Sync(name) }, nil)
+}
+func (d *dying) SyncFolder() error { return d.step(d.disk.SyncFolder, nil) }
+func (d *dying) Rename(from, to string) error {
+	return d.step(func() error { return d.disk.Rename(from, to) }, nil)
+}
+
+// Wherever a write is killed, a reader finds the state of before or the new one, whole.
+func TestKilledAtEveryStep(t *testing.T) {
+	for steps := 1; steps <= 7; steps++ {
+		dir := t.TempDir()
+		if err := save(disk(dir), written(1)); err != nil {
+			t.Fatal(err)
+		}
+		if err := save(disk(dir), written(2)); err != nil {
+			t.Fatal(err)
+		}
+		err := save(&dying{disk(dir), steps}, written(3))
+		s, wrong := Load(dir)
+		switch {
+		case s == nil || wrong != nil:
+			t.Errorf("killed at step %d: %v, %v", steps, s, wrong)
+		case err == nil && s.At != 3, err != nil && s.At != 2 && s.At != 3:
+			t.Errorf("killed at step %d (%v) it reads the state of %v", steps, err, s.At)
+		}
+		if err := save(disk(dir), written(4)); err != nil {
+			t.Fatal(err)
+		}
+		if s, err := Load(dir); err != nil || s.At != 4 {
+			t.Errorf("after step %d the next write reads as %+v, %v", steps, s, err)
+		}
+	}
+}
+
+// A newest file that is torn, corrupt or of another version falls back to the one before, and says so.
+func TestFallsBack(t *testing.T) {
+	for name, spoil := range map[string]func([]byte) []byte{
+		"torn":            func(b []byte) []byte { return b[:len(b)/2] },
+		"empty":           func(b []byte) []byte { return nil },
+		"a bit":           func(b []byte) []byte { b[len(b)-3] ^= 4; return b },
+		"a newer version": func(b []byte) []byte { b[4] = 9; return b },
+		"a long one":      func(b []byte) []byte { return append(b, make([]byte, 2<<20)...) },
+	} {
+		dir := t.TempDir()
+		for i := 1.0; i <= 2; i++ {
+			if err := save(disk(dir), written(i)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := os.WriteFile(filepath.Join(dir, newest), spoil(written(2)), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Load(dir)
+		if s == nil || s.At != 1 || err == nil || !strings.Contains(err.Error(), filepath.Join(dir, newest)) {
+			t.Errorf("%s: %+v, %v", name, s, err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, before), []byte("x"), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if s, err := Load(dir); s != nil || err == nil {
+			t.Errorf("%s, both: %+v, %v", name, s, err)
+		}
+	}
+	if s, err := Load(filepath.Join(t.TempDir(), "none")); s != nil || err != nil {
+		t.Errorf("nothing there: %+v, %v", s, err)
+	}
+}
+
+// One process at a time has the folder; what cannot be written is an error and no more.
+func TestFolder(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "made", "here")
+	f, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(dir); !errors.Is(err, ErrTaken) || !strings.Contains(err.Error(), dir) {
+		t.Errorf("a second one: %v", err)
+	}
+	if err := f.Save(written(1)); err != nil {
+		t.Error(err)
+	}
+	os.RemoveAll(dir)
+	if err := f.Save(written(2)); err == nil || strings.Contains(err.Error(), "\n") {
+		t.Errorf("a folder that is gone: %v", err)
+	}
+	f.Close()
+	again, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again.Close()
+	file := filepath.Join(t.TempDir(), "file")
+	os.WriteFile(file, nil, 0o644)
+	if _, err := Open(filepath.Join(file, "in")); err == nil {
+		t.Error("a file is taken for a folder")
+	}
+}
--- /dev/null
+++ b/learnt/learnt.go
@@ -0,0 +1,310 @@
+// Package learnt holds what a node has learnt of its servers, keys and origin, so that it can be kept across a restart:
+// the form in which it stands in a file, and how much of it a later start may believe. It does no I/O and reads no clock;
+// whoever keeps it hands the time in (Unix ms). What any of it means is decide's, which gives and takes it in plain values.
+package learnt
+
+import (
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc64"
+	"math"
+	"slices"
+
+	"mintspring/fleet"
+)
+
+// Version is that of the form. A reader refuses others: the next start learns anew, which is always safe.
+const Version = 1
+
+// Bounds of a file: what a reader is willing to hold.
+const (
+	MostServers = 4096
+	MostKeys    = 4096
+	MostName    = 256
+	MostBytes   = 1 << 20
+)
+
+// State is what a node has learnt.
+type State struct {
+	At      float64 // when it was taken, Unix ms
+	Policy  uint64  // of the decision module that learnt it, and of what it was told of its deployment
+	Node    string  // the name of the node
+	Zone    string
+	Servers []Server
+	Rest    fleet.Learnt // the servers of it stand in Servers
+}
+
+// Server is what was learnt of one server, by the name under which the list has it.
+type Server struct {
+	Name string
+	fleet.ServerLearnt
+}
+
+// Errors of a reader.
+var (
+	ErrVersion = errors.New("a form of another version")
+	ErrDamaged = errors.New("damaged")
+)
+
+var table = crc64.MakeTable(crc64.ECMA)
+
+// head is what stands before everything else: a word, the version, the length of the rest and its checksum.
+var word = [4]byte{'m', 's', 'l', 't'}
+
+const headLen = 4 + 4 + 8 + 8
+
+// Append writes the state to the end of b. Servers and keys beyond the bounds are left out, those used least first.
+func Append(b []byte, s *State) []byte {
+	at := len(b)
+	b = append(b, make([]byte, headLen)...)
+	w := writer{b}
+	w.f64(s.At)
+	w.u64(s.Policy)
+	w.text(s.Node)
+	w.text(s.Zone)
+	servers := s.Servers[:min(len(s.Servers), MostServers)]
+	w.u32(uint32(len(servers)))
+	for i := range servers {
+		v := &servers[i]
+		w.text(v.Name)
+		for _, x := range numbers(&v.ServerLearnt) {
+			w.f64(*x)
+		}
+	}
+	for _, x := range figures(&s.Rest) {
+		w.f64(*x)
+	}
+	keys := s.Rest.Keys[:min(len(s.Rest.Keys), MostKeys)]
+	w.u32(uint32(len(keys)))
+	for _, k := range keys {
+		w.u32(uint32(k.Place))
+		w.f64(k.Count)
+	}
+	b = w.b
+	body := b[at+headLen:]
+	copy(b[at:], word[:])
+	binary.LittleEndian.PutUint32(b[at+4:], Version)
+	binary.LittleEndian.PutUint64(b[at+8:], uint64(len(body)))
+	// The sum takes the head in, so that no bit anywhere can change unseen.
+	binary.LittleEndian.PutUint64(b[at+16:], sum(b[at:at+16], body))
+	return b
+}
+
+func sum(head, body []byte) uint64 { return crc64.Update(crc64.Checksum(head, table), table, body) }
+
+// Parse reads a state. It never believes a length before the bytes are there.
+func Parse(b []byte) (*State, error) {
+	switch {
+	case len(b) < headLen || [4]byte(b[:4]) != word:
+		return nil, fmt.Errorf("%w: it is none of these files", ErrDamaged)
+	case len(b) > MostBytes:
+		return nil, fmt.Errorf("%w: longer than any may be", ErrDamaged)
+	}
+	body := b[headLen:]
+	if v := binary.LittleEndian.Uint32(b[4:]); v != Version {
+		return nil, fmt.Errorf("%w: %d, this program writes %d", ErrVersion, v, Version)
+	}
+	if n := binary.LittleEndian.Uint64(b[8:]); n != uint64(len(body)) {
+		return nil, fmt.Errorf("%w: %d bytes where %d are stated", ErrDamaged, len(body), n)
+	}
+	if sum(b[:16], body) != binary.LittleEndian.Uint64(b[16:]) {
+		return nil, fmt.Errorf("%w: its checksum is another", ErrDamaged)
+	}
+	r := reader{b: body}
+	s := &State{At: r.f64(), Policy: r.u64(), Node: r.text(), Zone: r.text()}
+	for range r.count(MostServers) {
+		v := Server{Name: r.text()}
+		for _, x := range numbers(&v.ServerLearnt) {
+			*x = r.f64()
+		}
+		if s.Servers = append(s.Servers, v); r.bad {
+			break
+		}
+	}
+	for _, x := range figures(&s.Rest) {
+		*x = r.f64()
+	}
+	for range r.count(MostKeys) {
+		k := fleet.KeyLearnt{Place: int32(r.u32()), Count: r.f64()}
+		if s.Rest.Keys = append(s.Rest.Keys, k); r.bad {
+			break
+		}
+	}
+	if r.bad || len(r.b) > 0 {
+		return nil, fmt.Errorf("%w: its parts do not fit", ErrDamaged)
+	}
+	return s, s.check()
+}
+
+// check refuses numbers that no node writes, for the checksum is no proof against a program that errs.
+func (s *State) check() error {
+	all := figures(&s.Rest)
+	for i := range s.Servers {
+		all = append(all, numbers(&s.Servers[i].ServerLearnt)...)
+	}
+	for i := range s.Rest.Keys {
+		all = append(all, &s.Rest.Keys[i].Count)
+	}
+	for _, x := range append(all, &s.At) {
+		if math.IsNaN(*x) || math.IsInf(*x, 0) || *x < 0 || *x > 1e15 {
+			return fmt.Errorf("%w: a figure of %v", ErrDamaged, *x)
+		}
+	}
+	return nil
+}
+
+// numbers are the fields of a server in the order of the file.
+func numbers(v *fleet.ServerLearnt) []*float64 {
+	return []*float64{&v.Started, &v.Shed, &v.Stride, &v.Pace, &v.RT, &v.Ahead, &v.Bad, &v.Pause, &v.Hits, &v.Peak}
+}
+
+func figures(v *fleet.Learnt) []*float64 {
+	return []*float64{&v.Window, &v.OriginRT, &v.Util, &v.Homing, &v.HeatSum}
+}
+
+// Trust is how far what a state says may be believed, from 0 to 1.
+type Trust struct {
+	Whole   float64            // of what is no one server's: keys, the origin's window
+	Servers map[string]float64 // of each server's; one that is not named gets none
+	Why     []string           // what took from it, for people
+}
+
+// Terms are what trust is reckoned by.
+type Terms struct {
+	Half    float64 // what is this old counts for half, ms
+	Longest float64 // older is not believed at all
+	Policy  uint64
+	Node    string
+	Zone    string
+}
+
+// Now is one server as a start finds it.
+type Now struct {
+	Name    string
+	Started float64
+	Ready   bool
+}
+
+// Ratios of trust.
+const (
+	ahead       = 0.01 // of Half: a clock may be behind the writer's by so much
+	foreignNode = 0.5  // the file of another node of the zone: its traffic was alike, not the same
+	foreignZone = 0.0  // another zone's answer times and hits are others
+)
+
+// Believe says how far a state may be believed by a node that starts now among these servers. A server whose process is
+// another since is new; what another module or deployment learnt may mean something else; and the more of the fleet is
+// another, the less the points' moves and the rest say.
+func (s *State) Believe(now float64, t Terms, servers []Now) Trust {
+	out := Trust{Servers: map[string]float64{}}
+	why := func(format string, args ...any) { out.Why = append(out.Why, fmt.Sprintf(format, args...)) }
+	age := now - s.At
+	switch {
+	case s.Policy != t.Policy:
+		why("another decision module or deployment wrote it")
+		return out
+	case age < -ahead*t.Half:
+		why("it is from the future by %.0f s: a clock is wrong", -age/1000)
+		return out
+	case age > t.Longest:
+		why("it is %.0f s old, over %.0f", age/1000, t.Longest/1000)
+		return out
+	}
+	trust := math.Exp2(-max(0, age) / t.Half)
+	switch {
+	case s.Zone != t.Zone:
+		why("it is a node's of zone %q", s.Zone)
+		trust *= foreignZone
+	case s.Node != t.Node:
+		why("it is node %q's", s.Node)
+		trust *= foreignNode
+	}
+	known := map[string]*Server{}
+	for i := range s.Servers {
+		known[s.Servers[i].Name] = &s.Servers[i]
+	}
+	ready, same := 0, 0
+	for _, v := range servers {
+		if !v.Ready {
+			continue
+		}
+		ready++
+		if k := known[v.Name]; k != nil && k.Started == v.Started {
+			same++
+		}
+	}
+	if all := max(ready, len(s.Servers)); all > 0 && same < all {
+		why("%d of %d servers are the same", same, all)
+		trust *= float64(same) / float64(all)
+	}
+	out.Whole = trust
+	for _, v := range servers {
+		if k := known[v.Name]; k != nil && v.Ready && k.Started == v.Started {
+			out.Servers[v.Name] = trust
+		}
+	}
+	return out
+}
+
+// Names are the servers that get anything, in order.
+func (t Trust) Names() []string {
+	var out []string
+	for name, x := range t.Servers {
+		if x > 0 {
+			out = append(out, name)
+		}
+	}
+	slices.SortFunc(out, cmp.Compare[string])
+	return out
+}
+
+type writer struct{ b []byte }
+
+func (w *writer) u32(x uint32)  { w.b = binary.LittleEndian.AppendUint32(w.b, x) }
+func (w *writer) u64(x uint64)  { w.b = binary.LittleEndian.AppendUint64(w.b, x) }
+func (w *writer) f64(x float64) { w.u64(math.Float64bits(x)) }
+func (w *writer) text(s string) {
+	s = s[:min(len(s), MostName)]
+	w.u32(uint32(len(s)))
+	w.b = append(w.b, s...)
+}
+
+// reader reads parts off the head of b; once one does not fit, all the rest is zero.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) take(n int) []byte {
+	if r.bad || n < 0 || n > len(r.b) {
+		r.bad = true
+		return make([]byte, min(max(n, 0), MostName))
+	}
+	out := r.b[:n]
+	r.b = r.b[n:]
+	return out
+}
+
+func (r *reader) u32() uint32  { return binary.LittleEndian.Uint32(r.take(4)) }
+func (r *reader) u64() uint64  { return binary.LittleEndian.Uint64(r.take(8)) }
+func (r *reader) f64() float64 { return math.Float64frombits(r.u64()) }
+
+func (r *reader) text() string {
+	n := r.u32()
+	if n > MostName {
+		r.bad = true
+		return ""
+	}
+	return string(r.take(int(n)))
+}
+
+func (r *reader) count(most int) int {
+	n := r.u32()
+	if n > uint32(most) {
+		r.bad = true
+		return 0
+	}
+	return int(n)
+}
--- a/node/events.go
+++ b/node/events.go
@@ -130,6 +130,9 @@
 		n.missing(now, members)
 	}
 	n.mind.Members(now, e.mode, members)
+	if n.memory != nil && n.memory.found != nil && e.mode != fleet.ListCached {
+		n.memory.recall(now)
+	}
 	for _, p := range n.peers {
 		if p.state == fleet.Ready && !n.ready.Swap(true) {
 			n.log.WithField("servers", len(members)).Info("serving")
--- /dev/null
+++ b/node/memory.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+
+	"mintspring/fleet"
+	"mintspring/keep"
+	"mintspring/learnt"
+	"mintspring/node/clock"
+	"mintspring/node/exchange"
+	"mintspring/operator"
+	"mintspring/settings"
+)
+
+// rememberer is a mind that gives out what it has learnt, and takes in what was learnt before.
+type rememberer interface {
+	Learnt(now float64, l *fleet.Learnt)
+	Recall(now float64, l *fleet.Learnt)
+}
+
+// memory keeps what the node has learnt in a file. The loop gives snapshots out and takes one in; a goroutine of its own
+// writes.
+type memory struct {
+	n      *Node
+	mind   rememberer
+	folder *keep.Folder
+	every  time.Duration
+	terms  learnt.Terms
+	found  *learnt.State // until the first list of servers has come
+	asked  chan struct{} // to write at once
+	taken  chan *learnt.State
+	done   chan struct{}
+	raw    fleet.Learnt // the loop's, used again
+	worst  time.Duration
+}
+
+// remember opens the folder and reads what is there. A folder that cannot be used costs one line of the log.
+func (n *Node) remember(b Birth) {
+	mind, can := n.mind.(rememberer)
+	if b.Operator == nil || b.Operator.Learnt == nil || !can {
+		return
+	}
+	o := b.Operator.Learnt
+	dir := os.ExpandEnv(o.Folder)
+	f, err := keep.Open(dir)
+	if err != nil {
+		n.log.WithError(err).Warn("going on without what was learnt")
+		return
+	}
+	n.memory = &memory{n: n, mind: mind, folder: f, every: o.Every.D(), terms: Terms(b.Name, b.Site, o),
+		asked: make(chan struct{}, 1), taken: make(chan *learnt.State), done: make(chan struct{})}
+	s, err := keep.Load(dir)
+	if err != nil {
+		n.log.WithError(err).Warn("a file of what was learnt cannot be used")
+	}
+	n.memory.found = s
+	go n.memory.writes()
+}
+
+// Terms are what the trust in a file is reckoned by.
+func Terms(name string, site settings.Deployment, o *operator.Learnt) learnt.Terms {
+	shape := site.Limits
+	shape.Seed, shape.Zone = 0, 0 // new at each start; told apart by its name
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d %+v %v %v", learnt.Version, shape, site.Workloads, site.Kinds)
+	zone := ""
+	if z := int(site.Limits.Zone); z >= 0 && z < len(site.Zones) {
+		zone = site.Zones[z]
+	}
+	return learnt.Terms{Half: o.HalfLife.Ms(), Longest: o.ForgetAfter.Ms(), Policy: h.Sum64(), Node: name, Zone: zone}
+}
+
+// recall gives the mind what was found, once the list says which servers there are.
+func (m *memory) recall(now float64) {
+	s := m.found
+	m.found = nil
+	var servers []learnt.Now
+	for _, p := range m.n.peers {
+		servers = append(servers, learnt.Now{Name: p.entry.ID, Started: p.entry.UpSince, Ready: p.state == fleet.Ready})
+	}
+	t := s.Believe(now, m.terms, servers)
+	l := s.Rest
+	l.Trust = t.Whole
+	l.Servers = nil
+	for i := range s.Servers {
+		v := s.Servers[i].ServerLearnt
+		if id, there := m.n.ids[s.Servers[i].Name]; there {
+			v.ID, v.Trust = id, t.Servers[s.Servers[i].Name]
+			l.Servers = append(l.Servers, v)
+		}
+	}
+	m.mind.Recall(now, &l)
+	line := m.n.log.WithField("trust", fmt.Sprintf("%.2f", t.Whole)).WithField("servers", len(t.Names())).WithField("age_s", int((now-s.At)/1000))
+	if len(t.Why) > 0 {
+		line = line.WithField("because", t.Why)
+	}
+	line.Info("took in what was learnt before")
+}
+
+// snapshot is asked of the loop.
+type snapshot struct{ m *memory }
+
+func (e snapshot) about() *exchange.Exchange { return nil }
+
+func (e snapshot) handle(n *Node, now float64) {
+	start := time.Now()
+	s := e.m.snapshot(now)
+	e.m.worst = max(e.m.worst, time.Since(start))
+	go func() {
+		select {
+		case e.m.taken <- s:
+		case <-e.m.done:
+		}
+	}()
+}
+
+// snapshot copies what the mind has learnt. What takes time, wording and writing it, is not done here.
+func (m *memory) snapshot(now float64) *learnt.State {
+	m.mind.Learnt(now, &m.raw)
+	s := &learnt.State{At: now, Policy: m.terms.Policy, Node: m.terms.Node, Zone: m.terms.Zone, Rest: m.raw,
+		Servers: make([]learnt.Server, 0, len(m.raw.Servers))}
+	s.Rest.Servers, s.Rest.Keys = nil, slices.Clone(m.raw.Keys)
+	for _, v := range m.raw.Servers {
+		s.Servers = append(s.Servers, learnt.Server{Name: m.n.peers[v.ID].entry.ID, ServerLearnt: v})
+	}
+	return s
+}
+
+// writes writes on a period, a little different each time so that nodes do not write together, and when it is asked to.
+func (m *memory) writes() {
+	timer := time.NewTimer(0)
+	<-timer.C
+	defer m.folder.Close()
+	failing := false
+	for {
+		timer.Reset(time.Duration(float64(m.every) * (0.8 + 0.4*rand.Float64())))
+		last := false
+		select {
+		case <-timer.C:
+		case <-m.asked:
+			last = true
+		}
+		m.n.inbox.post(snapshot{m})
+		s := <-m.taken
+		err := m.folder.Save(learnt.Append(nil, s))
+		if err != nil && !failing {
+			m.n.log.WithError(err).Warn("what was learnt cannot be written; trying again each time it is due")
+		}
+		if err == nil && failing {
+			m.n.log.Info("what was learnt can be written again")
+		}
+		if failing = err != nil; last {
+			close(m.done)
+			return
+		}
+	}
+}
+
+// last writes once more and gives the folder back; it waits a moment only.
+func (m *memory) last() {
+	m.asked <- struct{}{}
+	select {
+	case <-m.done:
+	case <-time.After(clock.Span(300)):
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -94,6 +94,7 @@
 	keeps             float64 // the place of a server that is gone is kept for so long, ms
 	lastID            fleet.QueryID
 	tally             tally
+	memory            *memory // nil: nothing is kept
 	ending            bool
 	answered          bool
 	idle              chan struct{} // closed when the node is ending and all is answered
@@ -146,6 +147,7 @@
 	} else {
 		n.mind = b.Mind(now, b.Site.Limits, &n.slab)
 	}
+	n.remember(b)
 	n.calls.Start(b.Known.Revision)
 	listed{fleet.ListCached, b.Known.Members}.handle(n, now)
 	return n
@@ -189,6 +191,9 @@
 	for bound += 50 * time.Millisecond; n.front.Open() > 0 && time.Since(start) < bound; {
 		time.Sleep(time.Millisecond)
 	}
+	if n.memory != nil {
+		n.memory.last()
+	}
 	close(n.quit)
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -16,6 +16,7 @@
 type File struct {
 	Log         *Log         `toml:"log"`
 	Connections *Connections `toml:"connections"`
+	Learnt      *Learnt      `toml:"learnt"`
 }
 
 // Log is how the node writes its log.
@@ -54,7 +55,12 @@
 		}
 	}
 	if c := f.Connections; c != nil {
-		return c.check(at)
+		if err := c.check(at); err != nil {
+			return err
+		}
+	}
+	if l := f.Learnt; l != nil {
+		return l.check(at)
 	}
 	return nil
 }
--- a/rig/nodes.go
+++ b/rig/nodes.go
@@ -163,7 +163,7 @@
 		argv = append(argv[:1:1], "run", "--operator", n.op)
 	}
 	cmd := exec.Command(argv[0], argv[1:]...)
-	cmd.Env = append(os.Environ(), "LB_CONFIG="+n.file())
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+n.file(), "MINTRIG_NODE_DIR="+filepath.Join(n.dir, fmt.Sprintf("node-%d", n.no)))
 	cmd.Stdout, cmd.Stderr = n.log, n.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing is left running when the rig is killed
 	if err := cmd.Start(); err != nil {
