--- a/keep/keep_test.go
+++ b/keep/keep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -134,3 +135,19 @@
 		t.Error("a file is taken for a folder")
 	}
 }
+
+// BenchmarkSave is one write of a thousand servers, synced.
+func BenchmarkSave(b *testing.B) {
+	s := &learnt.State{At: 1}
+	for i := range 1000 {
+		s.Servers = append(s.Servers, learnt.Server{Name: fmt.Sprintf("s-%08x", i), ServerLearnt: fleet.ServerLearnt{Pace: 3, Peak: 1}})
+	}
+	d := disk(b.TempDir())
+	for b.Loop() {
+		text := learnt.Append(nil, s)
+		if err := save(d, text); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(text)), "bytes")
+	}
+}
--- a/rig/nodes.go
+++ b/rig/nodes.go
@@ -66,6 +66,9 @@
 			return ns, err
 		}
 		n := &nodeProc{no: i, addr: addr, dir: dir, prog: p, op: x.operatorFile()}
+		if err := os.RemoveAll(n.own()); err != nil { // an earlier run in this folder says nothing to this one
+			return ns, fmt.Errorf("the folder of node %d: %w", i, err)
+		}
 		n.config = x.configuration(i, addr, f.Discovery.Addr(i), seed)
 		if n.log, err = os.Create(filepath.Join(dir, fmt.Sprintf("node-%d.log", i))); err != nil {
 			return ns, fmt.Errorf("a log of a node: %w", err)
@@ -128,6 +131,9 @@
 				"FallMultiple": b.FallMultiple, "TipAfter": us(b.FallAfter.Ms())}}}
 }
 
+// own is the folder that is the node's own, which MINTRIG_NODE_DIR names to it.
+func (n *nodeProc) own() string { return filepath.Join(n.dir, fmt.Sprintf("node-%d", n.no)) }
+
 func (n *nodeProc) file() string { return filepath.Join(n.dir, fmt.Sprintf("node-%d.json", n.no)) }
 
 // rewrite writes its configuration.
@@ -163,7 +169,7 @@
 		argv = append(argv[:1:1], "run", "--operator", n.op)
 	}
 	cmd := exec.Command(argv[0], argv[1:]...)
-	cmd.Env = append(os.Environ(), "LB_CONFIG="+n.file(), "MINTRIG_NODE_DIR="+filepath.Join(n.dir, fmt.Sprintf("node-%d", n.no)))
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+n.file(), "MINTRIG_NODE_DIR="+n.own())
 	cmd.Stdout, cmd.Stderr = n.log, n.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing is left running when the rig is killed
 	if err := cmd.Start(); err != nil {
