Let what was recalled of answer times fade in a third of the time

A box that was slow before a restart and is well after it got its full share ten seconds late: evidence recalled fades over 15 periods, and a slow pace falls by a tenth an answer.

--- a/decide/learnt.go
+++ b/decide/learnt.go
@@ -6,6 +6,10 @@
 	"mintspring/fleet"
 )
 
+// recalled is the share of the time over which evidence fades that is left to what was recalled: long enough for
+// the first queries to avoid slow servers, and short, for one that is well now has to get its share again.
+const recalled = 1.0 / 3
+
 // Learnt gives out what is worth keeping across a restart, in the space of what is handed in. It walks the
 // servers and the counts of keys once, and changes nothing.
 func (n *Node) Learnt(now float64, l *fleet.Learnt) {
@@ -46,12 +50,12 @@
 		}
 		mix(&s.shed, min(v.Shed, 0.75), v.Trust)
 		mix(&s.stride, min(max(v.Stride, 0.02), stride), v.Trust)
-		mix(&s.pace, min(v.Pace, 4*n.lim.sloMin), v.Trust)
+		mix(&s.pace, min(v.Pace, s.pace), v.Trust) // a slow one's falls by a tenth an answer: it would rise too late
 		mix(&s.rt, min(v.RT, 4*n.lim.sloMin), v.Trust)
 		mix(&s.hits, min(v.Hits, 1), v.Trust)
 		mix(&s.peak, max(v.Peak, 1), v.Trust)
 		mix(&s.bad, min(v.Bad, 0.9*failLimit), v.Trust)
-		s.ah, s.rtAt = v.Ahead, now-(1-min(v.Trust, 1))*horizon*n.lim.period
+		s.ah, s.rtAt = v.Ahead, now-(1-recalled*min(v.Trust, 1))*horizon*n.lim.period
 	}
 	if t := min(max(l.Trust, 0), 1); t > 0 {
 		for _, k := range l.Keys {
