--- a/node/node.go
+++ b/node/node.go
@@ -157,7 +157,7 @@
 // them but the peers.
 func pools(b Birth) (cache, origin pool.Terms) {
 	q := b.Site.Limits.Quantum
-	t := pool.Terms{Nodes: b.Site.Limits.Nodes, Self: b.Site.Self, Rest: q, Patience: 10 * q,
+	t := pool.Terms{Nodes: b.Site.Limits.Nodes, Self: b.Site.Self, Rest: q / 2, Patience: 10 * q,
 		Idle: 0.75 * b.Site.ConnIdle, StartFor: b.Site.Limits.WarmWithin}
 	if b.Operator == nil || b.Operator.Connections == nil {
 		return t, t
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -29,7 +29,7 @@
 	window     = 0.5 // of Idle: the time over which the peak of use is kept
 	suspicious = 0.5 // of Rest: what comes later than this behind an answer makes rests longer
 	longer     = 4   // times the lateness seen that a connection then rests
-	mostRest   = 40  // times Rest: the longest rest
+	mostRest   = 4   // times Rest: the longest rest; longer ones would cost a busy server many connections
 	watchful   = 4   // times Idle: so long a server that sent more than it was asked for is watched
 	used       = 0.5 // of a turn, in which one may be opened
 	regain     = 0.2 // of Idle: a bound that was learnt is raised by one so often
@@ -201,7 +201,7 @@
 // Surplus takes in that more came on a connection than was asked for, so long after its last answer. From a server that
 // does that late, connections rest for several times as long, for a while.
 func (p *Pool) Surplus(now, late float64) {
-	p.watchTil = now + watchful*max(p.terms.Idle, mostRest*p.terms.Rest)
+	p.watchTil = now + watchful*p.terms.Idle
 	if late > suspicious*p.terms.Rest {
 		p.rest = min(max(p.rest, longer*late), mostRest*p.terms.Rest)
 	}
