Take out what nothing uses, and say what the marked part of a fall is

From reading the whole change once more: two functions, three fields and a pause that was kept and never told (it is a line at debug now); the part of a fall was named after the origin's case alone; looking for the oldest connection copied both lists. No behaviour changes.

--- a/model/model_test.go
+++ b/model/model_test.go
@@ -109,8 +109,8 @@
 			w.Begin(now, b.ID, Ask{Query: fmt.Sprint(now), Key: "k", Expire: now + 50, Workload: "read", Told: c.told}, nil)
 			w.Advance(now)
 		}
-		if b.Fallen != c.down || b.Up == c.down || (c.down && (b.ColdMisses > 0.5) != c.told) {
-			t.Errorf("%+v: fallen %v, part of those told %v", c, b.Fallen, b.ColdMisses)
+		if b.Fallen != c.down || b.Up == c.down || (c.down && (b.Marked > 0.5) != c.told) {
+			t.Errorf("%+v: fallen %v, part of those told %v", c, b.Fallen, b.Marked)
 		}
 	}
 	w, b, _ := town(box) // one that is warm turns away what is too much and does not fall
@@ -136,8 +136,8 @@
 		w.Advance(now + 4)
 		w.Begin(now+4, o.ID, Ask{Query: q, Key: q, Expire: now + 1e4, Workload: "read"}, nil)
 	}
-	if o.Falls != 1 || o.ColdMisses < 0.5 || !o.Up {
-		t.Fatalf("falls %d, part %v", o.Falls, o.ColdMisses)
+	if o.Falls != 1 || o.Marked < 0.5 || !o.Up {
+		t.Fatalf("falls %d, part %v", o.Falls, o.Marked)
 	}
 	now := o.back - 1
 	if e := ask(w, now, o.ID, Ask{Query: "x", Key: "x", Workload: "read"}); e.How != Full {
--- a/model/town.go
+++ b/model/town.go
@@ -44,7 +44,6 @@
 type Ask struct {
 	Query, Key, Mark, Workload string
 	Write                      bool
-	Size                       int // of the value
 	Node                       NodeID
 	First, Whole               float64 // when its first and its last byte came
 	Expire                     float64 // nobody waits for it after that
@@ -85,14 +84,14 @@
 	Origin   bool
 	Up       bool
 	Fallen   bool // pushed over while it was cold
-	ToldPart float64
 	Draining bool
 	Errors   float64 // share of executions that fail at once
 	Conns    int
 	PeakWait int
 	Falls    int
-	// ColdMisses is the greatest share of misses at cold caches in a window in which the origin was pushed over.
-	ColdMisses float64
+	// Marked is the greatest marked part of what it was sent when it was pushed over: at a cache the work of nodes that
+	// knew of its start, at the origin misses at cold caches.
+	Marked float64
 
 	station
 	store   *store
@@ -252,7 +251,7 @@
 // fall pushes a server over. The part is that of what was sent with a mark.
 func (t *Town) fall(now float64, s *Server, part float64) {
 	s.Falls++
-	s.ToldPart, s.ColdMisses = part, max(s.ColdMisses, part)
+	s.Marked = max(s.Marked, part)
 	if s.StopFor > 0 {
 		s.count(now)
 		s.back = now + s.StopFor
@@ -389,11 +388,6 @@
 	return s.report
 }
 
-// Utilisation is the share of its cores' time that the server has worked, since a time of which Busy was asked.
-func (s *Server) Utilisation(busy0, from, now float64) float64 {
-	return (s.Busy(now) - busy0) / max(now-from, 1e-9) / float64(s.Cores)
-}
-
 // Busy is the time that the server's cores have worked so far, in ms.
 func (s *Server) Busy(now float64) float64 {
 	s.count(now)
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -324,10 +324,13 @@
 func (l *Link) idleSince() (float64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.unused() == 0 {
-		return 0, false
+	switch {
+	case len(l.idle) > 0:
+		return l.idle[0].since, true
+	case len(l.resting) > 0:
+		return l.resting[0].since, true
 	}
-	return slices.Concat(l.idle, l.resting)[0].since, true
+	return 0, false
 }
 
 // spare closes that connection.
--- a/node/memory.go
+++ b/node/memory.go
@@ -36,7 +36,6 @@
 	taken  chan *learnt.State
 	done   chan struct{}
 	raw    fleet.Learnt // the loop's, used again
-	worst  time.Duration
 }
 
 // remember opens the folder and reads what is there. A folder that cannot be used costs one line of the log.
@@ -110,7 +109,7 @@
 func (e snapshot) handle(n *Node, now float64) {
 	start := time.Now()
 	s := e.m.snapshot(now)
-	e.m.worst = max(e.m.worst, time.Since(start))
+	n.log.WithField("pause", time.Since(start)).Debug("copied what was learnt")
 	go func() {
 		select {
 		case e.m.taken <- s:
--- a/rig/nodes.go
+++ b/rig/nodes.go
@@ -46,7 +46,6 @@
 	stop    func()
 	ended   chan struct{} // of the process that runs
 	wanted  bool          // it is to run
-	seen    float64       // an end that nobody wanted
 	downs   []audit.Down
 	crashes []string
 }
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -168,7 +168,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.town.Servers[id]
-	return s.Falls, s.ColdMisses
+	return s.Falls, s.Marked
 }
 
 // FillKeys stores copies of keys at a server that has been running for long.
@@ -352,13 +352,6 @@
 	}
 }
 
-// Drained makes it turn away what is new, or take it again. Discovery is told apart.
-func (b *Box) Drained(yes bool) {
-	b.fleet.mu.Lock()
-	b.server.Draining = yes
-	b.fleet.mu.Unlock()
-}
-
 // ResetAll resets all of its connections.
 func (b *Box) ResetAll() {
 	for _, d := range b.doors {
