Open a door for operators: maintenance of servers, standby and active

Operators had no way to reach a running node. node/admin reads one line and answers one; maintenance/ keeps by id which servers are left out, merged into what the module hears as draining; lifecycle/ is the one state machine that PING, status, SIGTERM and the closing of connections ask.

--- a/cmd/mintspring/main.go
+++ b/cmd/mintspring/main.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mintspring/node"
+	"mintspring/node/admin"
 	"mintspring/node/clock"
 	"mintspring/operator"
 	"mintspring/platform"
@@ -138,6 +139,15 @@
 	b := c.Birth()
 	b.Operator = op
 	n := node.New(b, log)
+	if c.Admin != "" {
+		ln, err := listen(c.Admin, 2*time.Second)
+		if err != nil {
+			return fmt.Errorf("listening for operators: %w", err)
+		}
+		door := &admin.Door{Desk: n, Panicked: func(p any) { log.WithField("stack", string(debug.Stack())).Errorf("panic at the door: %v", p) }}
+		go door.Serve(ln)
+		defer door.Shut()
+	}
 	// Clients may come for 0.4 s more, and the process is killed 0.7 s after the longest statement timeout, 3 s at
 	// most, has passed.
 	const grace = 500 * time.Millisecond
--- a/decide/list.go
+++ b/decide/list.go
@@ -40,11 +40,11 @@
 		}
 		return
 	}
-	if mode != fleet.ListCached {
+	if mode != fleet.ListCached && mode != fleet.ListOwn {
 		n.askAt, n.asks = math.Inf(1), 0
 	}
 	for _, s := range n.servers {
-		if s != nil && mode != fleet.ListDelta {
+		if s != nil && mode != fleet.ListDelta && mode != fleet.ListOwn {
 			s.listed = false
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -106,6 +106,7 @@
 	ListFull
 	ListCached
 	ListFailed
+	ListOwn // entries changed by the node's own operators: what discovery owes is as before
 )
 
 // Report is a server's own account of its load. Values not told are NaN.
--- /dev/null
+++ b/maintenance/maintenance_test.go
@@ -0,0 +1,88 @@
+package maintenance
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"mintspring/fleet"
+)
+
+// Calls in any order, over ids listed or not and with the roll handed on at any moment: out is what was called out and
+// not back since, and what was never listed is refused.
+func TestRoll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, now := New(), 1000.0
+		listed, out, back := map[string]bool{}, map[string]bool{}, map[string]float64{}
+		id := func(t *rapid.T) string { return rapid.SampledFrom([]string{"a", "b", "c", "A", ""}).Draw(t, "id") }
+		t.Repeat(map[string]func(*rapid.T){
+			"listed": func(t *rapid.T) { s := id(t); listed[s] = true; r.Listed(s) },
+			"out": func(t *rapid.T) {
+				s := id(t)
+				_, err := r.Out(s, now)
+				if (err == nil) != listed[s] {
+					t.Fatalf("%q called out: %v", s, err)
+				}
+				if err == nil {
+					out[s] = true
+				}
+			},
+			"back": func(t *rapid.T) {
+				s := id(t)
+				_, err := r.Back(s, now)
+				if (err == nil) != listed[s] {
+					t.Fatalf("%q called back: %v", s, err)
+				}
+				if out[s] {
+					back[s] = now
+				}
+				delete(out, s)
+			},
+			"handed on": func(t *rapid.T) {
+				text, err := json.Marshal(r.Keep(true))
+				var k Kept
+				if err != nil || json.Unmarshal(text, &k) != nil {
+					t.Fatal("what is kept cannot be written", err)
+				}
+				r = New()
+				r.Take(k)
+			},
+			"later": func(t *rapid.T) { now++ },
+			"": func(t *rapid.T) {
+				s := id(t)
+				want := fleet.Ready
+				if out[s] {
+					want = fleet.Draining
+				} else if r.Started(s, 0) != back[s] || r.Started(s, now+9) != now+9 {
+					t.Fatalf("%q started at %v, called back at %v", s, r.Started(s, 0), back[s])
+				}
+				if r.State(s, fleet.Ready) != want || r.State(s, fleet.Gone) != fleet.Gone {
+					t.Fatalf("%q is in state %v", s, r.State(s, fleet.Ready))
+				}
+			},
+		})
+	})
+}
+
+// Over a long day ids are ever new; those remembered are bounded, and the newest are.
+func TestSeenIsBounded(t *testing.T) {
+	r := New()
+	for i := range mostSeen + 100 {
+		r.Listed(fmt.Sprint("s", i))
+	}
+	if len(r.seen) != mostSeen || len(r.order) != mostSeen {
+		t.Errorf("%d ids are remembered", len(r.seen))
+	}
+	if _, err := r.Out("s0", 1); err == nil {
+		t.Error("the id listed longest ago is still known")
+	}
+	if _, err := r.Out(fmt.Sprint("s", mostSeen+99), 1); err != nil {
+		t.Error(err)
+	}
+	k := r.Keep(true)
+	if len(k.Seen) != mostSeen || k.Seen[0] != mark("s100") {
+		t.Error("handed on, the ids are not in the order in which they were listed")
+	}
+}
--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"mintspring/lifecycle"
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/quota"
@@ -19,30 +20,30 @@
 type Node interface {
 	Take(x *exchange.Exchange) // a query has come
 	Left(x *exchange.Exchange) // its client has gone
-	Ready() bool               // queries can be served
 }
 
 // Server accepts clients on one address.
 type Server struct {
 	Node     Node
+	Life     *lifecycle.Life // what PING says, and when connections are closed
 	Names    *Names
 	Clock    *clock.Clock
 	Sockets  *quota.Sockets
 	Panicked func(any)
 	Logf     func(format string, args ...any)
-	Stalled  float64 // a client that takes nothing for so long is closed, ms
-	Patience float64 // a connection may say nothing for so long before its first query, and a command take to come, ms
-	MostHeld int64   // bytes held for all clients, their commands and answers; 0: no limit
-	BusyWait float64 // what a client turned away over that is told, ms
+	Stalled  float64        // a client that takes nothing for so long is closed, ms
+	Patience float64        // a connection may say nothing for so long before its first query, and a command take to come, ms
+	MostHeld int64          // bytes held for all clients, their commands and answers; 0: no limit
+	BusyWait float64        // what a client turned away over that is told, ms
+	Chance   func() float64 // from [0,1), so that connections are not all closed together; nil: always 0
 
-	held     atomic.Int64
-	asked    atomic.Int64 // clients that have sent a query
-	counts   struct{ refused, bad, silent atomic.Int64 }
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
-	ids      map[string]*exchange.Exchange // queries in hand by the client's id
-	draining bool
-	ln       net.Listener
+	held   atomic.Int64
+	asked  atomic.Int64 // clients that have sent a query
+	counts struct{ refused, bad, silent atomic.Int64 }
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	ids    map[string]*exchange.Exchange // queries in hand by the client's id
+	ln     net.Listener
 }
 
 // Serve accepts connections until the listener is closed.
@@ -66,6 +67,9 @@
 			continue
 		}
 		c := &conn{server: s, net: nc, since: s.Clock.Now()}
+		if s.Chance != nil {
+			c.chance = s.Chance()
+		}
 		c.cond.L = &c.mu
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
@@ -75,17 +79,23 @@
 	}
 }
 
-// Drain closes connections between queries from now on. New ones are still accepted, served and then closed,
-// until Shut.
-func (s *Server) Drain() {
+// fresh is for how long a connection on which nothing has come is left alone by Sweep, in ms: its first command may be
+// on its way.
+const fresh = 250
+
+// Sweep closes the connections on which nothing is in hand and that are to go, as the node's life has it. New ones are
+// still accepted, served and then closed, until Shut.
+func (s *Server) Sweep() {
+	now := s.Clock.Now()
 	s.mu.Lock()
-	s.draining = true
-	all := make([]*conn, 0, len(s.conns))
+	var leaving []*conn
 	for c := range s.conns {
-		all = append(all, c)
+		if is, _, since := c.quiet(); is && now-since >= c.fresh() && s.Life.Closing(now, c.chance) == lifecycle.Quiet {
+			leaving = append(leaving, c)
+		}
 	}
 	s.mu.Unlock()
-	for _, c := range all {
+	for _, c := range leaving {
 		c.left(true)
 	}
 }
@@ -164,11 +174,8 @@
 	return s.MostHeld > 0 && float64(s.held.Load()+n) > part*float64(s.MostHeld)
 }
 
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
+// closing says what is to become of a connection.
+func (s *Server) closing(c *conn) lifecycle.Closing { return s.Life.Closing(s.Clock.Now(), c.chance) }
 
 func (s *Server) gone(c *conn) {
 	s.mu.Lock()
@@ -187,8 +194,8 @@
 		switch {
 		case len(args) > 2:
 			c.fail("wrong number of arguments for 'PING'", false)
-		case !s.Node.Ready():
-			c.reply("-LOADING no list of servers yet\r\n", false)
+		case !s.Life.Serves():
+			c.reply("-LOADING the node is "+s.Life.Phase().String()+"\r\n", false)
 		case len(args) == 2:
 			c.reply(fmt.Sprintf("$%d\r\n%s\r\n", len(args[1]), args[1]), false)
 		default:
--- a/node/clients/clients_test.go
+++ b/node/clients/clients_test.go
@@ -8,9 +8,11 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"mintspring/fleet"
+	"mintspring/lifecycle"
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/quota"
@@ -20,23 +22,18 @@
 // desk stands in for the node: it hands out the queries it is given and keeps who has left.
 type desk struct {
 	taken, left chan *exchange.Exchange
-	mu          sync.Mutex
-	ready       bool
 }
 
 func (d *desk) Take(x *exchange.Exchange) { d.taken <- x }
 func (d *desk) Left(x *exchange.Exchange) { d.left <- x }
-func (d *desk) Ready() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.ready
-}
 
 type rig struct {
 	*desk
 	t      *testing.T
 	server *Server
 	addr   string
+
+	listener *pipeListener // in place of an address
 }
 
 func newRig(t *testing.T, with ...func(*Server)) *rig {
@@ -45,8 +42,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &desk{taken: make(chan *exchange.Exchange, 1000), left: make(chan *exchange.Exchange, 1000), ready: true}
-	s := &Server{Node: d, Clock: clock.New(), Sockets: quota.New(1000), Stalled: 1000, Patience: 1000, BusyWait: 70,
+	d := &desk{taken: make(chan *exchange.Exchange, 1000), left: make(chan *exchange.Exchange, 1000)}
+	life := &lifecycle.Life{}
+	life.Listed()
+	s := &Server{Node: d, Life: life, Clock: clock.New(), Sockets: quota.New(1000, 0), Stalled: 1000, Patience: 1000, BusyWait: 70,
 		Panicked: func(p any) { t.Errorf("panic: %v", p) }, Logf: t.Logf, Names: NewNames(site())}
 	for _, f := range with {
 		f(s)
@@ -70,8 +69,13 @@
 
 func (r *rig) dial() *client {
 	r.t.Helper()
-	c, err := net.Dial("tcp", r.addr)
-	if err != nil {
+	var c net.Conn
+	var err error
+	if r.listener != nil {
+		var theirs net.Conn
+		c, theirs = net.Pipe()
+		r.listener.made <- theirs
+	} else if c, err = net.Dial("tcp", r.addr); err != nil {
 		r.t.Fatal(err)
 	}
 	r.t.Cleanup(func() { c.Close() })
@@ -310,7 +314,8 @@
 	quiet.wants("+PONG\r\n")
 	busy.Write([]byte(command("KV.GET", "k", "1", extra) + "*1\r\n"))
 	x := r.next()
-	r.server.Drain()
+	r.server.Life.End()
+	r.server.Sweep()
 	quiet.wantsEnd()
 	x.Answer(exchange.Answer{Value: []byte("v")})
 	busy.wants("$1\r\nv\r\n")
@@ -339,10 +344,7 @@
 }
 
 func TestNotReadyYet(t *testing.T) {
-	r := newRig(t)
-	r.mu.Lock()
-	r.ready = false
-	r.mu.Unlock()
+	r := newRig(t, func(s *Server) { s.Life = &lifecycle.Life{} })
 	c := r.dial()
 	c.Write([]byte(command("PING")))
 	c.wants("-LOADING ")
@@ -351,7 +353,7 @@
 // Where descriptors run out, those who have asked nothing make room first, then the one that has been quiet longest.
 func TestDescriptorsAreShared(t *testing.T) {
 	r := newRig(t, func(s *Server) { // ten may be open
-		s.Sockets = quota.New(30)
+		s.Sockets = quota.New(30, 0)
 		s.Sockets.Spare(true, func() bool { return s.Spare(400, false) })
 		s.Sockets.Spare(true, func() bool { return s.Spare(0, true) })
 		s.Sockets.Spare(true, func() bool { return s.Spare(0, false) })
@@ -383,7 +385,7 @@
 // its way: each once took the place of the one before it, and nobody was served.
 func TestNewcomersAreNotTradedForNewcomers(t *testing.T) {
 	r := newRig(t, func(s *Server) { // three may be open
-		s.Sockets = quota.New(10)
+		s.Sockets = quota.New(10, 0)
 		s.Sockets.Spare(true, func() bool { return s.Spare(100, false) })
 		s.Sockets.Spare(true, func() bool { return s.Spare(0, true) })
 	})
@@ -407,7 +409,7 @@
 // Clients may ask once on each connection and keep it: what opens connections for them stops at their part, so that
 // the one quiet longest makes room before that is reached. Those whose query is in hand do not.
 func TestThoseWhoAskOnceMakeRoom(t *testing.T) {
-	r := newRig(t, func(s *Server) { s.Sockets = quota.New(120) })
+	r := newRig(t, func(s *Server) { s.Sockets = quota.New(120, 0) })
 	waits := r.dial()
 	waits.Write([]byte(command("KV.GET", "k", "w", extra)))
 	x := r.next()
@@ -487,3 +489,76 @@
 		t.Errorf("all of %d bytes were read", sent)
 	}
 }
+
+// On standby newcomers and kept connections are served on for as long as the front sends any, then closed behind their
+// answers, and quiet ones are gone before any request on them could outlast what a drain is given.
+func TestStandbyAndBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		life := &lifecycle.Life{}
+		life.Listed()
+		r := pipes(t, life)
+		serve := func(c *client, id string) {
+			t.Helper()
+			c.Write([]byte(command("KV.GET", "k", id, extra)))
+			(<-r.taken).Answer(exchange.Answer{Value: []byte("v")})
+			c.wants("$1\r\nv\r\n")
+		}
+		sweep := func(from, to time.Duration) {
+			for ; from < to; from += 50 * time.Millisecond {
+				time.Sleep(50 * time.Millisecond)
+				r.server.Sweep()
+			}
+		}
+		kept, quiet, gone := r.dial(), r.dial(), r.dial()
+		for i, c := range []*client{kept, quiet, gone} {
+			serve(c, fmt.Sprint("a", i))
+		}
+		life.Standby(r.server.Clock.Now())
+		sweep(0, 200*time.Millisecond)
+		kept.Write([]byte(command("PING")))
+		kept.wants("-LOADING the node is on standby\r\n")
+		newcomer := r.dial()
+		serve(newcomer, "b")
+		serve(kept, "c")
+		sweep(200*time.Millisecond, 500*time.Millisecond)
+		life.Active()
+		serve(quiet, "d") // called back, the node keeps what it has
+		life.Standby(r.server.Clock.Now())
+		sweep(0, 600*time.Millisecond)
+		serve(kept, "e")
+		kept.wantsEnd()
+		sweep(600*time.Millisecond, 2*time.Second)
+		for _, c := range []*client{quiet, gone, newcomer} {
+			c.wantsEnd()
+		}
+	})
+}
+
+// pipes is a rig under the virtual clock, on connections without sockets.
+func pipes(t *testing.T, life *lifecycle.Life) *rig {
+	t.Helper()
+	ln := &pipeListener{made: make(chan net.Conn), end: make(chan struct{})}
+	d := &desk{taken: make(chan *exchange.Exchange, 1000), left: make(chan *exchange.Exchange, 1000)}
+	s := &Server{Node: d, Life: life, Clock: clock.New(), Sockets: quota.New(1000, 0), Stalled: 1000, Patience: 1000,
+		Panicked: func(p any) { t.Errorf("panic: %v", p) }, Logf: t.Logf, Names: NewNames(site())}
+	go s.Serve(ln)
+	t.Cleanup(func() { ln.Close() })
+	return &rig{desk: d, t: t, server: s, listener: ln}
+}
+
+type pipeListener struct {
+	made chan net.Conn
+	end  chan struct{}
+	once sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.made:
+		return c, nil
+	case <-l.end:
+		return nil, net.ErrClosed
+	}
+}
+func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.end) }); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/node/clients/conn.go
+++ b/node/clients/conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"mintspring/lifecycle"
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/ringbuf"
@@ -35,12 +36,14 @@
 type conn struct {
 	server *Server
 	net    net.Conn
+	chance float64 // from [0,1)
 
 	mu      sync.Mutex
 	cond    sync.Cond
 	slots   []slot
 	held    int64   // bytes of commands and answers, which the server counts too
 	since   float64 // last heard or answered
+	heard   bool    // something has come
 	partial bool    // a command has begun to come
 	asked   bool    // a query has come
 	writing bool
@@ -112,7 +115,7 @@
 		c.mu.Lock()
 		begun := c.partial
 		c.partial = in.Len() > 0 || skip > 0
-		c.since = at
+		c.since, c.heard = at, true
 		// A client that does not read its answers is not read from either.
 		for (len(c.slots) >= mostAhead || c.held > mostHeld) && !c.closed {
 			c.cond.Wait()
@@ -124,7 +127,7 @@
 			return
 		}
 		in.Rest()
-		if c.server.isDraining() {
+		if c.server.closing(c) == lifecycle.Quiet {
 			c.left(true)
 		}
 		switch {
@@ -282,7 +285,7 @@
 		} else if tcp, ok := c.net.(*net.TCPConn); ok && s.last {
 			tcp.CloseWrite()
 			return
-		} else if c.server.isDraining() {
+		} else if c.server.closing(c) != lifecycle.Keep {
 			c.left(true)
 		}
 		out.Rest()
@@ -296,6 +299,16 @@
 	return c.between(), c.asked, c.since
 }
 
+// fresh is for how long Sweep leaves the connection alone, in ms.
+func (c *conn) fresh() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.heard {
+		return 0
+	}
+	return fresh
+}
+
 func (c *conn) between() bool { return len(c.slots) == 0 && !c.writing && !c.partial && !c.closed }
 
 // left closes the connection and reports the queries on it that have no answer yet. With ifQuiet it does so
--- a/node/events.go
+++ b/node/events.go
@@ -134,7 +134,7 @@
 		n.memory.recall(now)
 	}
 	for _, p := range n.peers {
-		if p.state == fleet.Ready && !n.ready.Swap(true) {
+		if p.state == fleet.Ready && n.life.Listed() {
 			n.log.WithField("servers", len(members)).Info("serving")
 		}
 	}
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -66,7 +66,7 @@
 			go serve(c)
 		}
 	}()
-	r.link = New(&Group{Clock: clock.New(), Sockets: quota.New(1000), ConnectTimeout: 200,
+	r.link = New(&Group{Clock: clock.New(), Sockets: quota.New(1000, 0), ConnectTimeout: 200,
 		Done:     func(_ *Execution, end Ending) { r.ended <- end },
 		Panicked: func(p any) { r.panics <- p }}, lines{}, "s", pool.Terms{Idle: 300})
 	r.link.Aim(ln.Addr().String(), true)
@@ -439,7 +439,7 @@
 
 func TestNoDescriptorLeft(t *testing.T) {
 	r := newRig(t, echo)
-	r.link.group.Sockets = quota.New(1)
+	r.link.group.Sockets = quota.New(1, 0)
 	r.send("q", 1000)
 	r.wants("without a descriptor", fleet.NotSent)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,9 @@
 
 	"mintspring/decide"
 	"mintspring/fleet"
+	"mintspring/lifecycle"
+	"mintspring/maintenance"
+	"mintspring/node/admin"
 	"mintspring/node/clients"
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
@@ -36,6 +39,7 @@
 	Site      settings.Deployment
 	MemoryMB  int
 	Sockets   int
+	Door      bool                                                     // operators may call
 	Operator  *operator.File                                           // nil: nothing in it is on
 	Mind      func(now float64, l fleet.Limits, slab *fleet.Slab) Mind // nil: decide's
 }
@@ -80,13 +84,15 @@
 	group *link.Group
 	calls *list.Caller
 	inbox inbox
-	ready atomic.Bool
+	life  lifecycle.Life
 	draws atomic.Uint64
 
 	// Owned by the loop.
 	mind              Mind
 	slab              fleet.Slab
 	hands             map[*exchange.Exchange]*hand
+	roll              *maintenance.Roll
+	sweepAt           float64
 	byRef             map[fleet.Ref]*hand
 	ids               map[string]fleet.ServerID
 	peers             []*peer
@@ -104,21 +110,25 @@
 // New makes a node that knows what it was started with.
 func New(b Birth, log *logrus.Logger) *Node {
 	n := &Node{log: log.WithField("node", b.Name), site: b.Site, clock: clock.New(),
-		hands: map[*exchange.Exchange]*hand{}, byRef: map[fleet.Ref]*hand{}, ids: map[string]fleet.ServerID{},
+		roll: maintenance.New(), hands: map[*exchange.Exchange]*hand{}, byRef: map[fleet.Ref]*hand{}, ids: map[string]fleet.ServerID{},
 		idle: make(chan struct{}), quit: make(chan struct{})}
 	n.inbox.wake = make(chan struct{}, 1)
-	sockets := quota.New(b.Sockets)
+	aside := 0
+	if b.Door {
+		aside = admin.Most
+	}
+	sockets := quota.New(b.Sockets, aside)
 	longest, soonest := 1000.0, 1000.0
 	for _, w := range b.Site.Limits.Workloads {
 		longest, soonest = max(longest, w.StatementTimeout), min(soonest, w.SLOTime)
 	}
 	n.group = &link.Group{Clock: n.clock, Sockets: sockets, Done: n.done, Panicked: n.panicked,
 		ConnectTimeout: b.Site.ConnectTimeout, Stall: soonest / 4,
-		Chance: func() float64 { return fleet.Unit(b.Site.Limits.Seed + n.draws.Add(1)) }}
+		Chance: n.chance}
 	if n.group.ConnectTimeout <= 0 {
 		n.group.ConnectTimeout = longest / 4
 	}
-	n.front = &clients.Server{Node: n, Names: clients.NewNames(b.Site), Clock: n.clock, Sockets: sockets,
+	n.front = &clients.Server{Node: n, Life: &n.life, Chance: n.chance, Names: clients.NewNames(b.Site), Clock: n.clock, Sockets: sockets,
 		Panicked: n.panicked, Logf: n.log.Warnf, Stalled: longest, Patience: patience, MostHeld: int64(b.MemoryMB) << 20 / 8}
 	if b.Site.Limits.RetryAfter {
 		n.front.BusyWait = b.Site.Limits.MaxRetryAfter
@@ -176,10 +186,11 @@
 // reached is aborted, for a query that the end of the process finds unanswered is lost.
 func (n *Node) Stop(grace, bound time.Duration) {
 	start := time.Now()
-	n.front.Drain()
+	n.life.End()
+	n.front.Sweep()
 	time.Sleep(grace)
 	n.front.Shut()
-	n.front.Drain()
+	n.front.Sweep()
 	n.inbox.post(leave{})
 	select {
 	case <-n.idle:
@@ -213,10 +224,15 @@
 // LongestTimeout is the longest statement timeout, in ms.
 func (n *Node) LongestTimeout() float64 { return n.front.Stalled }
 
-// Take, Left and Ready are what the client side calls.
+// chance draws from [0,1).
+func (n *Node) chance() float64 { return fleet.Unit(n.site.Limits.Seed + n.draws.Add(1)) }
+
+// Ready tells whether the node would answer PING with yes.
+func (n *Node) Ready() bool { return n.life.Serves() }
+
+// Take and Left are what the client side calls.
 func (n *Node) Take(x *exchange.Exchange) { n.inbox.post(arrived{x}) }
 func (n *Node) Left(x *exchange.Exchange) { n.inbox.post(gone{x}) }
-func (n *Node) Ready() bool               { return n.ready.Load() }
 
 func (n *Node) done(e *link.Execution, end link.Ending) { n.inbox.post(ended{e, end}) }
 
@@ -224,6 +240,9 @@
 	n.log.WithField("stack", string(debug.Stack())).Errorf("panic: %v", p)
 }
 
+// sweeps is the time between two looks at which connections are to be closed, while any are.
+const sweeps = 50 * time.Millisecond
+
 // loop is the one goroutine that owns the module.
 func (n *Node) loop() {
 	timer := time.NewTimer(0)
@@ -237,6 +256,13 @@
 		}
 		wait := 10 * time.Millisecond
 		n.guard(nil, func() { wait = n.due(now) })
+		if n.life.Leaving() {
+			// Connections go by and by, each at its time.
+			if wait = min(wait, sweeps); now >= n.sweepAt {
+				n.sweepAt = now + float64(sweeps/time.Millisecond)
+				go n.front.Sweep()
+			}
+		}
 		timer.Reset(wait)
 		if n.ending && !n.answered && !n.owing() {
 			n.answered = true
@@ -348,9 +374,28 @@
 	} else {
 		id = n.place(now)
 	}
+	if !known {
+		var w link.Wire = servers.Wire{}
+		terms := n.pools
+		if e.Flavor == originFlavor {
+			w, terms = origin.Wire{}, n.originPool
+		} else {
+			n.roll.Listed(e.ID)
+		}
+		n.ids[e.ID] = id
+		n.peers[id] = &peer{link: link.New(n.group, w, e.ID, terms)}
+	}
+	n.peers[id].entry = e
+	return n.merged(now, id), nil
+}
+
+// merged turns to what holds of a server: what the list says of it, and whether the operators have left it out.
+func (n *Node) merged(now float64, id fleet.ServerID) fleet.Member {
+	p := n.peers[id]
+	e := &p.entry
 	m := fleet.Member{ID: id, Name: e.ID, Kind: fleet.KindID(slices.Index(n.site.Kinds, e.Flavor)),
 		Zone: fleet.ZoneID(slices.Index(n.site.Zones, e.Locality)), Cell: fleet.CellID(e.Cell), Size: e.Size,
-		Started: e.UpSince, State: fleet.Draining} // what has no address, or no phase that is known, is not sent to
+		Started: n.roll.Started(e.ID, e.UpSince), State: fleet.Draining} // what has no address, or no phase that is known, is not sent to
 	if e.Flavor == originFlavor {
 		m.Kind = n.site.Limits.OriginKind
 	}
@@ -360,20 +405,12 @@
 	case e.Phase == "in_service" && e.HostPort != "":
 		m.State = fleet.Ready
 	}
-	if !known {
-		var w link.Wire = servers.Wire{}
-		terms := n.pools
-		if e.Flavor == originFlavor {
-			w, terms = origin.Wire{}, n.originPool
-		}
-		n.ids[e.ID] = id
-		n.peers[id] = &peer{link: link.New(n.group, w, e.ID, terms)}
+	if e.Flavor != originFlavor {
+		m.State = n.roll.State(e.ID, m.State)
 	}
-	p := n.peers[id]
-	p.entry = e
-	p.link.Started(e.UpSince)
+	p.link.Started(m.Started)
 	p.turn(now, m.State)
-	return m, nil
+	return m
 }
 
 // turn takes in what the list says of the server.
@@ -392,6 +429,7 @@
 	for i, p := range n.peers {
 		if p.state == fleet.Gone && now-p.gone > n.keeps {
 			delete(n.ids, p.entry.ID)
+			n.roll.Forget(p.entry.ID)
 			p.link.Drop()
 			return fleet.ServerID(i)
 		}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -549,3 +549,118 @@
 	}
 	all.Wait()
 }
+
+// A server that is left out gets nothing, whatever the list says of it meanwhile, and is used again after one call back
+// though it was called out twice. What was never listed, and the origin, are refused.
+func TestMaintenance(t *testing.T) {
+	w := newTown(t, 1, hit, fromOrigin)
+	w.wants(w.ask("KV.GET", "k", "1", "c=read,d=500"), "hit")
+	for _, id := range []string{"s7", "", "o"} {
+		for _, call := range []func(string) (string, error){w.node.MaintOn, w.node.MaintOff} {
+			if words, err := call(id); err == nil {
+				t.Errorf("%q: %s", id, words)
+			}
+		}
+	}
+	for range 2 {
+		if _, err := w.node.MaintOn("s0"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	sent := w.sends.Load()
+	box := entry("s0", w.caches[0], "box", "in_service")
+	origin := entry("o", w.originAddr, "origin", "in_service")
+	for i, line := range []string{
+		`{"revision":2,"complete":false,"members":[` + box + `]}`,
+		`{"revision":3,"complete":true,"members":[` + origin + `]}`,
+		`{"revision":4,"complete":true,"members":[` + origin + `,` + strings.Replace(box, `"size":1`, `"size":1,"up_since_ms":9`, 1) + `]}`,
+	} {
+		w.tell <- line
+		time.Sleep(20 * time.Millisecond)
+		w.wants(w.ask("KV.GET", "k", fmt.Sprint("a", i), "c=read,d=500"), "GET /k")
+	}
+	if w.sends.Load() != sent {
+		t.Error("a server that is left out was sent to")
+	}
+	if _, err := w.node.MaintOff("s0"); err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	for i := 0; w.sends.Load() == sent && time.Since(start) < 5*time.Second; i++ {
+		w.ask("KV.GET", "k", fmt.Sprint("b", i), "c=read,d=500")
+	}
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("called back, it was left unused for %v", took)
+	}
+	// It is new and cold from the call back on, though the list has not said so.
+	w.node.order(func(now float64) (string, error) {
+		if m := w.node.merged(now, w.node.ids["s0"]); m.State != fleet.Ready || now-m.Started > 10000 {
+			t.Errorf("it is taken for %+v", m)
+		}
+		return "", nil
+	})
+}
+
+// What is left out stays so when its place is used again by another, and the list brings it back.
+func TestMaintenanceOutlivesThePlace(t *testing.T) {
+	w := newTown(t, 2, hit, fromOrigin)
+	if _, err := w.node.MaintOn("s0"); err != nil {
+		t.Fatal(err)
+	}
+	w.node.order(func(now float64) (string, error) {
+		n := w.node
+		s0, _ := json.Marshal(n.peers[n.ids["s0"]].entry)
+		listed{fleet.ListDelta, []json.RawMessage{json.RawMessage(`{"id":"s0","phase":"terminated"}`)}}.handle(n, now)
+		for i := range 3 {
+			later := now + float64(i+1)*(n.keeps+1000)
+			listed{fleet.ListDelta, []json.RawMessage{json.RawMessage(entry(fmt.Sprint("n", i), w.caches[1], "box", "in_service"))}}.handle(n, later)
+		}
+		if _, known := n.ids["s0"]; known {
+			t.Error("its place was not used again")
+		}
+		listed{fleet.ListDelta, []json.RawMessage{s0}}.handle(n, now+1e6)
+		if p := n.peers[n.ids["s0"]]; p.state != fleet.Draining {
+			t.Errorf("back on the list it is in state %v", p.state)
+		}
+		return "", nil
+	})
+}
+
+// Standby answers PING and status alike, at once, and the way back does too; what was learnt and listed stays.
+func TestStandbyOfTheNode(t *testing.T) {
+	w := newTown(t, 1, hit, fromOrigin)
+	c := dialTown(t, w)
+	if got := w.on(c, "PING"); got != "+PONG" {
+		t.Errorf("PING: %q", got)
+	}
+	for range 2 {
+		if _, err := w.node.Standby(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := w.node.Status(); err == nil || w.node.Ready() {
+			t.Errorf("status on standby: %v", err)
+		}
+	}
+	if got := w.on(c, "PING"); !strings.HasPrefix(got, "-") {
+		t.Errorf("PING on standby: %q", got)
+	}
+	w.wants(w.ask("KV.GET", "k", "1", "c=read,d=500"), "hit") // newcomers are still served
+	c.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the connection is held: %v", err)
+	}
+	if words, err := w.node.Active(); err != nil || words != "ready" || !w.node.Ready() {
+		t.Errorf("called back: %s, %v", words, err)
+	}
+	w.wants(w.ask("KV.GET", "k", "2", "c=read,d=500"), "hit")
+}
+
+func dialTown(t *testing.T, w *town) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
--- /dev/null
+++ b/node/operation.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"errors"
+	"strings"
+	"time"
+
+	"mintspring/fleet"
+	"mintspring/node/admin"
+	"mintspring/node/exchange"
+)
+
+// order is a call of the operators. The loop carries it out, so that what is answered holds already.
+type order struct {
+	do   func(now float64) (string, error)
+	done chan said
+}
+
+type said struct {
+	words string
+	err   error
+}
+
+func (o order) about() *exchange.Exchange { return nil }
+
+func (o order) handle(n *Node, now float64) {
+	words, err := o.do(now)
+	o.done <- said{words, err}
+}
+
+var errLate = errors.New("the node is too busy to say")
+
+// order has the loop carry something out.
+func (n *Node) order(do func(now float64) (string, error)) (string, error) {
+	o := order{do, make(chan said, 1)}
+	n.inbox.post(o)
+	select {
+	case s := <-o.done:
+		return s.words, s.err
+	case <-time.After(admin.Answer * 4 / 5):
+		return "", errLate
+	}
+}
+
+// Status says whether this process is ready to serve; an error says what else it is.
+func (n *Node) Status() (string, error) {
+	phase := n.life.Phase().String()
+	if !n.life.Serves() {
+		return "", errors.New(phase)
+	}
+	return phase, nil
+}
+
+// MaintOn leaves a cache server out until MaintOff, whatever the list says of it.
+func (n *Node) MaintOn(id string) (string, error) {
+	return n.order(func(now float64) (string, error) {
+		changed, err := n.roll.Out(id, now)
+		n.rolled(now, id, changed)
+		return id + " is left out", err
+	})
+}
+
+// MaintOff has a cache server used again, as one that has just started.
+func (n *Node) MaintOff(id string) (string, error) {
+	return n.order(func(now float64) (string, error) {
+		changed, err := n.roll.Back(id, now)
+		n.rolled(now, id, changed)
+		return id + " is used as the list has it", err
+	})
+}
+
+// rolled makes a change of the roll hold.
+func (n *Node) rolled(now float64, id string, changed bool) {
+	if !changed {
+		return
+	}
+	n.log.WithField("left_out", strings.Join(n.roll.Names(), ",")).Infof("maintenance of %s has changed", id)
+	if place, known := n.ids[id]; known {
+		n.mind.Members(now, fleet.ListOwn, []fleet.Member{n.merged(now, place)})
+	}
+}
+
+// Standby takes the node out of use: PING says no, and clients' connections are closed by and by.
+func (n *Node) Standby() (string, error) {
+	return n.order(func(now float64) (string, error) {
+		if n.life.Standby(now) {
+			n.log.Info("on standby")
+		}
+		return "on standby", nil
+	})
+}
+
+// Active puts it back.
+func (n *Node) Active() (string, error) {
+	return n.order(func(now float64) (string, error) {
+		if n.life.Active() {
+			n.log.Info("active again")
+		}
+		return n.life.Phase().String(), nil
+	})
+}
--- a/node/quota/sockets.go
+++ b/node/quota/sockets.go
@@ -26,12 +26,13 @@
 	close  func() bool
 }
 
-// New starts a budget for a process that may hold so many descriptors; none given means no limit that matters.
-func New(limit int) *Sockets {
+// New starts a budget for a process that may hold so many descriptors, of which some more are set aside; none given means
+// no limit that matters.
+func New(limit, aside int) *Sockets {
 	if limit <= 0 {
 		limit = 1 << 16
 	}
-	free := max(limit-reserve, limit/2)
+	free := max(limit-reserve-aside, limit/2)
 	return &Sockets{free: free, kept: min(limit/3, free/2), most: max(1, min(limit/3+limit/10, free*2/3))}
 }
 
