Hand over to a successor process without losing a connection

A process started beside the one that serves could not listen and ended. The clients' listener is now descriptor 3 where LB_SOCKET_FD says so, and a channel below TMPDIR tells a successor the list, the maintenance roll and what was learnt; idle client connections are passed as descriptors with nothing read from them. Ruled out: the accept queue (shared, nothing refused) and the process before (it ended empty).

--- a/cmd/mintspring/main.go
+++ b/cmd/mintspring/main.go
@@ -4,13 +4,16 @@
 import (
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -21,6 +24,7 @@
 	"mintspring/node"
 	"mintspring/node/admin"
 	"mintspring/node/clock"
+	"mintspring/node/succession"
 	"mintspring/operator"
 	"mintspring/platform"
 )
@@ -122,23 +126,22 @@
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
-	if c.Limits.MemoryMB > 0 {
-		// Room is left for stacks, the program itself and what the kernel counts to the process.
-		debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 3 / 4)
-	}
+	node.MemoryLimit(c.Limits.MemoryMB, 1)
 	debug.SetGCPercent(400) // the heap is small, and one core serves queries and the collector
 	log := logrus.New()
 	op.Log.Apply(log)
 	if on := op.On(); len(on) > 0 {
 		log.WithField("on", strings.Join(on, ",")).Info("read the operator's file")
 	}
-	ln, err := listen(c.Listen, 2*time.Second)
+	ln, err := clientsListener(c.Listen)
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
+	folder, joining := kinOf(c, log)
 	b := c.Birth()
 	b.Operator = op
 	n := node.New(b, log)
+	n.Begin(folder, joining)
 	if c.Admin != "" {
 		ln, err := listen(c.Admin, 2*time.Second)
 		if err != nil {
@@ -204,6 +207,49 @@
 	return holding{&held, &file}
 }
 
+// socketVariable names the descriptor of the clients' listening socket where the platform holds that for all processes of
+// a node (the operators' page of daily operation, "Replacing the process").
+const socketVariable = "LB_SOCKET_FD"
+
+// clientsListener is the socket that the platform holds, or one of our own.
+func clientsListener(addr string) (net.Listener, error) {
+	text := os.Getenv(socketVariable)
+	if text == "" {
+		return listen(addr, 2*time.Second)
+	}
+	fd, err := strconv.Atoi(text)
+	if err != nil || fd < 3 {
+		return nil, fmt.Errorf("%s: %q is no descriptor", socketVariable, text)
+	}
+	f := os.NewFile(uintptr(fd), "clients")
+	defer f.Close()
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: descriptor %d: %w", socketVariable, fd, err)
+	}
+	return ln, nil
+}
+
+// kinOf is where the processes of one node meet, and the process before this one if it serves. Where nobody can call and no
+// process can take the place of another there is no need for it.
+func kinOf(c *platform.Configuration, log *logrus.Logger) (*succession.Folder, *succession.Joining) {
+	if c.Admin == "" && os.Getenv(socketVariable) == "" {
+		return nil, nil
+	}
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s %s", c.Name, c.Listen)
+	f, err := succession.Open(filepath.Join(os.TempDir(), fmt.Sprintf("mintspring-%016x", h.Sum64())))
+	if err != nil {
+		log.WithError(err).Warn("no process can take over from this one without a gap")
+		return nil, nil
+	}
+	j, err := f.Join()
+	if err != nil {
+		log.WithError(err).Warn("going on without the process before")
+	}
+	return f, j
+}
+
 // listen takes the address, for which it waits a little: after a kill the process of before may hold it yet.
 func listen(addr string, patience time.Duration) (net.Listener, error) {
 	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -46,6 +46,7 @@
 	standby   bool
 	since     float64 // of the standby
 	ending    bool
+	heir      bool // of a process that still serves
 	succeeded bool // another process has taken the node's place
 }
 
@@ -90,6 +91,30 @@
 	l.mu.Unlock()
 }
 
+// Heir says that another process serves until this one can, or that it does not any more.
+func (l *Life) Heir(is bool) {
+	l.mu.Lock()
+	l.heir = is
+	l.mu.Unlock()
+}
+
+// Able tells whether the node could serve, should it be asked to.
+func (l *Life) Able() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.listed
+}
+
+// Since is when the standby began; 0: there is none.
+func (l *Life) Since() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.standby {
+		return 0
+	}
+	return l.since
+}
+
 // Phase is where the node stands.
 func (l *Life) Phase() Phase {
 	l.mu.Lock()
@@ -121,7 +146,7 @@
 func (l *Life) Accepts() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.succeeded
+	return !l.succeeded && !l.heir
 }
 
 // Leaving tells whether connections are to be closed by and by.
--- a/lifecycle/lifecycle_test.go
+++ b/lifecycle/lifecycle_test.go
@@ -10,7 +10,7 @@
 func TestLife(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var l Life
-		now, listed, ending, succeeded := 1000.0, false, false, false
+		now, listed, ending, succeeded, heir := 1000.0, false, false, false, false
 		standby := -1.0
 		t.Repeat(map[string]func(*rapid.T){
 			"listed": func(*rapid.T) { listed = true; l.Listed() },
@@ -22,12 +22,16 @@
 			"active":    func(*rapid.T) { standby = -1; l.Active() },
 			"end":       func(*rapid.T) { ending = true; l.End() },
 			"succeeded": func(t *rapid.T) { succeeded = rapid.Bool().Draw(t, "by"); l.Succeeded(succeeded) },
+			"heir":      func(t *rapid.T) { heir = rapid.Bool().Draw(t, "is"); l.Heir(heir) },
 			"later":     func(t *rapid.T) { now += rapid.Float64Range(0, 5000).Draw(t, "ms") },
 			"": func(t *rapid.T) {
 				if l.Serves() != (listed && standby < 0) {
 					t.Fatal("it does not say what was called last")
 				}
-				if l.Accepts() == succeeded {
+				if since := l.Since(); since != max(0, standby) || l.Able() != listed {
+					t.Fatalf("on standby since %v, want %v", since, standby)
+				}
+				if l.Accepts() == (succeeded || heir) {
 					t.Fatal("newcomers belong to one of two processes")
 				}
 				chance := rapid.Float64Range(0, 0.999).Draw(t, "chance")
--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,25 +38,34 @@
 	BusyWait float64        // what a client turned away over that is told, ms
 	Chance   func() float64 // from [0,1), so that connections are not all closed together; nil: always 0
 
-	held   atomic.Int64
-	asked  atomic.Int64 // clients that have sent a query
-	counts struct{ refused, bad, silent atomic.Int64 }
-	mu     sync.Mutex
-	conns  map[*conn]struct{}
-	ids    map[string]*exchange.Exchange // queries in hand by the client's id
-	ln     net.Listener
+	held    atomic.Int64
+	asked   atomic.Int64 // clients that have sent a query
+	counts  struct{ refused, bad, silent atomic.Int64 }
+	mu      sync.Mutex
+	conns   map[*conn]struct{}                 // nil until the first
+	resumed sync.Cond                          // newcomers are taken again, or never
+	pass    func(nc net.Conn, asked bool) bool // hands a connection to another process; nil: there is none
+	shut    bool
+	ids     map[string]*exchange.Exchange // queries in hand by the client's id
+	ln      net.Listener
 }
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
-	s.ln, s.conns, s.ids = ln, map[*conn]struct{}{}, map[string]*exchange.Exchange{}
+	s.ln = ln
 	s.mu.Unlock()
 	for {
+		if !s.mayAccept() {
+			return nil
+		}
 		nc, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue // newcomers are another process's now
+		}
 		if err != nil {
 			s.Logf("accepting a client: %v", err)
 			time.Sleep(5 * time.Millisecond)
@@ -66,17 +76,85 @@
 			nc.Close()
 			continue
 		}
-		c := &conn{server: s, net: nc, since: s.Clock.Now()}
-		if s.Chance != nil {
-			c.chance = s.Chance()
-		}
-		c.cond.L = &c.mu
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
-		go c.writes()
-		go c.reads()
+		s.serve(nc, false)
+	}
+}
+
+// serve takes a connection whose descriptor is booked.
+func (s *Server) serve(nc net.Conn, asked bool) {
+	c := &conn{server: s, net: nc, since: s.Clock.Now(), asked: asked, heard: asked}
+	if asked {
+		s.asked.Add(1)
+	}
+	if s.Chance != nil {
+		c.chance = s.Chance()
+	}
+	c.cond.L = &c.mu
+	s.mu.Lock()
+	if s.conns == nil {
+		s.conns = map[*conn]struct{}{}
+	}
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	go c.writes()
+	go c.reads()
+}
+
+// Adopt serves a connection on that another process of the node has handed over. One that has sent queries there may be
+// silent here for as long as it likes.
+func (s *Server) Adopt(nc net.Conn, asked bool) {
+	s.Sockets.Adopt()
+	s.serve(nc, asked)
+}
+
+// Bequeath has connections handed over from now on where they would be closed between queries, and newcomers left to
+// another process; with nil no more.
+func (s *Server) Bequeath(pass func(nc net.Conn, asked bool) bool) {
+	s.mu.Lock()
+	s.pass = pass
+	if ln, ok := s.ln.(interface{ SetDeadline(time.Time) error }); ok && pass != nil {
+		ln.SetDeadline(time.Unix(1, 0)) // out of Accept, without closing what the other process listens on too
+	}
+	s.mu.Unlock()
+}
+
+// Resume has newcomers taken again, if the node's life says so.
+func (s *Server) Resume() {
+	s.mu.Lock()
+	if ln, ok := s.ln.(interface{ SetDeadline(time.Time) error }); ok {
+		ln.SetDeadline(time.Time{})
+	}
+	s.mu.Unlock()
+	s.wake()
+}
+
+func (s *Server) wake() {
+	s.mu.Lock()
+	if s.resumed.L == nil {
+		s.resumed.L = &s.mu
+	}
+	s.resumed.Broadcast()
+	s.mu.Unlock()
+}
+
+// mayAccept waits while newcomers are another process's; false: the server is shut.
+func (s *Server) mayAccept() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.resumed.L == nil {
+		s.resumed.L = &s.mu
 	}
+	for !s.shut && !s.Life.Accepts() {
+		s.resumed.Wait()
+	}
+	return !s.shut
+}
+
+// heir is what hands connections over; nil: nobody takes them.
+func (s *Server) heir() func(nc net.Conn, asked bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pass
 }
 
 // fresh is for how long a connection on which nothing has come is left alone by Sweep, in ms: its first command may be
@@ -96,7 +174,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range leaving {
-		c.left(true)
+		c.depart()
 	}
 }
 
@@ -104,9 +182,12 @@
 func (s *Server) Shut() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ln != nil {
+	if s.shut = true; s.ln != nil {
 		s.ln.Close()
 	}
+	if s.resumed.L != nil {
+		s.resumed.Broadcast()
+	}
 }
 
 // Open is how many clients are connected.
@@ -150,6 +231,9 @@
 	if _, taken := s.ids[string(x.ID)]; taken {
 		return false
 	}
+	if s.ids == nil {
+		s.ids = map[string]*exchange.Exchange{}
+	}
 	s.ids[string(x.ID)] = x
 	return true
 }
--- a/node/clients/conn.go
+++ b/node/clients/conn.go
@@ -47,6 +47,7 @@
 	partial bool    // a command has begun to come
 	asked   bool    // a query has come
 	writing bool
+	going   bool // to another process, as soon as the reader can let go
 	ended   bool // nothing more is read
 	out     bool // and the last answer is out
 	closed  bool
@@ -66,6 +67,9 @@
 	skip := 0 // bytes of a refused command that are still to come
 	patience := clock.Span(c.server.Patience)
 	until := time.Now().Add(patience) // zero: it may be silent for as long as it likes
+	if c.asked {
+		until = time.Time{}
+	}
 	for {
 		c.net.SetReadDeadline(until)
 		var err error
@@ -79,6 +83,13 @@
 		at := c.server.Clock.Now()
 		if err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
+				// Nothing was read, and where nothing is held either the connection can go as it stands.
+				if c.mayGo() {
+					if in.Len() == 0 && skip == 0 && c.bequeath() {
+						return
+					}
+					continue
+				}
 				c.server.counts.silent.Add(1)
 			}
 			c.left(false)
@@ -128,7 +139,7 @@
 		}
 		in.Rest()
 		if c.server.closing(c) == lifecycle.Quiet {
-			c.left(true)
+			c.depart()
 		}
 		switch {
 		case partial && begun && !taken && skip == 0:
@@ -286,7 +297,7 @@
 			tcp.CloseWrite()
 			return
 		} else if c.server.closing(c) != lifecycle.Keep {
-			c.left(true)
+			c.depart()
 		}
 		out.Rest()
 	}
@@ -338,6 +349,52 @@
 	return true
 }
 
+// depart has the connection leave this process if it stands between queries: it is closed, or, where another process
+// takes it, handed over by its reader, which alone knows that nothing of a query has been read.
+func (c *conn) depart() {
+	if c.server.heir() == nil {
+		c.left(true)
+		return
+	}
+	c.mu.Lock()
+	if !c.closed {
+		c.going = true
+		// Should the reader set its own meanwhile, the next look at all connections comes soon.
+		c.net.SetReadDeadline(time.Unix(1, 0))
+	}
+	c.mu.Unlock()
+}
+
+// mayGo tells whether the reader was called to let go, once.
+func (c *conn) mayGo() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	was := c.going
+	c.going = false
+	return was
+}
+
+// bequeath hands the connection over; false: something is in hand on it, or nobody takes it any more.
+func (c *conn) bequeath() bool {
+	pass := c.server.heir()
+	c.mu.Lock()
+	if pass == nil || !c.between() {
+		c.mu.Unlock()
+		return false
+	}
+	asked := c.asked
+	if asked {
+		c.server.asked.Add(-1)
+	}
+	c.closed, c.ended = true, true
+	c.cond.Broadcast()
+	c.mu.Unlock()
+	pass(c.net, asked) // should it fail, the connection is closed between queries, as without another process
+	c.net.Close()
+	c.server.gone(c)
+	return true
+}
+
 // rescue closes the connection on a panic in its code.
 func (c *conn) rescue() {
 	if p := recover(); p != nil {
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -129,6 +129,16 @@
 	return oldest != nil && oldest.spare()
 }
 
+// LetGo closes all idle connections of the group.
+func (g *Group) LetGo() {
+	g.mu.Lock()
+	links := g.links
+	g.mu.Unlock()
+	for _, l := range links {
+		l.LetGo()
+	}
+}
+
 // Link is the connections to one peer. What its pool holds is the pool's to decide.
 type Link struct {
 	group *Group
--- a/node/list/list.go
+++ b/node/list/list.go
@@ -81,6 +81,13 @@
 // Start says which revision is known already.
 func (c *Caller) Start(revision int64) { c.from = revision }
 
+// Revision is the one last told.
+func (c *Caller) Revision() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.from
+}
+
 // Watch begins a watch of what has changed since the revision last told; one that stands is ended.
 func (c *Caller) Watch() {
 	c.mu.Lock()
--- a/node/memory.go
+++ b/node/memory.go
@@ -78,23 +78,27 @@
 func (m *memory) recall(now float64) {
 	s := m.found
 	m.found = nil
+	m.n.recall(now, m.mind, s, m.terms)
+}
+
+func (n *Node) recall(now float64, mind rememberer, s *learnt.State, terms learnt.Terms) {
 	var servers []learnt.Now
-	for _, p := range m.n.peers {
+	for _, p := range n.peers {
 		servers = append(servers, learnt.Now{Name: p.entry.ID, Started: p.entry.UpSince, Ready: p.state == fleet.Ready})
 	}
-	t := s.Believe(now, m.terms, servers)
+	t := s.Believe(now, terms, servers)
 	l := s.Rest
 	l.Trust = t.Whole
 	l.Servers = nil
 	for i := range s.Servers {
 		v := s.Servers[i].ServerLearnt
-		if id, there := m.n.ids[s.Servers[i].Name]; there {
+		if id, there := n.ids[s.Servers[i].Name]; there {
 			v.ID, v.Trust = id, t.Servers[s.Servers[i].Name]
 			l.Servers = append(l.Servers, v)
 		}
 	}
-	m.mind.Recall(now, &l)
-	line := m.n.log.WithField("trust", fmt.Sprintf("%.2f", t.Whole)).WithField("servers", len(t.Names())).WithField("age_s", int((now-s.At)/1000))
+	mind.Recall(now, &l)
+	line := n.log.WithField("trust", fmt.Sprintf("%.2f", t.Whole)).WithField("servers", len(t.Names())).WithField("age_s", int((now-s.At)/1000))
 	if len(t.Why) > 0 {
 		line = line.WithField("because", t.Why)
 	}
@@ -108,7 +112,7 @@
 
 func (e snapshot) handle(n *Node, now float64) {
 	start := time.Now()
-	s := e.m.snapshot(now)
+	s := n.learnt(now, e.m.mind, e.m.terms, &e.m.raw)
 	n.log.WithField("pause", time.Since(start)).Debug("copied what was learnt")
 	go func() {
 		select {
@@ -118,14 +122,14 @@
 	}()
 }
 
-// snapshot copies what the mind has learnt. What takes time, wording and writing it, is not done here.
-func (m *memory) snapshot(now float64) *learnt.State {
-	m.mind.Learnt(now, &m.raw)
-	s := &learnt.State{At: now, Policy: m.terms.Policy, Node: m.terms.Node, Zone: m.terms.Zone, Rest: m.raw,
-		Servers: make([]learnt.Server, 0, len(m.raw.Servers))}
-	s.Rest.Servers, s.Rest.Keys = nil, slices.Clone(m.raw.Keys)
-	for _, v := range m.raw.Servers {
-		s.Servers = append(s.Servers, learnt.Server{Name: m.n.peers[v.ID].entry.ID, ServerLearnt: v})
+// learnt copies what the mind has learnt, by way of raw. What takes time, wording and writing it, is not done here.
+func (n *Node) learnt(now float64, mind rememberer, terms learnt.Terms, raw *fleet.Learnt) *learnt.State {
+	mind.Learnt(now, raw)
+	s := &learnt.State{At: now, Policy: terms.Policy, Node: terms.Node, Zone: terms.Zone, Rest: *raw,
+		Servers: make([]learnt.Server, 0, len(raw.Servers))}
+	s.Rest.Servers, s.Rest.Keys = nil, slices.Clone(raw.Keys)
+	for _, v := range raw.Servers {
+		s.Servers = append(s.Servers, learnt.Server{Name: n.peers[v.ID].entry.ID, ServerLearnt: v})
 	}
 	return s
 }
--- a/node/node.go
+++ b/node/node.go
@@ -77,7 +77,12 @@
 
 // Node is one running node.
 type Node struct {
-	log   *logrus.Entry
+	log      *logrus.Entry
+	name     string
+	memoryMB int
+	sockets  *quota.Sockets
+	kin      kin
+
 	site  settings.Deployment
 	clock *clock.Clock
 	front *clients.Server
@@ -109,7 +114,7 @@
 
 // New makes a node that knows what it was started with.
 func New(b Birth, log *logrus.Logger) *Node {
-	n := &Node{log: log.WithField("node", b.Name), site: b.Site, clock: clock.New(),
+	n := &Node{log: log.WithField("node", b.Name), name: b.Name, memoryMB: b.MemoryMB, site: b.Site, clock: clock.New(),
 		roll: maintenance.New(), hands: map[*exchange.Exchange]*hand{}, byRef: map[fleet.Ref]*hand{}, ids: map[string]fleet.ServerID{},
 		idle: make(chan struct{}), quit: make(chan struct{})}
 	n.inbox.wake = make(chan struct{}, 1)
@@ -118,6 +123,7 @@
 		aside = admin.Most
 	}
 	sockets := quota.New(b.Sockets, aside)
+	n.sockets = sockets
 	longest, soonest := 1000.0, 1000.0
 	for _, w := range b.Site.Limits.Workloads {
 		longest, soonest = max(longest, w.StatementTimeout), min(soonest, w.SLOTime)
@@ -188,7 +194,9 @@
 	start := time.Now()
 	n.life.End()
 	n.front.Sweep()
-	time.Sleep(grace)
+	if _, heir, yes := n.other(); heir || !yes {
+		time.Sleep(grace) // else newcomers are a successor's already
+	}
 	n.front.Shut()
 	n.front.Sweep()
 	n.inbox.post(leave{})
--- a/node/operation.go
+++ b/node/operation.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
 	"mintspring/fleet"
+	"mintspring/maintenance"
 	"mintspring/node/admin"
 	"mintspring/node/exchange"
 )
@@ -52,21 +54,63 @@
 }
 
 // MaintOn leaves a cache server out until MaintOff, whatever the list says of it.
-func (n *Node) MaintOn(id string) (string, error) {
-	return n.order(func(now float64) (string, error) {
-		changed, err := n.roll.Out(id, now)
-		n.rolled(now, id, changed)
-		return id + " is left out", err
-	})
-}
+func (n *Node) MaintOn(id string) (string, error) { return n.called("maint-on", id) }
 
 // MaintOff has a cache server used again, as one that has just started.
-func (n *Node) MaintOff(id string) (string, error) {
-	return n.order(func(now float64) (string, error) {
-		changed, err := n.roll.Back(id, now)
-		n.rolled(now, id, changed)
-		return id + " is used as the list has it", err
+func (n *Node) MaintOff(id string) (string, error) { return n.called("maint-off", id) }
+
+// Standby takes the node out of use: PING says no, and clients' connections are closed by and by.
+func (n *Node) Standby() (string, error) { return n.called("standby", "") }
+
+// Active puts it back.
+func (n *Node) Active() (string, error) { return n.called("active", "") }
+
+// called carries a call out here and, while there is another process of the node, there.
+func (n *Node) called(word, id string) (string, error) {
+	words, err := n.carry(word, id)
+	if c, _, _ := n.other(); c != nil && err == nil {
+		c.Carry(word, id)
+	}
+	return words, err
+}
+
+// carry carries a call out in this process. What is left out is kept for the next one before it is answered.
+func (n *Node) carry(word, id string) (words string, err error) {
+	var kept maintenance.Kept
+	var no uint64
+	words, err = n.order(func(now float64) (string, error) {
+		switch word {
+		case "maint-on":
+			changed, err := n.roll.Out(id, now)
+			n.rolled(now, id, changed)
+			if changed {
+				kept, no = n.roll.Keep(false), n.kin.next()
+			}
+			return id + " is left out", err
+		case "maint-off":
+			changed, err := n.roll.Back(id, now)
+			n.rolled(now, id, changed)
+			if changed {
+				kept, no = n.roll.Keep(false), n.kin.next()
+			}
+			return id + " is used as the list has it", err
+		case "standby":
+			if n.life.Standby(now) {
+				n.log.Info("on standby")
+			}
+		case "active":
+			if n.life.Active() {
+				n.log.Info("active again")
+			}
+		}
+		return n.life.Phase().String(), nil
 	})
+	if err == nil && no > 0 && n.kin.folder != nil {
+		if err = n.kin.folder.Keep(kept, no); err != nil {
+			err = fmt.Errorf("it holds, but not beyond this process: %w", err)
+		}
+	}
+	return words, err
 }
 
 // rolled makes a change of the roll hold.
@@ -79,23 +123,3 @@
 		n.mind.Members(now, fleet.ListOwn, []fleet.Member{n.merged(now, place)})
 	}
 }
-
-// Standby takes the node out of use: PING says no, and clients' connections are closed by and by.
-func (n *Node) Standby() (string, error) {
-	return n.order(func(now float64) (string, error) {
-		if n.life.Standby(now) {
-			n.log.Info("on standby")
-		}
-		return "on standby", nil
-	})
-}
-
-// Active puts it back.
-func (n *Node) Active() (string, error) {
-	return n.order(func(now float64) (string, error) {
-		if n.life.Active() {
-			n.log.Info("active again")
-		}
-		return n.life.Phase().String(), nil
-	})
-}
--- a/node/quota/sockets.go
+++ b/node/quota/sockets.go
@@ -16,6 +16,9 @@
 	mu      sync.Mutex
 	free    int
 	clients int // held by clients
+	held    int // by clients and servers
+	lent    int // to another process of the same node
+	limit   int
 	kept    int // left to clients
 	most    int // that clients may hold
 	spares  []spare
@@ -33,7 +36,7 @@
 		limit = 1 << 16
 	}
 	free := max(limit-reserve-aside, limit/2)
-	return &Sockets{free: free, kept: min(limit/3, free/2), most: max(1, min(limit/3+limit/10, free*2/3))}
+	return &Sockets{limit: limit, free: free, kept: min(limit/3, free/2), most: max(1, min(limit/3+limit/10, free*2/3))}
 }
 
 // Usual is how many connections clients with queries may keep before the quietest has to go. It is less than the part
@@ -72,15 +75,51 @@
 	case !client && s.free <= max(0, s.kept-s.clients):
 		return false, s.clients > s.kept, true, s.spares // what clients give up of their own part stays theirs
 	}
-	if s.free--; client {
+	s.keep(client)
+	return true, false, false, nil
+}
+
+func (s *Sockets) keep(client bool) {
+	s.free--
+	s.held++
+	if client {
 		s.clients++
 	}
-	return true, false, false, nil
+}
+
+// Adopt books one for a client that another process of the node has handed over: it was lent to that one.
+func (s *Sockets) Adopt() {
+	s.mu.Lock()
+	if s.lent > 0 {
+		s.lent--
+		s.free++
+	}
+	s.keep(true)
+	s.mu.Unlock()
+}
+
+// Limit is how many the node may hold.
+func (s *Sockets) Limit() int { return s.limit }
+
+// Held is how many this process holds for connections.
+func (s *Sockets) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
+// Lend leaves so many to another process of the same node, in place of what was left to it before.
+func (s *Sockets) Lend(n int) {
+	s.mu.Lock()
+	s.free += s.lent - n
+	s.lent = n
+	s.mu.Unlock()
 }
 
 // Give returns one.
 func (s *Sockets) Give(client bool) {
 	s.mu.Lock()
+	s.held--
 	if s.free++; client {
 		s.clients--
 	}
--- /dev/null
+++ b/node/succession/folder.go
@@ -0,0 +1,214 @@
+package succession
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"mintspring/maintenance"
+)
+
+// Folder is where the processes of one node find one another, and the roll of maintenance is kept. It is the node's own.
+type Folder struct {
+	dir string
+
+	mu    sync.Mutex
+	wrote uint64 // number of the roll written last
+	ln    *net.UnixListener
+}
+
+const (
+	socketFile = "process.sock"
+	rollFile   = "maintenance.json"
+)
+
+// Open makes the folder. What a dead process left in it is of no harm: its socket refuses, and its roll still holds.
+func Open(dir string) (*Folder, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, fmt.Errorf("the folder for a successor: %w", err)
+	}
+	return &Folder{dir: dir}, nil
+}
+
+// Roll reads the roll that was kept, empty where there is none.
+func (f *Folder) Roll() (k maintenance.Kept, err error) {
+	text, err := os.ReadFile(filepath.Join(f.dir, rollFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return k, nil
+	}
+	if err == nil {
+		err = json.Unmarshal(text, &k)
+	}
+	if err != nil {
+		return maintenance.Kept{}, fmt.Errorf("the roll of maintenance: %w", err)
+	}
+	return k, nil
+}
+
+// Keep writes the roll, whole or not at all. One that is older than what was written is left out.
+func (f *Folder) Keep(k maintenance.Kept, no uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if no <= f.wrote {
+		return nil
+	}
+	text, err := json.Marshal(k)
+	if err != nil {
+		return err
+	}
+	// Both processes of an overlap write here; each has a file of its own to the side.
+	name := filepath.Join(f.dir, rollFile)
+	aside := name + "." + strconv.Itoa(os.Getpid())
+	if err := os.WriteFile(aside, text, 0o600); err != nil {
+		return fmt.Errorf("keeping the roll of maintenance: %w", err)
+	}
+	if err := os.Rename(aside, name); err != nil {
+		return fmt.Errorf("keeping the roll of maintenance: %w", err)
+	}
+	f.wrote = no
+	return nil
+}
+
+// path of the socket. Where the folder's name is too long for the address of a socket, it is reached by an open
+// descriptor.
+func (f *Folder) path(name string) (string, func()) {
+	p := filepath.Join(f.dir, name)
+	if len(p) < 100 {
+		return p, func() {}
+	}
+	d, err := os.Open(f.dir)
+	if err != nil {
+		return p, func() {}
+	}
+	return fmt.Sprintf("/proc/self/fd/%d/%s", d.Fd(), name), func() { d.Close() }
+}
+
+// Join asks the process that serves for its place. Nil with no error: there is none. Start is to be called once the node
+// at this end is there.
+func (f *Folder) Join() (*Joining, error) {
+	p, done := f.path(socketFile)
+	defer done()
+	nc, err := net.DialTimeout("unix", p, mostWait)
+	if err != nil {
+		return nil, nil // nobody is there, or nobody listens any more
+	}
+	c := newChannel(nil, nc.(*net.UnixConn))
+	r := &reader{conn: c.conn}
+	c.conn.SetReadDeadline(time.Now().Add(mostJoin))
+	err = c.sendJSON(hello, State{Version: Version})
+	var k kind
+	var body []byte
+	if err == nil {
+		k, body, err = r.next()
+	}
+	j := &Joining{c: c, r: r}
+	if err == nil && k != state {
+		err = errForm
+	}
+	if err == nil {
+		err = json.Unmarshal(body, &j.State)
+	}
+	if err == nil && j.State.Version != Version {
+		err = fmt.Errorf("the process before this one speaks version %d, this one %d", j.State.Version, Version)
+	}
+	if err != nil {
+		r.close()
+		return nil, fmt.Errorf("joining the process before: %w", err)
+	}
+	c.conn.SetReadDeadline(time.Time{})
+	return j, nil
+}
+
+// Joining is a channel that is up, with what the successor starts from.
+type Joining struct {
+	State State
+	c     *Channel
+	r     *reader
+}
+
+// Start begins to take messages in.
+func (j *Joining) Start(n Node) *Channel {
+	j.c.node = n
+	close(j.c.up)
+	go j.c.reads(j.r)
+	return j.c
+}
+
+// Listen waits for successors, one at a time, in place of whoever listened before.
+func (f *Folder) Listen(n Node) error {
+	name := socketFile + "." + strconv.Itoa(os.Getpid())
+	os.Remove(filepath.Join(f.dir, name))
+	p, done := f.path(name)
+	defer done()
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: p, Net: "unix"})
+	if err != nil {
+		return fmt.Errorf("listening for a successor: %w", err)
+	}
+	ln.SetUnlinkOnClose(false) // the name may be a successor's by then
+	if err := os.Rename(filepath.Join(f.dir, name), filepath.Join(f.dir, socketFile)); err != nil {
+		ln.Close()
+		return fmt.Errorf("listening for a successor: %w", err)
+	}
+	f.mu.Lock()
+	old := f.ln
+	f.ln = ln
+	f.mu.Unlock()
+	if old != nil {
+		old.Close()
+	}
+	go f.welcome(ln, n)
+	return nil
+}
+
+// Shut stops waiting for successors.
+func (f *Folder) Shut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ln != nil {
+		f.ln.Close()
+	}
+}
+
+func (f *Folder) welcome(ln *net.UnixListener, n Node) {
+	busy := make(chan struct{}, 1)
+	for {
+		conn, err := ln.AcceptUnix()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		select {
+		case busy <- struct{}{}:
+		default:
+			conn.Close() // another is about to take the place
+			continue
+		}
+		go func() {
+			defer func() { <-busy }()
+			c := newChannel(n, conn)
+			r := &reader{conn: conn}
+			conn.SetReadDeadline(time.Now().Add(mostJoin))
+			k, body, err := r.next()
+			var h State
+			if err != nil || k != hello || json.Unmarshal(body, &h) != nil || h.Version != Version {
+				r.close()
+				return
+			}
+			conn.SetReadDeadline(time.Time{})
+			s := n.Welcome(c)
+			s.Version = Version
+			c.sendJSON(state, s) // should it fail, so does reading
+			close(c.up)
+			c.reads(r)
+		}()
+	}
+}
