Take new settings over while serving; queries in hand keep their terms

Settings waited for a restart, so that a class added or dropped at SIGHUP was unknown or stale. They are generations now: terms/ gives a changed class another id, the module takes the table in one call and keeps ring, health and meters, and attempts belong to the workload.

--- a/baseline/baseline.go
+++ b/baseline/baseline.go
@@ -126,7 +126,7 @@
 		again = again && w.Effect == fleet.Deduplicated && now+p.lim.Quantum < e.Sent+w.DedupSpan &&
 			(w.Scope == fleet.ScopeAll || w.Scope == fleet.ScopeZone && s.Zone == t.Zone || s.Zone == t.Zone && s.Cell == t.Cell)
 	}
-	if to == fleet.NoServer || !again || q.N >= min(max(p.lim.MaxExecutions, 1), fleet.MaxExecs) ||
+	if to == fleet.NoServer || !again || q.N >= p.lim.Executions(&p.lim.Workloads[q.Workload]) ||
 		q.Deadline-now <= p.lim.Quantum {
 		q.Closed = true
 		if harmless {
--- a/cmd/mintspring/main.go
+++ b/cmd/mintspring/main.go
@@ -27,6 +27,7 @@
 	"mintspring/node/succession"
 	"mintspring/operator"
 	"mintspring/platform"
+	"mintspring/settings"
 )
 
 // words is the command line. The platform starts the program without any, which is run.
@@ -163,7 +164,7 @@
 		case err := <-served:
 			return err
 		case <-hangups:
-			held = held.reload(r.files, n.Follow, log)
+			held = held.reload(r.files, n, log)
 		case s := <-signals:
 			log.WithField("signal", s.String()).Info("stopping")
 			n.Stop(grace, bound)
@@ -179,11 +180,20 @@
 	op *operator.File
 }
 
-// reload reads both files again and returns what holds from now on. Where the list is kept and how the log is written
-// are taken over at once; what else has changed is named, for it holds after a restart only. A file that cannot be
-// used changes nothing.
-func (h holding) reload(f files, follow func(addr string), log *logrus.Logger) holding {
+// running is what the node takes over while it serves.
+type running interface {
+	Follow(discovery string)
+	Retune(site settings.Deployment) error
+}
+
+// reload reads both files again and returns what holds from now on. The settings, where the list is kept and how the log
+// is written are taken over at once; what else has changed is named, for it holds after a restart only. A file that cannot
+// be used changes nothing, and so does one that lacks what the one held has: it may have been cut where it still reads.
+func (h holding) reload(f files, n running, log *logrus.Logger) holding {
 	c, err := platform.Read(f.getenv)
+	if err == nil {
+		err = h.c.Lacks(c)
+	}
 	if err != nil {
 		log.WithError(err).Error("the new configuration cannot be used; the one held stays")
 		return h
@@ -193,18 +203,24 @@
 		log.WithError(err).Error("the new operator's file cannot be used; what is held stays")
 		return h
 	}
+	if h.c.Retuned(c) {
+		if err := n.Retune(c.Site); err != nil {
+			log.WithError(err).Error("the new settings cannot be used; those held stay")
+			return h
+		}
+	}
 	op.Log.Apply(log)
 	line := log.WithField("discovery", c.Discovery)
 	if waits := slices.Concat(h.c.Differs(c), h.op.Waits(op)); len(waits) > 0 {
 		line = line.WithField("needs_restart", strings.Join(waits, ","))
 	}
 	if c.Discovery != h.c.Discovery {
-		follow(c.Discovery)
+		n.Follow(c.Discovery)
 	}
 	line.Info("read the configuration again")
-	held, file := *h.c, *h.op
-	held.Discovery, file.Log = c.Discovery, op.Log
-	return holding{&held, &file}
+	file := *h.op
+	file.Log = op.Log
+	return holding{h.c.Over(c), &file}
 }
 
 // socketVariable names the descriptor of the clients' listening socket where the platform holds that for all processes of
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -63,6 +63,7 @@
 	span, slo float64 // repeats are dropped for so long; the SLO time
 	bearable  float64 // wait up to which it is let in while the node is overloaded
 	rank      float64 // importance
+	execs     int     // executions that a query may have
 }
 
 // limits are the figures derived from the settings; the settings themselves are not kept.
@@ -71,26 +72,24 @@
 	zone                 fleet.ZoneID
 	perZone              float64      // nodes of one zone
 	origin               fleet.KindID // below 0: servers fetch for themselves
-	maxExecs             int
-	copies, cancels      bool    // two executions of a query may be out; one may be stopped
-	fullFails            bool    // a server whose connections are all taken fails connects, as a dead one does
-	copyRate             float64 // second copies per execution
-	longest              float64 // most that a client may be told to stay away; 0: it is not told
-	sloMin               float64 // shortest SLO time
-	leastOut             float64 // least window at the origin
-	slack                float64 // kept before a deadline
-	period               float64 // between moves of the ring
-	askWithin            float64 // a call for the list is due by then; 0: changes come unasked
-	coldFrom, warmWithin float64 // share of its capacity that a server starts with, and when it has all of it
-	coldRate             float64 // work for a cold server, as a multiple of what it can do
-	coldBurst            float64 // of that, in one go
+	copies, cancels      bool         // two executions of a query may be out; one may be stopped
+	fullFails            bool         // a server whose connections are all taken fails connects, as a dead one does
+	copyRate             float64      // second copies per execution
+	longest              float64      // most that a client may be told to stay away; 0: it is not told
+	sloMin               float64      // shortest SLO time
+	leastOut             float64      // least window at the origin
+	slack                float64      // kept before a deadline
+	period               float64      // between moves of the ring
+	askWithin            float64      // a call for the list is due by then; 0: changes come unasked
+	coldFrom, warmWithin float64      // share of its capacity that a server starts with, and when it has all of it
+	coldRate             float64      // work for a cold server, as a multiple of what it can do
+	coldBurst            float64      // of that, in one go
 }
 
 // derive turns settings into the figures that decisions use.
 func derive(l fleet.Limits) limits {
 	d := limits{zone: l.Zone, perZone: float64(l.Nodes) / float64(max(1, l.Zones)),
-		origin: l.OriginKind, maxExecs: min(max(l.MaxExecutions, 1), fleet.MaxExecs),
-		copies: l.SecondCopies, cancels: l.Cancelling, fullFails: l.FullFails, coldFrom: l.StartCapacity,
+		origin: l.OriginKind, copies: l.SecondCopies, cancels: l.Cancelling, fullFails: l.FullFails, coldFrom: l.StartCapacity,
 		copyRate: 0.05 / (0.5 + 2*l.WasteCost), warmWithin: l.WarmWithin, coldRate: l.FallMultiple / 2,
 		coldBurst: l.TipAfter / 2, sloMin: math.Inf(1),
 		leastOut: min(1, max(0.1, 8/float64(max(1, l.Nodes))))}
@@ -103,7 +102,7 @@
 	}
 	for _, w := range l.Workloads {
 		d.workloads = append(d.workloads, workload{effect: w.Effect, scope: w.Scope, span: w.DedupSpan,
-			slo: w.SLOTime, rank: w.Importance,
+			slo: w.SLOTime, rank: w.Importance, execs: l.Executions(&w),
 			// What would come late only takes the place of what would not, and a crowded server loses capacity: in
 			// overload waits are kept short, the shorter the less important a workload is.
 			bearable: w.SLOTime * (1 + w.LateShare) * (0.3 + 0.2*w.Importance/top)})
@@ -138,6 +137,9 @@
 	return n
 }
 
+// Retune goes on under other limits. A workload's id means the same as before; ring, health and meters stay.
+func (n *Node) Retune(now float64, l fleet.Limits) { n.now, n.lim = now, derive(l) }
+
 // chance draws from [0,1) by hashing the instance seed and a counter, so that equal events give equal moves.
 func (n *Node) chance() float64 {
 	var b [16]byte
@@ -261,10 +263,10 @@
 	switch {
 	case q.Out > 0:
 		return n.lookBack(q)
-	case q.Deadline-n.now <= n.lim.slack || q.N >= n.lim.maxExecs:
+	case q.Deadline-n.now <= n.lim.slack || q.N >= n.lim.workloads[q.Workload].execs:
 		return n.giveUp(q, n.lim.sloMin)
 	case n.lim.origin < 0:
-	case q.Write || q.Stage == queued || q.Stage == waiting || q.N+1 == n.lim.maxExecs && n.store.room(n):
+	case q.Write || q.Stage == queued || q.Stage == waiting || q.N+1 == n.lim.workloads[q.Workload].execs && n.store.room(n):
 		return n.toOrigin(q)
 	}
 	s := n.route(q)
@@ -341,7 +343,7 @@
 
 // maySend checks rules 1 to 4 for one more execution of q at s.
 func (n *Node) maySend(q *fleet.Query, s *server) bool {
-	return !q.Closed && !q.Streamed && q.N < n.lim.maxExecs && n.now < q.Deadline &&
+	return !q.Closed && !q.Streamed && q.N < n.lim.workloads[q.Workload].execs && n.now < q.Deadline &&
 		s.state == fleet.Ready && n.cold.room(n, s, q) && !n.twice(q, s)
 }
 
--- a/decide/health.go
+++ b/decide/health.go
@@ -183,7 +183,7 @@
 	s, slo := n.servers[e.Server], n.lim.workloads[q.Workload].slo
 	next := n.now + slo/8
 	if !n.looksBack(q) || q.Out != 1 || e.Result != fleet.Pending || e.Quit ||
-		q.N >= n.lim.maxExecs || next >= q.Deadline-n.lim.slack {
+		q.N >= n.lim.workloads[q.Workload].execs || next >= q.Deadline-n.lim.slack {
 		return fleet.Move{Action: fleet.Hold}
 	}
 	lost := s.quiet > e.Sent && n.late <= overload && n.now-e.Sent > max(slo/2, 6*s.est(n))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,7 @@
 	DedupSpan        float64
 	Importance       float64
 	LateShare        float64
+	MaxExecutions    int // 0: as the limits say
 	Stream           bool
 }
 
@@ -77,6 +78,15 @@
 	WasteCost         float64
 }
 
+// Executions is how many a query of a workload may have.
+func (l *Limits) Executions(w *Workload) int {
+	n := l.MaxExecutions
+	if w.MaxExecutions > 0 {
+		n = w.MaxExecutions
+	}
+	return min(max(n, 1), MaxExecs)
+}
+
 // State is what the list says of a server.
 type State uint8
 
--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -27,17 +27,15 @@
 type Server struct {
 	Node     Node
 	Life     *lifecycle.Life // what PING says, and when connections are closed
-	Names    *Names
 	Clock    *clock.Clock
 	Sockets  *quota.Sockets
 	Panicked func(any)
 	Logf     func(format string, args ...any)
-	Stalled  float64        // a client that takes nothing for so long is closed, ms
 	Patience float64        // a connection may say nothing for so long before its first query, and a command take to come, ms
 	MostHeld int64          // bytes held for all clients, their commands and answers; 0: no limit
-	BusyWait float64        // what a client turned away over that is told, ms
 	Chance   func() float64 // from [0,1), so that connections are not all closed together; nil: always 0
 
+	names   atomic.Pointer[Names]
 	held    atomic.Int64
 	asked   atomic.Int64 // clients that have sent a query
 	counts  struct{ refused, bad, silent atomic.Int64 }
@@ -50,6 +48,12 @@
 	ln      net.Listener
 }
 
+// Tune has queries that come from now on be read under other terms. It is called once before Serve.
+func (s *Server) Tune(n *Names) { s.names.Store(n) }
+
+// Names are the terms that hold now.
+func (s *Server) Names() *Names { return s.names.Load() }
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
@@ -288,7 +292,7 @@
 	case "QUIT":
 		c.reply("+OK\r\n", true)
 	case "KV.GET", "KV.SET":
-		x, why := s.Names.query(args, at)
+		x, why := s.Names().query(args, at)
 		if why != "" {
 			c.fail(why, false)
 			return
--- a/node/clients/command.go
+++ b/node/clients/command.go
@@ -13,20 +13,33 @@
 	"mintspring/settings"
 )
 
-// Names turns the names that clients use into ids.
+// Names are the terms of one generation of the settings: what clients name, and limits that come with it. They are not
+// changed once in use.
 type Names struct {
-	Workloads map[string]fleet.WorkloadID
+	Workloads map[string]*Workload
 	Tenants   map[string]fleet.TenantID
-	Limits    []fleet.Workload
 	Spare     float64 // kept of a client's time for the way back to it, in ms
+	Stalled   float64 // a client that takes nothing for so long is closed, ms: the longest statement timeout
+	BusyWait  float64 // what a client is told that is turned away before the module has seen its query, ms
 }
 
-// NewNames takes them from the settings.
-func NewNames(d settings.Deployment) *Names {
-	n := &Names{Workloads: map[string]fleet.WorkloadID{}, Tenants: map[string]fleet.TenantID{},
-		Limits: d.Limits.Workloads, Spare: d.Limits.Quantum}
+// Workload is one as clients name it.
+type Workload struct {
+	ID fleet.WorkloadID
+	fleet.Workload
+}
+
+// NewNames takes them from the settings, with the ids that the workloads have.
+func NewNames(d settings.Deployment, id func(name string) (fleet.WorkloadID, bool)) *Names {
+	n := &Names{Workloads: map[string]*Workload{}, Tenants: map[string]fleet.TenantID{}, Spare: d.Limits.Quantum, Stalled: 1000}
 	for i, w := range d.Workloads {
-		n.Workloads[w] = fleet.WorkloadID(i)
+		if at, known := id(w); known {
+			n.Workloads[w] = &Workload{at, d.Limits.Workloads[i]}
+			n.Stalled = max(n.Stalled, d.Limits.Workloads[i].StatementTimeout)
+		}
+	}
+	if d.Limits.RetryAfter {
+		n.BusyWait = d.Limits.MaxRetryAfter
 	}
 	for i, t := range d.Tenants {
 		n.Tenants[t] = fleet.TenantID(i)
@@ -82,7 +95,8 @@
 
 // extra reads the list of names and values. Names that are not known are passed on unread.
 func (n *Names) extra(x *exchange.Exchange) string {
-	load, wait, marked := fleet.WorkloadID(-1), math.Inf(1), false
+	var w *Workload
+	wait, marked := math.Inf(1), false
 	for rest := x.Extra; len(rest) > 0; {
 		var part []byte
 		part, rest, _ = bytes.Cut(rest, []byte(","))
@@ -96,11 +110,10 @@
 		}
 		switch string(name) {
 		case "c":
-			id, known := n.Workloads[string(value)]
-			if !known {
+			known := false
+			if w, known = n.Workloads[string(value)]; !known {
 				return "class '" + string(value) + "' is not known"
 			}
-			load = id
 		case "t":
 			x.Tenant = n.Tenants[string(value)]
 		case "d":
@@ -117,14 +130,13 @@
 			x.Size, _ = number()
 		}
 	}
-	if load < 0 {
+	if w == nil {
 		return "no class is named"
 	}
-	w := &n.Limits[load]
 	if w.Effect == fleet.Deduplicated && !marked {
 		return "a write of this class needs a mark against repeats" // without k a repeat would not be dropped
 	}
-	x.Workload = load
+	x.Workload = w.ID
 	x.Deadline = x.Arrived + max(1, min(wait, w.StatementTimeout)-n.Spare)
 	return ""
 }
--- a/node/clients/conn.go
+++ b/node/clients/conn.go
@@ -159,7 +159,7 @@
 		c.mu.Lock()
 		out = c.out || c.closed
 		c.mu.Unlock()
-		c.net.SetReadDeadline(time.Now().Add(clock.Span(c.server.Stalled / 4)))
+		c.net.SetReadDeadline(time.Now().Add(clock.Span(c.server.Names().Stalled / 4)))
 		_, err = io.CopyN(io.Discard, c.net, exchange.MostValue)
 	}
 	c.left(false)
@@ -170,7 +170,7 @@
 	size := int64(len(x.Key) + len(x.ID) + len(x.Extra) + len(x.Value) + 512)
 	if c.server.over(size, 1) {
 		// Turned away before anything was sent: what other queries hold is all the memory there is.
-		b := encode(nil, &exchange.Answer{Kind: exchange.Rejected, Wait: c.server.BusyWait})
+		b := encode(nil, &exchange.Answer{Kind: exchange.Rejected, Wait: c.server.Names().BusyWait})
 		c.reply(string(b), false)
 		return
 	}
@@ -281,7 +281,7 @@
 				b = append(b, s.text...)
 			}
 			out.Fill(len(b))
-			c.net.SetWriteDeadline(time.Now().Add(clock.Span(c.server.Stalled)))
+			c.net.SetWriteDeadline(time.Now().Add(clock.Span(c.server.Names().Stalled)))
 			_, err = out.Drain(c.net)
 		}
 		c.mu.Lock()
--- a/node/events.go
+++ b/node/events.go
@@ -59,12 +59,13 @@
 func (e arrived) handle(n *Node, now float64) {
 	x := e.x
 	if most := n.site.MostOpen; most > 0 && len(n.hands) >= most {
-		n.answer(x, exchange.Answer{Kind: exchange.Rejected, Wait: n.front.BusyWait})
+		n.answer(x, exchange.Answer{Kind: exchange.Rejected, Wait: n.front.Names().BusyWait})
 		return
 	}
 	q := n.slab.Take()
 	n.lastID++
 	q.ID, q.Workload, q.Tenant = n.lastID, x.Workload, x.Tenant
+	n.table.Take(q.Workload)
 	q.Key, q.HasKey, q.Write = x.Point, true, x.Write
 	q.Arrived, q.Deadline, q.Work, q.Size = x.Arrived, x.Deadline, x.Work, x.Size
 	h := &hand{x: x, q: q}
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	"mintspring/operator"
 	"mintspring/pool"
 	"mintspring/settings"
+	"mintspring/terms"
 )
 
 // Birth is what a node is started with.
@@ -79,6 +80,7 @@
 type Node struct {
 	log      *logrus.Entry
 	name     string
+	seed     uint64
 	memoryMB int
 	sockets  *quota.Sockets
 	kin      kin
@@ -97,6 +99,7 @@
 	slab              fleet.Slab
 	hands             map[*exchange.Exchange]*hand
 	roll              *maintenance.Roll
+	table             terms.Table
 	sweepAt           float64
 	byRef             map[fleet.Ref]*hand
 	ids               map[string]fleet.ServerID
@@ -114,7 +117,7 @@
 
 // New makes a node that knows what it was started with.
 func New(b Birth, log *logrus.Logger) *Node {
-	n := &Node{log: log.WithField("node", b.Name), name: b.Name, memoryMB: b.MemoryMB, site: b.Site, clock: clock.New(),
+	n := &Node{log: log.WithField("node", b.Name), name: b.Name, seed: b.Site.Limits.Seed, memoryMB: b.MemoryMB, site: b.Site, clock: clock.New(),
 		roll: maintenance.New(), hands: map[*exchange.Exchange]*hand{}, byRef: map[fleet.Ref]*hand{}, ids: map[string]fleet.ServerID{},
 		idle: make(chan struct{}), quit: make(chan struct{})}
 	n.inbox.wake = make(chan struct{}, 1)
@@ -134,11 +137,10 @@
 	if n.group.ConnectTimeout <= 0 {
 		n.group.ConnectTimeout = longest / 4
 	}
-	n.front = &clients.Server{Node: n, Life: &n.life, Chance: n.chance, Names: clients.NewNames(b.Site), Clock: n.clock, Sockets: sockets,
-		Panicked: n.panicked, Logf: n.log.Warnf, Stalled: longest, Patience: patience, MostHeld: int64(b.MemoryMB) << 20 / 8}
-	if b.Site.Limits.RetryAfter {
-		n.front.BusyWait = b.Site.Limits.MaxRetryAfter
-	}
+	n.front = &clients.Server{Node: n, Life: &n.life, Chance: n.chance, Clock: n.clock, Sockets: sockets,
+		Panicked: n.panicked, Logf: n.log.Warnf, Patience: patience, MostHeld: int64(b.MemoryMB) << 20 / 8}
+	n.table.Turn(n.clock.Now(), b.Site.Workloads, b.Site.Limits.Workloads)
+	n.front.Tune(clients.NewNames(b.Site, n.table.ID))
 	n.calls = &list.Caller{Addr: b.Discovery,
 		Told: func(u list.Update) {
 			mode := fleet.ListDelta
@@ -230,10 +232,10 @@
 }
 
 // LongestTimeout is the longest statement timeout, in ms.
-func (n *Node) LongestTimeout() float64 { return n.front.Stalled }
+func (n *Node) LongestTimeout() float64 { return n.front.Names().Stalled }
 
 // chance draws from [0,1).
-func (n *Node) chance() float64 { return fleet.Unit(n.site.Limits.Seed + n.draws.Add(1)) }
+func (n *Node) chance() float64 { return fleet.Unit(n.seed + n.draws.Add(1)) }
 
 // Ready tells whether the node would answer PING with yes.
 func (n *Node) Ready() bool { return n.life.Serves() }
@@ -364,6 +366,7 @@
 	if h.q.Closed && h.q.Out == 0 && n.hands[h.x] == h {
 		delete(n.hands, h.x)
 		delete(n.byRef, h.q.Ref)
+		n.table.Give(n.clock.Now(), h.q.Workload)
 		n.slab.Free(h.q)
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 
 	"mintspring/fleet"
 )
@@ -22,6 +23,18 @@
 	ConnIdle       float64 // a peer closes a connection that has stood idle for so long
 }
 
+// attempts reads a number of executions; 0 where none is told.
+func attempts(text json.RawMessage) (int, error) {
+	if text == nil {
+		return 0, nil
+	}
+	var v float64
+	if json.Unmarshal(text, &v) != nil || string(text) == "null" || v < 1 || v > 1e9 || v != math.Trunc(v) {
+		return 0, fmt.Errorf("settings: PolicyLimits.MaxExecutions: %.40s is no number above 0", text)
+	}
+	return int(v), nil
+}
+
 // Read reads the settings. Keys may be absent; unknown ones are skipped.
 func Read(text []byte, seed uint64) (Deployment, error) {
 	env := struct {
@@ -40,7 +53,8 @@
 			OriginKind *int
 		}
 		PolicyLimits struct {
-			MaxExecutions, OpenCap                  int
+			MaxExecutions                           json.RawMessage
+			OpenCap                                 int
 			SecondCopies, Cancelling, RetryAfter    bool
 			MaxRetryAfter, ConnectTimeout, ConnIdle float64
 		}
@@ -57,6 +71,10 @@
 	if err := json.Unmarshal(text, &env); err != nil {
 		return Deployment{}, fmt.Errorf("settings: %w", err)
 	}
+	executions, err := attempts(env.PolicyLimits.MaxExecutions)
+	if err != nil {
+		return Deployment{}, err
+	}
 	const ms = 1.0 / 1000
 	g, p := &env.Guarantees, &env.PolicyLimits
 	d := Deployment{Kinds: env.Kinds, Zones: env.FailureDomains,
@@ -67,7 +85,7 @@
 	d.Limits = fleet.Limits{
 		Seed: seed, Nodes: max(env.NInstances, 1),
 		Zone: fleet.ZoneID(env.Locality), Zones: len(env.FailureDomains), OriginKind: -1,
-		MaxExecutions: p.MaxExecutions, SecondCopies: p.SecondCopies,
+		MaxExecutions: executions, SecondCopies: p.SecondCopies,
 		Cancelling: p.Cancelling, RetryAfter: p.RetryAfter,
 		MaxRetryAfter: p.MaxRetryAfter * ms,
 		Subscribe:     env.Discovery == "subscribe", MustAskIn: g.MustAskIn * ms,
@@ -84,7 +102,7 @@
 	for _, w := range env.Workloads {
 		v := fleet.Workload{SLOTime: w.SloTime * ms, SLOStretch: w.AimStretch,
 			StatementTimeout: w.StatementTimeout * ms, DedupSpan: w.MemorySpan * ms,
-			Importance: w.Importance, LateShare: w.TardyImportance, Stream: w.Stream}
+			Importance: w.Importance, LateShare: w.TardyImportance, Stream: w.Stream, MaxExecutions: executions}
 		switch w.Effect {
 		case "pure":
 			v.Effect = fleet.Idempotent
