Pass values up to 4 MiB to clients in pieces, from cache servers and the origin

The link now hands an answer on at the head of its value and the client's writer pulls the pieces, one window held; values of no told length (in chunks, or to the end of the connection) are collected within an eighth of the memory. Ruled out: the servers' side (no read had failed) and memory (21 of 64 MB). A server's close within a value ended the stream as if whole; its test failed first.

--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -38,7 +38,7 @@
 	names   atomic.Pointer[Names]
 	held    atomic.Int64
 	asked   atomic.Int64 // clients that have sent a query
-	counts  struct{ refused, bad, silent atomic.Int64 }
+	counts  struct{ refused, bad, silent, cut atomic.Int64 }
 	mu      sync.Mutex
 	conns   map[*conn]struct{}                 // nil until the first
 	resumed sync.Cond                          // newcomers are taken again, or never
--- a/node/clients/clients_test.go
+++ b/node/clients/clients_test.go
@@ -582,3 +582,128 @@
 }
 func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.end) }); return nil }
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// pieces is a large value in pieces that come when they are let.
+type pieces struct {
+	size   int64
+	bytes  chan string // closed: the end, or the break
+	err    error
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPieces(size int, err error, all ...string) *pieces {
+	p := &pieces{size: int64(size), bytes: make(chan string, 100), err: err, closed: make(chan struct{})}
+	for _, s := range all {
+		p.bytes <- s
+	}
+	return p
+}
+
+func (p *pieces) Size() int64 { return p.size }
+func (p *pieces) Close()      { p.once.Do(func() { close(p.closed) }) }
+func (p *pieces) Next() ([]byte, error) {
+	select {
+	case s, more := <-p.bytes:
+		if !more {
+			return nil, p.err
+		}
+		return []byte(s), nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pieces) wantsClosed(t *testing.T) {
+	t.Helper()
+	select {
+	case <-p.closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the stream is not closed")
+	}
+}
+
+// Each piece goes on as it comes, in the order of commands, and a command behind it is answered behind it.
+func TestLargeAnswerGoesOnInPieces(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	c.Write([]byte(command("KV.GET", "k", "1", extra) + command("PING")))
+	p := newPieces(6, io.EOF, "abc")
+	r.next().Answer(exchange.Answer{Large: p})
+	c.wants("$6\r\nabc") // while the rest is still to come
+	p.bytes <- "def"
+	close(p.bytes)
+	c.wants("def\r\n+PONG\r\n")
+	p.wantsClosed(t)
+}
+
+// What breaks off ends the connection, so that the client can tell; before the first byte it is told in words.
+func TestLargeAnswerThatBreaksOff(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	c.Write([]byte(command("KV.GET", "k", "1", extra)))
+	p := newPieces(6, net.ErrClosed)
+	close(p.bytes)
+	r.next().Answer(exchange.Answer{Large: p})
+	c.wants("-ERR the value broke off\r\n")
+	p.wantsClosed(t)
+	c.Write([]byte(command("KV.GET", "k", "2", extra)))
+	p = newPieces(6, net.ErrClosed, "abc")
+	close(p.bytes)
+	r.next().Answer(exchange.Answer{Large: p})
+	c.wants("$6\r\nabc")
+	c.wantsEnd()
+	p.wantsClosed(t)
+}
+
+// A client that goes leaves no stream open: one that is being written, one that waits behind another answer, and one whose
+// answer comes after.
+func TestLargeAnswersOfClientsThatGo(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	c.Write([]byte(command("KV.GET", "k", "1", extra) + command("KV.GET", "k", "2", extra) + command("KV.GET", "k", "3", extra)))
+	first, second, third := r.next(), r.next(), r.next()
+	p, q, late := newPieces(6, io.EOF, "abc"), newPieces(6, io.EOF, "abc"), newPieces(6, io.EOF, "abc")
+	second.Answer(exchange.Answer{Large: q})
+	first.Answer(exchange.Answer{Large: p})
+	c.wants("$6\r\nabc")
+	c.Close()
+	if x := <-r.left; x != third {
+		t.Error("another query is told to have been left")
+	}
+	third.Answer(exchange.Answer{Large: late})
+	for _, p := range []*pieces{p, q, late} {
+		p.wantsClosed(t)
+	}
+}
+
+// A client that reads slowly but on keeps its value, far beyond the time in which a small answer has to be taken; no write
+// comes back for long, since the kernel holds it until much is free.
+func TestSlowReaderKeepsItsValue(t *testing.T) {
+	r := newRig(t, func(s *Server) { s.Names().Stalled = 100 })
+	c := r.dial()
+	c.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+	c.Write([]byte(command("KV.GET", "k", "1", extra)))
+	const most = 150
+	piece := strings.Repeat("x", 32<<10)
+	p := newPieces(most*len(piece), io.EOF)
+	r.next().Answer(exchange.Answer{Large: p})
+	go func() {
+		for range most {
+			p.bytes <- piece
+		}
+		close(p.bytes)
+	}()
+	c.wants("$4915200\r\n")
+	b := make([]byte, 64<<10)
+	for got, start := 0, time.Now(); got < most*len(piece); {
+		n, err := c.r.Read(b[:min(len(b), most*len(piece)-got)])
+		if err != nil {
+			t.Fatalf("after %d bytes: %v", got, err)
+		}
+		if got += n; time.Since(start) < time.Second {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	c.wants("\r\n")
+}
--- a/node/clients/conn.go
+++ b/node/clients/conn.go
@@ -40,6 +40,7 @@
 
 	mu      sync.Mutex
 	cond    sync.Cond
+	large   exchange.Stream // the one that is being written
 	slots   []slot
 	held    int64   // bytes of commands and answers, which the server counts too
 	since   float64 // last heard or answered
@@ -228,15 +229,28 @@
 func (c *conn) Ready(x *exchange.Exchange) {
 	c.server.release(x)
 	c.mu.Lock() // without it the writer could look, miss the answer, and only then begin to wait
-	c.book(int64(len(x.Answered().Value)))
+	a := x.Answered()
+	c.book(weight(a))
 	slow := c.held > exchange.MostValue && c.server.over(0, pressing)
+	gone := c.closed
 	c.cond.Broadcast()
 	c.mu.Unlock()
+	if gone && a.Large != nil {
+		a.Large.Close() // it left before its answer came; nobody takes that
+	}
 	if slow {
 		go c.left(false)
 	}
 }
 
+// weight is how much an answer holds until it is written.
+func weight(a *exchange.Answer) int64 {
+	if a.Large != nil {
+		return exchange.Window
+	}
+	return int64(len(a.Value))
+}
+
 // next waits for the answer at the head and takes it off.
 func (c *conn) next() (s slot, a *exchange.Answer, ok bool) {
 	c.mu.Lock()
@@ -250,6 +264,9 @@
 			if s.x == nil || a != nil {
 				c.slots = append(c.slots[:0], c.slots[1:]...)
 				c.writing = true
+				if a != nil {
+					c.large = a.Large
+				}
 				c.cond.Broadcast()
 				return s, a, true
 			}
@@ -274,7 +291,12 @@
 			size = len(a.Value) + len(a.Why) + 64
 		}
 		b, err := out.Tail(size)
-		if err == nil {
+		if err == nil && a != nil && a.Large != nil {
+			if err = c.passes(a.Large); err != nil {
+				c.server.counts.cut.Add(1)
+				c.server.Logf("a large value was cut off: %v", err)
+			}
+		} else if err == nil {
 			if b = b[:0]; a != nil {
 				b = encode(b, a)
 			} else {
@@ -286,9 +308,9 @@
 		}
 		c.mu.Lock()
 		if c.book(-s.size); a != nil {
-			c.book(-int64(len(a.Value)))
+			c.book(-weight(a))
 		}
-		c.since, c.writing, c.out = c.server.Clock.Now(), false, s.last
+		c.since, c.writing, c.out, c.large = c.server.Clock.Now(), false, s.last, nil
 		c.cond.Broadcast()
 		c.mu.Unlock()
 		if err != nil {
@@ -330,7 +352,7 @@
 		c.mu.Unlock()
 		return false
 	}
-	slots := c.slots
+	slots, large := c.slots, c.large
 	c.book(-c.held)
 	if c.asked {
 		c.server.asked.Add(-1)
@@ -340,10 +362,18 @@
 	c.mu.Unlock()
 	c.net.Close()
 	c.server.gone(c)
+	if large != nil {
+		large.Close() // its server may be silent for long, and the writer with it
+	}
 	for _, s := range slots {
-		if s.x != nil && s.x.Answered() == nil {
+		if s.x == nil {
+			continue
+		}
+		if a := s.x.Answered(); a == nil {
 			c.server.release(s.x)
 			c.server.Node.Left(s.x)
+		} else if a.Large != nil {
+			a.Large.Close()
 		}
 	}
 	return true
--- a/node/events.go
+++ b/node/events.go
@@ -94,10 +94,13 @@
 
 func (e ended) handle(n *Node, now float64) {
 	h := n.hands[e.exec.X]
+	r := e.end.Reply
 	if h == nil {
+		if r.Stream != nil {
+			r.Stream.Close()
+		}
 		return
 	}
-	r := e.end.Reply
 	o := fleet.Outcome{Exec: e.exec.No, Result: r.Result, Took: max(0, e.end.At-e.exec.Sent), Note: r.Note, Report: r.Report}
 	if b := e.end.Break; b != nil {
 		o.Result, o.Report, o.Stale = b.Outcome(), fleet.NewReport(), b.Stale
@@ -105,8 +108,11 @@
 	}
 	n.tally.outcomes[o.Result]++
 	if o.Over = h.q.Closed; o.Result == fleet.Completed && !o.Over {
+		// Of a large value the rest is between its server and its client: to the module the query is over.
 		o.Over = true
-		n.answer(h.x, exchange.Answer{Kind: exchange.Completed, Value: r.Value})
+		n.answer(h.x, exchange.Answer{Kind: exchange.Completed, Value: r.Value, Large: r.Stream})
+	} else if r.Stream != nil {
+		r.Stream.Close()
 	}
 	n.act(h, n.mind.After(now, h.q, o))
 }
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -8,9 +8,25 @@
 	"mintspring/fleet"
 )
 
-// MostValue is the size of the largest value that is carried.
+// MostValue is the size of the largest value that is held whole. Larger ones pass in pieces.
 const MostValue = 64 << 10
 
+// MostLarge is the size of the largest value that passes (the operators' page of daily operation, "Less room").
+const MostLarge = 4 << 20
+
+// Window is the most that is held of a value that passes in pieces.
+const Window = 24 << 10
+
+// Stream is a value that passes in pieces, of which one at a time is held. Whoever is given one closes it, taken to its end
+// or not.
+type Stream interface {
+	Size() int64
+	// Next returns what comes next, good until the next call; io.EOF once all has come and is in order. With any other error
+	// the rest never comes.
+	Next() ([]byte, error)
+	Close()
+}
+
 // Exchange is one query on its way through the node. All but the answer is set before it is handed on and
 // not changed after.
 type Exchange struct {
@@ -45,6 +61,7 @@
 type Answer struct {
 	Kind  Kind
 	Value []byte  // Completed: the value or receipt
+	Large Stream  // Completed: the value, in place of that
 	Wait  float64 // Rejected: ms after which the client may come back; 0: it is not told
 	Why   string  // Aborted
 }
--- /dev/null
+++ b/node/large_test.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+// Forty values of 4 MiB at once, from cache servers and from the origin, to clients that read slowly: all come whole, little
+// is held of them, and small queries do not wait for them.
+func TestLargeValuesAtOnce(t *testing.T) {
+	const size, most = 4 << 20, 40
+	value := bytes.Repeat([]byte("0123456789abcdef"), size/16)
+	w := newTown(t, 3, func(c redcon.Conn, key, id string) {
+		switch {
+		case strings.HasPrefix(key, "large"):
+			go func(nc net.Conn) {
+				io.WriteString(nc, fmt.Sprintf("*3\r\n$%d\r\n", size))
+				nc.Write(value)
+				io.WriteString(nc, "\r\n$3\r\nhit\r\n$-1\r\n")
+			}(c.NetConn())
+		case strings.HasPrefix(key, "far"):
+			miss(c, key, id)
+		default:
+			hit(c, key, id)
+		}
+	}, func(rw http.ResponseWriter, q *http.Request) {
+		rw.Header().Set("Content-Length", fmt.Sprint(size))
+		rw.Write(value)
+	})
+	w.wants(w.ask("KV.GET", "k", "0", "c=read,d=500"), "hit")
+	var before, now runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var wg sync.WaitGroup
+	for i := range most {
+		wg.Go(func() {
+			c, err := net.Dial("tcp", w.addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(20 * time.Second))
+			b := redcon.AppendArray(nil, 4)
+			for _, s := range []string{"KV.GET", []string{"large", "far"}[i%8/7] + fmt.Sprint(i), fmt.Sprint("l", i), "c=read,d=550"} {
+				b = redcon.AppendBulkString(b, s)
+			}
+			c.Write(b)
+			head := fmt.Sprintf("$%d\r\n", size)
+			got, piece := 0, make([]byte, 256<<10)
+			for got < len(head)+size+2 {
+				n, err := c.Read(piece)
+				if err != nil || got == 0 && string(piece[:min(n, len(head))]) != head {
+					t.Errorf("value %d: %q after %d bytes, %v", i, piece[:min(n, 40)], got, err)
+					return
+				}
+				got += n
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	var took []time.Duration
+	var peak uint64
+	for i := range 100 {
+		start := time.Now()
+		w.wants(w.ask("KV.GET", fmt.Sprint("k", i), fmt.Sprint("s", i), "c=read,d=500"), "hit")
+		took = append(took, time.Since(start))
+		if i%10 == 0 {
+			runtime.ReadMemStats(&now)
+			peak = max(peak, now.HeapInuse)
+		}
+	}
+	wg.Wait()
+	if grew := int64(peak) - int64(before.HeapInuse); grew > most*size/8 {
+		t.Errorf("%d MB are held of %d MB", grew>>20, most*size>>20)
+	}
+	sort.Slice(took, func(i, k int) bool { return took[i] < took[k] })
+	t.Logf("small queries beside them: half within %v, the slowest %v; heap %d MB more", took[50], took[99], (int64(peak)-int64(before.HeapInuse))>>20)
+}
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -1,9 +1,11 @@
 package link
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,11 +28,14 @@
 	idle   float64 // how long it was idle before what is out on it
 	used   bool    // an answer has come on it
 
+	dropping atomic.Bool // what still comes is of no use
+
 	// Held under the link's lock.
-	cur     *Execution
-	closed  bool
-	writing bool
-	cause   error // what the reader met while the writer was at work
+	cur        *Execution
+	closed     bool
+	writing    bool
+	collecting bool  // an answer is read to its end whatever becomes of its execution
+	cause      error // what the reader met while the writer was at work
 }
 
 // writes sends the executions that the connection is given.
@@ -97,7 +102,8 @@
 			return
 		}
 		n, reply, err := l.wire.Parse(in.Peek())
-		if err != nil {
+		unsized := errors.Is(err, ErrUnsized)
+		if err != nil && !unsized {
 			c.broken(err, false)
 			return
 		}
@@ -116,7 +122,26 @@
 			l.mu.Unlock()
 			return
 		}
-		if e.reach = exchange.AnswerBegun; n == 0 {
+		e.reach = exchange.AnswerBegun
+		if unsized {
+			c.collecting = true
+			l.mu.Unlock()
+			if reply, err = c.collect(&in); err != nil {
+				c.broken(err, false)
+				return
+			}
+			at, n = l.group.Clock.Now(), 0
+			l.mu.Lock()
+			if c.cur != e { // given up meanwhile
+				l.shut(c)
+				l.mu.Unlock()
+				if reply.Stream != nil {
+					reply.Stream.Close()
+				}
+				return
+			}
+			c.collecting = false
+		} else if n == 0 {
 			l.mu.Unlock()
 			// What has begun to come and stops does not come any more: waiting on would cost the query all its time.
 			if stall = l.group.Stall > 0; stall {
@@ -129,6 +154,31 @@
 			c.net.SetReadDeadline(time.Time{})
 		}
 		in.Skip(n)
+		if reply.Large > 0 {
+			s := newStream(c, &in, reply)
+			reply.Stream = s
+			ended := l.finish(e)
+			l.mu.Unlock()
+			if ended {
+				l.group.Done(e, Ending{At: at, Reply: reply})
+			} else {
+				s.Close()
+			}
+			// The taker reads from here on.
+			<-s.done
+			c.net.SetReadDeadline(time.Time{})
+			at = l.group.Clock.Now()
+			if s.err != nil {
+				l.mu.Lock()
+				l.shut(c)
+				l.leave(c)
+				l.serve(at)
+				l.mu.Unlock()
+				return
+			}
+			reply = s.tail
+			l.mu.Lock()
+		}
 		if in.Len() > 0 {
 			c.since = at
 			l.surplus(c, at)
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -25,8 +25,12 @@
 type Wire interface {
 	// Append writes the execution of x to the end of b; limit is how long the node will wait, in ms.
 	Append(b []byte, x *exchange.Exchange, limit float64) []byte
-	// Parse reads an answer off the head of b and says how long it was; 0 while it is not whole.
+	// Parse reads an answer off the head of b and says how long it was; 0 while it is not whole. Of one whose value is
+	// too large to be held it reads what comes before the value, and says in the reply how large that is.
 	Parse(b []byte) (int, Reply, error)
+	// Tail reads what stands behind a large value; false while it is not whole. Sound tells whether at least the value's own
+	// end is there, as it should be.
+	Tail(b []byte, head Reply) (n int, sound, whole bool, r Reply, err error)
 }
 
 // Reply is a whole answer.
@@ -35,7 +39,10 @@
 	Value  []byte
 	Note   fleet.Note
 	Report fleet.Report
-	Last   bool // the peer takes nothing more on this connection
+	Last   bool            // the peer takes nothing more on this connection
+	Large  int64           // the value has so many bytes and follows
+	Parts  int             // after which so many more parts follow
+	Stream exchange.Stream // that value, handed on in pieces
 }
 
 // Ending is how an execution ended: with a reply, or with a break.
@@ -78,6 +85,8 @@
 	Panicked       func(any)                // a panic in a connection's code, which closes that connection
 	ConnectTimeout float64
 	Stall          float64        // an answer that has begun may stand still for so long, ms; 0: for ever
+	Room           *Room          // for values that have to be collected
+	Pause          float64        // the same for a large value, which nobody can ask for again; 0: for ever
 	Chance         func() float64 // from [0,1), from any goroutine; nil: always 0
 
 	counts counts
@@ -448,7 +457,11 @@
 	}
 	if e.conn != nil {
 		l.leave(e.conn)
-		l.shut(e.conn)
+		if e.conn.collecting {
+			e.conn.dropping.Store(true)
+		} else {
+			l.shut(e.conn)
+		}
 	}
 	if i := slices.Index(l.waiting, e); i >= 0 {
 		l.waiting = slices.Delete(l.waiting, i, i+1)
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +24,13 @@
 	return append(append(append(b, x.Key...), x.Value...), '\n')
 }
 
+func (lines) Tail(b []byte, head Reply) (int, bool, bool, Reply, error) {
+	if i := bytes.IndexByte(b, '\n'); i >= 0 {
+		return i + 1, i == 0, i == 0, Reply{Result: fleet.Completed}, map[bool]error{false: errors.New("bad end")}[i == 0]
+	}
+	return 0, false, false, Reply{}, nil
+}
+
 func (lines) Parse(b []byte) (int, Reply, error) {
 	i := bytes.IndexByte(b, '\n')
 	if i < 0 {
@@ -34,6 +42,10 @@
 	case "bad":
 		return 0, Reply{}, errors.New("bad")
 	default:
+		if size, is := strings.CutPrefix(text, "large "); is {
+			n, _ := strconv.ParseInt(size, 10, 64)
+			return i + 1, Reply{Result: fleet.Completed, Large: n}, nil
+		}
 		return i + 1, Reply{Result: fleet.Completed, Value: []byte(text), Last: text == "last"}, nil
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,10 @@
 // never do come by hundreds, and would take the descriptors of others.
 const patience = 2000
 
+// roomShare is the part of the memory that values of no told length may hold while they are collected: as much as commands and
+// answers of clients.
+const roomShare = 8
+
 // peer is one server as the list has it, with the link to it.
 type peer struct {
 	entry list.Entry
@@ -132,7 +136,8 @@
 		longest, soonest = max(longest, w.StatementTimeout), min(soonest, w.SLOTime)
 	}
 	n.group = &link.Group{Clock: n.clock, Sockets: sockets, Done: n.done, Panicked: n.panicked,
-		ConnectTimeout: b.Site.ConnectTimeout, Stall: soonest / 4,
+		ConnectTimeout: b.Site.ConnectTimeout, Stall: soonest / 4, Pause: longest,
+		Room:   &link.Room{Most: int64(b.MemoryMB) << 20 / roomShare},
 		Chance: n.chance}
 	if n.group.ConnectTimeout <= 0 {
 		n.group.ConnectTimeout = longest / 4
@@ -358,6 +363,8 @@
 func (n *Node) answer(x *exchange.Exchange, a exchange.Answer) {
 	if x.Answer(a) {
 		n.tally.answers[a.Kind]++
+	} else if a.Large != nil {
+		a.Large.Close()
 	}
 }
 
--- a/node/origin/wire.go
+++ b/node/origin/wire.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 
 	"mintspring/fleet"
 	"mintspring/node/exchange"
@@ -21,7 +22,13 @@
 // Wire is link.Wire for the origin.
 type Wire struct{}
 
-const mostHead = 8 << 10
+const (
+	mostHead = 8 << 10
+	mostWait = 16 << 10 // bytes of an answer in chunks that are read again and again until it is whole
+)
+
+// readers are used again. Their size bounds the trailer of an answer in chunks, which net/http wants to see whole.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, mostHead) }}
 
 var errLong = errors.New("an answer longer than any may be")
 
@@ -48,10 +55,35 @@
 	return b
 }
 
-// Parse reads an answer. One whose length is not told is not taken for whole: a cut one would look the same.
+// large is the head of an answer whose value passes in pieces; other answers than good ones have no need to be so long.
+func large(b []byte, resp *http.Response) (int, link.Reply, error) {
+	if resp.ContentLength > exchange.MostLarge || resp.StatusCode != http.StatusOK {
+		return 0, link.Reply{}, errLong
+	}
+	at := 0
+	for end := []byte("\r\n\r\n"); ; {
+		from := at
+		at += bytes.Index(b[at:], end) + len(end)
+		if line := b[from:]; len(line) < 13 || line[9] != '1' { // behind the provisional ones
+			break
+		}
+	}
+	return at, link.Reply{Result: fleet.Completed, Last: resp.Close, Large: resp.ContentLength,
+		Report: link.ParseReport([]byte(resp.Header.Get("Srv-Load")))}, nil
+}
+
+// Tail: nothing stands behind a value whose length was told ahead.
+func (Wire) Tail(b []byte, head link.Reply) (n int, sound, whole bool, r link.Reply, err error) {
+	head.Large = 0
+	return 0, true, true, head, nil
+}
+
+// Parse reads an answer.
 func (Wire) Parse(b []byte) (int, link.Reply, error) {
 	src := bytes.NewReader(b)
-	buf := bufio.NewReaderSize(src, 512)
+	buf := readers.Get().(*bufio.Reader)
+	buf.Reset(src)
+	defer readers.Put(buf)
 	var resp *http.Response
 	// Any number of provisional answers may come ahead, which say nothing yet.
 	for rest := b; resp == nil || resp.StatusCode/100 == 1; {
@@ -70,29 +102,68 @@
 	}
 	chunked := len(resp.TransferEncoding) > 0
 	if resp.ContentLength > exchange.MostValue {
-		return 0, link.Reply{}, errLong
+		return large(b, resp)
 	}
 	if resp.ContentLength < 0 && !chunked {
-		return 0, link.Reply{}, errors.New("an answer that does not tell its length")
+		return 0, link.Reply{}, link.ErrUnsized // it ends with the connection
 	}
 	value, err := io.ReadAll(io.LimitReader(resp.Body, exchange.MostValue+1))
 	switch {
-	case len(value) > exchange.MostValue:
-		return 0, link.Reply{}, errLong
+	case len(value) > exchange.MostValue || err != nil && len(b) > mostWait:
+		return 0, link.Reply{}, link.ErrUnsized // in chunks, of which the end is far
 	case err != nil && strings.Contains(err.Error(), io.ErrUnexpectedEOF.Error()):
 		return 0, link.Reply{}, nil // net/http words the end within a trailer as an error of its own
 	case err != nil:
 		return 0, link.Reply{}, fmt.Errorf("reading the body of an answer: %w", err)
 	}
+	r := reply(resp)
+	if r.Result == fleet.Completed {
+		r.Value = value
+	}
+	return len(b) - src.Len() - buf.Buffered(), r, nil
+}
+
+// reply reads what the head of an answer says.
+func reply(resp *http.Response) link.Reply {
 	r := link.Reply{Result: fleet.Failed, Last: resp.Close,
 		Report: link.ParseReport([]byte(resp.Header.Get("Srv-Load")))}
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		r.Result, r.Value = fleet.Completed, value
+		r.Result = fleet.Completed
 	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout:
 		if resp.Header.Get("Srv-Declined") == "1" {
 			r.Result = fleet.Full
 		}
 	}
-	return len(b) - src.Len() - buf.Buffered(), r, nil
+	return r
+}
+
+// Collect reads an answer in chunks, or one that ends with its connection. The latter is whole where the peer closes in
+// order, as RFC 9112 has it (8); a process that dies resets its connections, which is an error here.
+func (Wire) Collect(r io.Reader, take func([]byte) error) (link.Reply, error) {
+	buf := readers.Get().(*bufio.Reader)
+	buf.Reset(r)
+	defer readers.Put(buf)
+	var resp *http.Response
+	for resp == nil || resp.StatusCode/100 == 1 {
+		var err error
+		if resp, err = http.ReadResponse(buf, nil); err != nil {
+			return link.Reply{}, fmt.Errorf("reading the head of an answer: %w", err)
+		}
+	}
+	piece := make([]byte, exchange.Window)
+	for {
+		n, err := resp.Body.Read(piece)
+		if n > 0 {
+			if err := take(piece[:n]); err != nil {
+				return link.Reply{}, err
+			}
+		}
+		if err == io.EOF {
+			return reply(resp), nil
+		}
+		if err != nil {
+			return link.Reply{}, fmt.Errorf("reading the body of an answer: %w", err)
+		}
+	}
 }
--- a/node/ringbuf/ring.go
+++ b/node/ringbuf/ring.go
@@ -101,6 +101,13 @@
 	return n, err
 }
 
+// Reserve has the ring be at least so large before more is read into it.
+func (r *Ring) Reserve(n int) {
+	if len(r.buf) < n && n <= Most {
+		r.move(n)
+	}
+}
+
 // Drain writes everything that waits to dst and tells how many bytes went.
 func (r *Ring) Drain(dst io.Writer) (int, error) {
 	sent := 0
--- a/node/servers/wire.go
+++ b/node/servers/wire.go
@@ -76,15 +76,37 @@
 	if err != nil || count < 1 || count > 8 {
 		return 0, link.Reply{}, errShape
 	}
-	var parts [8][]byte
+	if size, from := large(b, at); size > 0 {
+		return from, link.Reply{Result: fleet.Completed, Report: fleet.NewReport(), Large: size, Parts: count - 1}, nil
+	}
+	value, at, whole, err := bulk(b, at)
+	if err != nil || !whole {
+		return 0, link.Reply{}, err
+	}
+	at, r, err := behind(b, at, count-1)
+	if err != nil || at == 0 {
+		return 0, link.Reply{}, err
+	}
+	if r.Result = fleet.Completed; value == nil {
+		r.Result = fleet.Missed
+	} else {
+		r.Value = append([]byte{}, value...)
+	}
+	return at, r, nil
+}
+
+// behind reads the parts behind the value: how it went, and the load report. 0: they are not whole.
+func behind(b []byte, at, count int) (int, link.Reply, error) {
+	var parts [7][]byte
 	for i := range count {
 		var whole bool
+		var err error
 		if parts[i], at, whole, err = bulk(b, at); err != nil || !whole {
 			return 0, link.Reply{}, err
 		}
 	}
-	r := link.Reply{Result: fleet.Completed, Report: link.ParseReport(parts[2])}
-	switch string(parts[1]) {
+	r := link.Reply{Report: link.ParseReport(parts[1])}
+	switch string(parts[0]) {
 	case "hit":
 		r.Note = fleet.NoteHit
 	case "miss":
@@ -92,14 +114,35 @@
 	case "pending":
 		r.Note = fleet.NoteMissFetching
 	}
-	if parts[0] == nil {
-		r.Result = fleet.Missed
-	} else {
-		r.Value = append([]byte{}, parts[0]...)
-	}
 	return at, r, nil
 }
 
+// large tells whether the part that begins at a place is too large to be held and may pass, and where its bytes begin.
+func large(b []byte, at int) (int64, int) {
+	line, next, err := lineOf(b, at)
+	if err != nil || next == 0 || line[0] != '$' {
+		return 0, 0
+	}
+	n, err := strconv.Atoi(string(line[1:]))
+	if err != nil || n <= exchange.MostValue || n > exchange.MostLarge {
+		return 0, 0
+	}
+	return int64(n), next
+}
+
+// Tail reads the line end of a large value and the parts behind it.
+func (Wire) Tail(b []byte, head link.Reply) (n int, sound, whole bool, r link.Reply, err error) {
+	if len(b) > 0 && b[0] != '\r' || len(b) > 1 && b[1] != '\n' {
+		return 0, false, false, r, errShape
+	}
+	if len(b) < 2 {
+		return 0, false, false, r, nil
+	}
+	at, r, err := behind(b, 2, head.Parts)
+	r.Result = fleet.Completed
+	return at, true, at > 0 && err == nil, r, err
+}
+
 // ofError reads an error line, of which a load report may be the last word. Only BUSY tells that the
 // execution never ran.
 func ofError(line []byte) link.Reply {
