--- a/node/large_test.go
+++ b/node/large_test.go
@@ -35,6 +35,10 @@
 			hit(c, key, id)
 		}
 	}, func(rw http.ResponseWriter, q *http.Request) {
+		if !strings.HasPrefix(q.URL.Path, "/far") {
+			io.WriteString(rw, "hit") // a small one, should its own server seem slow
+			return
+		}
 		rw.Header().Set("Content-Length", fmt.Sprint(size))
 		rw.Write(value)
 	})
