--- a/decide/admit.go
+++ b/decide/admit.go
@@ -155,7 +155,9 @@
 	m.mean += 0.02 * (q.Work - m.mean)
 	c := m.cost(q)
 	s.tokens -= c // means something while s is cold only
-	m.sum += c
+	if m.sum += c; m.since == 0 {
+		m.since = n.now // the time before the first query says nothing of the rate
+	}
 	if d := n.now - m.since; d >= n.lim.period {
 		m.rate += 0.3 * (m.sum/d - m.rate)
 		m.sum, m.since = 0, n.now
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -73,7 +73,7 @@
 	perZone              float64      // nodes of one zone
 	origin               fleet.KindID // below 0: servers fetch for themselves
 	copies, cancels      bool         // two executions of a query may be out; one may be stopped
-	fullFails            bool         // a server whose connections are all taken fails connects, as a dead one does
+	fullFails            bool         // a server with all connections taken fails connects, as a dead one does
 	copyRate             float64      // second copies per execution
 	longest              float64      // most that a client may be told to stay away; 0: it is not told
 	sloMin               float64      // shortest SLO time
@@ -81,7 +81,7 @@
 	slack                float64      // kept before a deadline
 	period               float64      // between moves of the ring
 	askWithin            float64      // a call for the list is due by then; 0: changes come unasked
-	coldFrom, warmWithin float64      // share of its capacity that a server starts with, and when it has all of it
+	coldFrom, warmWithin float64      // share of its capacity a server starts with, and when it has all of it
 	coldRate             float64      // work for a cold server, as a multiple of what it can do
 	coldBurst            float64      // of that, in one go
 }
@@ -89,7 +89,8 @@
 // derive turns settings into the figures that decisions use.
 func derive(l fleet.Limits) limits {
 	d := limits{zone: l.Zone, perZone: float64(l.Nodes) / float64(max(1, l.Zones)),
-		origin: l.OriginKind, copies: l.SecondCopies, cancels: l.Cancelling, fullFails: l.FullFails, coldFrom: l.StartCapacity,
+		origin: l.OriginKind, copies: l.SecondCopies, cancels: l.Cancelling,
+		fullFails: l.FullFails, coldFrom: l.StartCapacity,
 		copyRate: 0.05 / (0.5 + 2*l.WasteCost), warmWithin: l.WarmWithin, coldRate: l.FallMultiple / 2,
 		coldBurst: l.TipAfter / 2, sloMin: math.Inf(1),
 		leastOut: min(1, max(0.1, 8/float64(max(1, l.Nodes))))}
@@ -260,13 +261,14 @@
 
 // place chooses for an open query; gate has the last word.
 func (n *Node) place(q *fleet.Query) fleet.Move {
+	execs := n.lim.workloads[q.Workload].execs
 	switch {
 	case q.Out > 0:
 		return n.lookBack(q)
-	case q.Deadline-n.now <= n.lim.slack || q.N >= n.lim.workloads[q.Workload].execs:
+	case q.Deadline-n.now <= n.lim.slack || q.N >= execs:
 		return n.giveUp(q, n.lim.sloMin)
 	case n.lim.origin < 0:
-	case q.Write || q.Stage == queued || q.Stage == waiting || q.N+1 == n.lim.workloads[q.Workload].execs && n.store.room(n):
+	case q.Write || q.Stage == queued || q.Stage == waiting || q.N+1 == execs && n.store.room(n):
 		return n.toOrigin(q)
 	}
 	s := n.route(q)
--- a/decide/learnt.go
+++ b/decide/learnt.go
@@ -6,15 +6,16 @@
 	"mintspring/fleet"
 )
 
-// recalled is the share of the time over which evidence fades that is left to what was recalled: long enough for
-// the first queries to avoid slow servers, and short, for one that is well now has to get its share again.
+// recalled is the share of the time over which evidence fades that is left to what was recalled: long enough
+// for the first queries to avoid slow servers, and short, for one that is well now has to get its share
+// again.
 const recalled = 1.0 / 3
 
 // Learnt gives out what is worth keeping across a restart, in the space of what is handed in. It walks the
 // servers and the counts of keys once, and changes nothing.
 func (n *Node) Learnt(now float64, l *fleet.Learnt) {
 	*l = fleet.Learnt{Trust: 1, Servers: l.Servers[:0], Keys: l.Keys[:0], HeatSum: float64(n.heatSum / n.unit),
-		Window: n.store.window, OriginRT: n.store.rt, Util: n.util, Homing: n.homing}
+		Window: n.store.window, OriginRT: n.store.rt, Util: n.util, Homing: n.homing, ColdRate: n.cold.rate}
 	for _, s := range n.servers {
 		if s == nil || s.state != fleet.Ready {
 			continue
@@ -50,7 +51,7 @@
 		}
 		mix(&s.shed, min(v.Shed, 0.75), v.Trust)
 		mix(&s.stride, min(max(v.Stride, 0.02), stride), v.Trust)
-		mix(&s.pace, min(v.Pace, s.pace), v.Trust) // a slow one's falls by a tenth an answer: it would rise too late
+		mix(&s.pace, min(v.Pace, s.pace), v.Trust) // a slow one's falls by a tenth an answer, and would rise late
 		mix(&s.rt, min(v.RT, 4*n.lim.sloMin), v.Trust)
 		mix(&s.hits, min(v.Hits, 1), v.Trust)
 		mix(&s.peak, max(v.Peak, 1), v.Trust)
@@ -68,6 +69,7 @@
 		mix(&n.store.rt, min(max(l.OriginRT, 1), n.lim.sloMin), t)
 		mix(&n.util, min(l.Util, 1), t)
 		mix(&n.homing, min(l.Homing, 1), t)
+		mix(&n.cold.rate, max(l.ColdRate, 0), t)
 		n.store.window = min(n.store.window, math.Max(n.lim.leastOut, n.store.window+t*(l.Window-n.store.window)))
 	}
 	n.placePoints()
--- a/decide/learnt_test.go
+++ b/decide/learnt_test.go
@@ -169,3 +169,30 @@
 		n.Learnt(2000, &l)
 	}
 }
+
+// A process that takes over this moment gives cold servers what the one before it would have: it has the same traffic. One
+// that starts from a file, or from nothing, begins its count of that with its first query, not with the epoch.
+func TestSuccessorServesColdServersOn(t *testing.T) {
+	var slab, other fleet.Slab
+	was := moved(plainLimits(), 4, &slab)
+	if was.cold.rate <= 0 {
+		t.Fatal("nothing was sent")
+	}
+	var l fleet.Learnt
+	was.Learnt(60000, &l)
+	heir := New(60000, plainLimits(), &other)
+	heir.Members(60000, fleet.ListCached, listOf(4))
+	heir.Recall(60000, &l)
+	if heir.cold.rate != was.cold.rate {
+		t.Errorf("rate %v, was %v", heir.cold.rate, was.cold.rate)
+	}
+	var m meter
+	n := New(1e12, plainLimits(), &other)
+	for now := 1e12; now < 1e12+1.5*n.lim.period; now += 10 {
+		n.now = now
+		m.spend(n, &server{}, &fleet.Query{Work: 1})
+	}
+	if m.rate < 0.02 {
+		t.Errorf("after a period of one query each 10 ms the rate is %v", m.rate)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -228,4 +228,5 @@
 	HeatSum          float64
 	Window, OriginRT float64
 	Util, Homing     float64
+	ColdRate         float64 // work sent to all caches, per ms, by a process that hands over this moment; no file has it
 }
--- a/node/kin.go
+++ b/node/kin.go
@@ -92,6 +92,7 @@
 			n.log.WithError(err).Warn("going on without what the process before has learnt")
 			return
 		}
+		st.Rest.ColdRate = s.ColdRate
 		n.recall(now, mind, st, n.terms(nil))
 	}
 }
@@ -188,6 +189,7 @@
 	if mind, can := n.mind.(rememberer); can {
 		var raw fleet.Learnt
 		s.Learnt = learnt.Append(nil, n.learnt(now, mind, n.terms(nil), &raw))
+		s.ColdRate = raw.ColdRate
 	}
 	return s
 }
--- a/node/succession/channel.go
+++ b/node/succession/channel.go
@@ -49,6 +49,7 @@
 	List      list.Update      // whole
 	Roll      maintenance.Kept // with the ids listed
 	Learnt    []byte           // in the form of package learnt
+	ColdRate  float64          // work sent to all caches, per ms: what cold servers may be given is a part of it
 	Standby   float64          // since when, Unix ms; 0: it is not
 	Held      int
 }
