Give heads two seconds, and let answered and unfinished connections make room

In a crowd with half the descriptors, newcomers on their way were closed for others (210 unserved, 8 slow heads cut): idle ones of clients that ask once and stay were kept longer than mute ones. Where fewer than a quarter ask again, answered connections go first and early; unfinished ones go by age; a first command has 2.5 s from connecting on. What is left is the time with one of two nodes down, in which clients hold all the connections they may.

--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -26,7 +26,7 @@
 // Limits of the door. The operators' page owes callers their answer in 1 s, beside others that hold a connection for 4 s
 // with no whole call.
 const (
-	Most     = 24               // connections at a time; one more closes the oldest without a whole call
+	Most     = 16               // connections at a time; one more closes the oldest without a whole call
 	Answer   = time.Second      // an answer is owed by then
 	mostLine = 512              // bytes of a call; ids of servers are far shorter
 	mostWait = 10 * time.Second // a call that has not come by then does not come
--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -35,10 +35,14 @@
 	MostHeld int64          // bytes held for all clients, their commands and answers; 0: no limit
 	Chance   func() float64 // from [0,1), so that connections are not all closed together; nil: always 0
 
-	names   atomic.Pointer[Names]
-	held    atomic.Int64
-	asked   atomic.Int64 // clients that have sent a query
-	counts  struct{ refused, bad, silent, cut atomic.Int64 }
+	names           atomic.Pointer[Names]
+	firsts, seconds int // connections that have asked, and asked again, lately
+	held            atomic.Int64
+	asked           atomic.Int64 // clients that have sent a query
+	counts          struct {
+		refused, bad, silent, cut atomic.Int64
+		spared                    [Busy]atomic.Int64
+	}
 	mu      sync.Mutex
 	conns   map[*conn]struct{}                 // nil until the first
 	resumed sync.Cond                          // newcomers are taken again, or never
@@ -86,7 +90,8 @@
 
 // serve takes a connection whose descriptor is booked.
 func (s *Server) serve(nc net.Conn, asked bool) {
-	c := &conn{server: s, net: nc, since: s.Clock.Now(), asked: asked, heard: asked}
+	now := s.Clock.Now()
+	c := &conn{server: s, net: nc, since: now, came: now, asked: asked, heard: asked}
 	if asked {
 		s.asked.Add(1)
 	}
@@ -201,29 +206,84 @@
 	return len(s.conns)
 }
 
-// Spare closes the connection that has been quiet longest, if for at least so many ms. With mute it looks only at
-// those on which no query has come yet: they come by hundreds and owe nothing.
-func (s *Server) Spare(least float64, mute bool) bool {
-	return s.spare(s.Clock.Now()-least, func(asked bool) bool { return !(mute && asked) })
-}
+// Kind is what a connection is good for when descriptors run out.
+type Kind uint8
 
-func (s *Server) spare(since float64, may func(asked bool) bool) bool {
+const (
+	Idle       Kind = iota // has asked, and nothing is in hand on it
+	Mute                   // has never asked, and has nothing begun
+	Unfinished             // has never asked, and has begun to
+	Busy                   // a query is in hand on it
+)
+
+// Spare closes the connection of a kind that has been so longest, if for at least so many ms, and tells whether there was
+// one. Who has begun and not finished counts from when it connected: bytes that trickle in make nobody newer.
+func (s *Server) Spare(kind Kind, least float64) bool {
 	s.mu.Lock()
 	var oldest *conn
+	since := s.Clock.Now() - least
 	for c := range s.conns {
-		if is, asked, at := c.quiet(); is && may(asked) && at <= since {
+		if k, at := c.kind(); k == kind && at <= since {
 			oldest, since = c, at
 		}
 	}
 	s.mu.Unlock()
-	return oldest != nil && oldest.left(true)
+	if oldest == nil || !oldest.makesRoom(kind) {
+		return false
+	}
+	s.counts.spared[kind].Add(1)
+	return true
+}
+
+// Of connections on which fewer than this share ask again, those that have been answered are not worth keeping: so many
+// have to have asked for it to be believed, and the counts are halved when they reach the double of most.
+const (
+	worthKeeping = 0.25
+	leastAsked   = 64
+	mostAsked    = 256
+	justAnswered = 50.0 // ms
+)
+
+// SpareAnswered closes the connection that has been idle longest, if for at least so many ms; where clients hardly ever ask
+// again on one they have, as soon as it has been answered. Some ask once on each and stay, and would keep out those whose
+// first query is on its way.
+func (s *Server) SpareAnswered(least float64) bool {
+	if s.askOnce() {
+		least = justAnswered
+	}
+	return s.Spare(Idle, least)
+}
+
+// askOnce tells whether clients hardly ever ask again on a connection they have.
+func (s *Server) askOnce() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.firsts >= leastAsked && float64(s.seconds) < worthKeeping*float64(s.firsts)
+}
+
+// countAsked counts the first and the second query of a connection.
+func (s *Server) countAsked(second bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if second {
+		s.seconds++
+		return
+	}
+	if s.firsts++; s.firsts >= 2*mostAsked {
+		s.firsts, s.seconds = s.firsts/2, s.seconds/2
+	}
 }
 
 // asks counts a client that has sent its first query. Some ask once and keep the connection for good: where so many
 // do that others find no place, the one that has been quiet longest makes room.
 func (s *Server) asks() {
-	if s.asked.Add(1) > int64(s.Sockets.Usual()) {
-		s.spare(s.Clock.Now(), func(asked bool) bool { return asked })
+	s.countAsked(false)
+	usual := int64(s.Sockets.Usual())
+	if s.askOnce() {
+		usual /= 3 // they are of no more use, and count among those that their clients may have
+	}
+	if s.asked.Add(1) > usual {
+		s.SpareAnswered(0)
 	}
 }
 
@@ -252,9 +312,13 @@
 }
 
 // Counts tells, since it was last asked, how many clients found no descriptor, how many commands could not be taken,
-// and how many connections were closed that had said nothing or not enough for too long.
-func (s *Server) Counts() (refused, bad, silent int64) {
-	return s.counts.refused.Swap(0), s.counts.bad.Swap(0), s.counts.silent.Swap(0)
+// how many connections were closed that had said nothing or not enough for too long, how many large values were cut off,
+// and how many connections of each kind made room for others.
+func (s *Server) Counts() (refused, bad, silent, cut int64, spared [Busy]int64) {
+	for k := range spared {
+		spared[k] = s.counts.spared[k].Swap(0)
+	}
+	return s.counts.refused.Swap(0), s.counts.bad.Swap(0), s.counts.silent.Swap(0), s.counts.cut.Swap(0), spared
 }
 
 // over tells whether n bytes more would be more than the given part of what may be held.
--- a/node/clients/clients_test.go
+++ b/node/clients/clients_test.go
@@ -223,7 +223,7 @@
 	other := r.dial()
 	other.Write([]byte(command("KV.SET", "k", "i", "c=put,d=5,k=1", strings.Repeat("v", 1<<20))))
 	other.wants("-ERR a value larger than 64 KiB\r\n")
-	for deadline := time.Now().Add(5 * time.Second); !r.server.Spare(0, false); time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); !r.server.Spare(Mute, 0); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("no connection is quiet")
 		}
@@ -373,9 +373,9 @@
 func TestDescriptorsAreShared(t *testing.T) {
 	r := newRig(t, func(s *Server) { // ten may be open
 		s.Sockets = quota.New(30, 0)
-		s.Sockets.Spare(true, func() bool { return s.Spare(400, false) })
-		s.Sockets.Spare(true, func() bool { return s.Spare(0, true) })
-		s.Sockets.Spare(true, func() bool { return s.Spare(0, false) })
+		s.Sockets.Spare(true, func() bool { return s.Spare(Idle, 400) })
+		s.Sockets.Spare(true, func() bool { return s.Spare(Mute, 0) })
+		s.Sockets.Spare(true, func() bool { return s.Spare(Idle, 0) })
 	})
 	quiet, busy := r.dial(), r.dial()
 	quiet.Write([]byte(command("KV.GET", "k", "0", extra)))
@@ -405,8 +405,8 @@
 func TestNewcomersAreNotTradedForNewcomers(t *testing.T) {
 	r := newRig(t, func(s *Server) { // three may be open
 		s.Sockets = quota.New(10, 0)
-		s.Sockets.Spare(true, func() bool { return s.Spare(100, false) })
-		s.Sockets.Spare(true, func() bool { return s.Spare(0, true) })
+		s.Sockets.Spare(true, func() bool { return s.Spare(Idle, 100) })
+		s.Sockets.Spare(true, func() bool { return s.Spare(Mute, 0) })
 	})
 	for k := range 3 {
 		c := r.dial()
@@ -707,3 +707,76 @@
 	}
 	c.wants("\r\n")
 }
+
+// A head that takes two seconds is served, whatever its pieces; one that never ends is closed within what its page gives it,
+// however it trickles.
+func TestSlowHeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		life := &lifecycle.Life{}
+		life.Listed()
+		r := pipes(t, life)
+		r.server.Patience = 2500
+		text := command("KV.GET", "k", "1", extra)
+		slow := r.dial()
+		for i := range text {
+			slow.Write([]byte{text[i]})
+			time.Sleep(2 * time.Second / time.Duration(len(text)))
+		}
+		(<-r.taken).Answer(exchange.Answer{Value: []byte("v")})
+		slow.wants("$1\r\nv\r\n")
+		never, start := r.dial(), time.Now()
+		for i := 0; ; i++ {
+			if _, err := never.Write([]byte{text[min(i, len(text)/2)]}); err != nil {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if took := time.Since(start); took < 2*time.Second || took > 3*time.Second {
+			t.Errorf("closed after %v", took)
+		}
+	})
+}
+
+// Where clients ask once on each connection and stay, those answered make room, and nobody whose query is on its way; where
+// they ask again, the mute do. Thousands of unfinished ones keep no client out.
+func TestWhoMakesRoom(t *testing.T) {
+	r := newRig(t, func(s *Server) { // 40 may be open
+		s.Sockets = quota.New(90, 0)
+		s.Patience = 60_000
+		s.Sockets.Spare(true, func() bool { return s.SpareAnswered(60_000) })
+		s.Sockets.Spare(true, func() bool { return s.Spare(Mute, 0) })
+		s.Sockets.Spare(true, func() bool { return s.Spare(Unfinished, 0) })
+	})
+	ask := func(c *client, id string) {
+		t.Helper()
+		c.Write([]byte(command("KV.GET", "k", id, extra)))
+		r.next().Answer(exchange.Answer{Value: []byte("v")})
+		c.wants("$1\r\nv\r\n")
+	}
+	for i := range leastAsked { // once each, and they stay
+		ask(r.dial(), fmt.Sprint("a", i))
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(60 * time.Millisecond)
+	first := r.dial() // mute, and its query on its way
+	time.Sleep(5 * time.Millisecond)
+	for i := range 10 {
+		ask(r.dial(), fmt.Sprint("b", i))
+	}
+	ask(first, "first")
+	for i := range 2000 {
+		c, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, "*4\r\n$6\r\nKV.GET\r\n")
+		if i%100 == 0 {
+			time.Sleep(5 * time.Millisecond)
+			ask(r.dial(), fmt.Sprint("c", i))
+		}
+	}
+	if n := r.server.Open(); n > 45 {
+		t.Errorf("%d connections are open", n)
+	}
+}
--- a/node/clients/conn.go
+++ b/node/clients/conn.go
@@ -43,10 +43,12 @@
 	large   exchange.Stream // the one that is being written
 	slots   []slot
 	held    int64   // bytes of commands and answers, which the server counts too
+	came    float64 // when it was taken
 	since   float64 // last heard or answered
 	heard   bool    // something has come
 	partial bool    // a command has begun to come
 	asked   bool    // a query has come
+	again   bool    // and another one
 	writing bool
 	going   bool // to another process, as soon as the reader can let go
 	ended   bool // nothing more is read
@@ -67,7 +69,8 @@
 	var args [][]byte
 	skip := 0 // bytes of a refused command that are still to come
 	patience := clock.Span(c.server.Patience)
-	until := time.Now().Add(patience) // zero: it may be silent for as long as it likes
+	// Its first command is due by then, whatever trickles in before. Zero: it may be silent for as long as it likes.
+	until := time.Now().Add(patience)
 	if c.asked {
 		until = time.Time{}
 	}
@@ -143,7 +146,7 @@
 			c.depart()
 		}
 		switch {
-		case partial && begun && !taken && skip == 0:
+		case partial && !taken && skip == 0 && (begun || !asked):
 			// As before: bytes that trickle in do not make the command any newer.
 		case partial || !asked:
 			until = time.Now().Add(patience)
@@ -181,7 +184,8 @@
 	}
 	x.Back = c
 	c.mu.Lock()
-	first := !c.asked
+	first, second := !c.asked, c.asked && !c.again
+	c.again = c.again || second
 	c.mu.Unlock()
 	if !c.push(slot{x: x, size: size}) {
 		c.server.release(x)
@@ -190,6 +194,8 @@
 	c.server.Node.Take(x)
 	if first {
 		c.server.asks()
+	} else if second {
+		c.server.countAsked(true)
 	}
 }
 
@@ -325,6 +331,29 @@
 	}
 }
 
+// kind is what the connection is good for, and since when.
+func (c *conn) kind() (Kind, float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.asked && c.between():
+		return Idle, c.since
+	case c.between():
+		return Mute, c.since
+	case !c.asked && c.partial && len(c.slots) == 0 && !c.writing && !c.closed:
+		return Unfinished, c.came
+	}
+	return Busy, 0
+}
+
+// makesRoom closes the connection if it still is of a kind.
+func (c *conn) makesRoom(k Kind) bool {
+	if now, _ := c.kind(); now != k {
+		return false
+	}
+	return c.left(k != Unfinished)
+}
+
 // quiet tells whether the connection stands between queries, whether there were any, and since when.
 func (c *conn) quiet() (is, asked bool, since float64) {
 	c.mu.Lock()
--- a/node/events.go
+++ b/node/events.go
@@ -194,14 +194,15 @@
 
 func (t *tally) log(log *logrus.Entry, inHand int, front *clients.Server, c link.Counts) {
 	o, was := &t.outcomes, t.pools
-	refused, bad, silent := front.Counts()
+	refused, bad, silent, cut, room := front.Counts()
 	if t.lastBreak != nil {
 		log = log.WithField("last_break", t.lastBreak.Error())
 	}
 	log.WithFields(logrus.Fields{
 		"completed": t.answers[exchange.Completed], "rejected": t.answers[exchange.Rejected],
 		"aborted": t.answers[exchange.Aborted], "left": t.left, "in_hand": inHand, "clients": front.Open(),
-		"clients_refused": refused, "clients_silent": silent, "bad_commands": bad,
+		"clients_refused": refused, "clients_silent": silent, "bad_commands": bad, "values_cut": cut,
+		"room_idle": room[clients.Idle], "room_mute": room[clients.Mute], "room_unfinished": room[clients.Unfinished],
 		"connections_opened": c.Opened - was.Opened, "connections_reused": c.Reused - was.Reused,
 		"connection_waits": c.Waited - was.Waited, "waited_too_long": c.Late - was.Late, "crowded": c.Crowded - was.Crowded,
 		"surplus": c.Surplus - was.Surplus, "missed": o[fleet.Missed], "failed": o[fleet.Failed],
--- a/node/node.go
+++ b/node/node.go
@@ -64,9 +64,13 @@
 // originFlavor is the kind under which the origin stands in the list.
 const originFlavor = "origin"
 
-// patience is how long a client may be silent before its first query, in ms. Usual ones connect to ask; those that
-// never do come by hundreds, and would take the descriptors of others.
-const patience = 2000
+// patience is how long a client may take before its first query is whole, in ms. The page of daily operation gives it 2,000
+// for a head, and that of bad clients owes one that never gets there an end within 3,000. Usual ones connect to ask; those
+// that never do come by hundreds, and would take the descriptors of others.
+const patience = 2500
+
+// idleMay is when a connection on which nothing is in hand may be closed, in ms (the page of the service, "The long day").
+const idleMay = 2000
 
 // roomShare is the part of the memory that values of no told length may hold while they are collected: as much as commands and
 // answers of clients.
@@ -157,10 +161,11 @@
 		Failed: func(err error) { n.inbox.post(unlisted{err}) }}
 	// Who has asked and stays goes before who has just come: where the quiet ones held all there is, each newcomer took
 	// the place of the one before it, whose query was still on its way.
-	sockets.Spare(true, func() bool { return n.front.Spare(patience, false) })
-	sockets.Spare(true, func() bool { return n.front.Spare(0, true) })
+	sockets.Spare(true, func() bool { return n.front.SpareAnswered(idleMay) })
+	sockets.Spare(true, func() bool { return n.front.Spare(clients.Mute, 0) })
 	sockets.Spare(false, n.group.Spare)
-	sockets.Spare(true, func() bool { return n.front.Spare(0, false) })
+	sockets.Spare(true, func() bool { return n.front.Spare(clients.Idle, 0) })
+	sockets.Spare(true, func() bool { return n.front.Spare(clients.Unfinished, 0) })
 	n.pools, n.originPool = pools(b)
 	n.keeps = longest + b.Site.Limits.StopSendingWithin
 	now := n.clock.Now()
--- a/node/quota/sockets.go
+++ b/node/quota/sockets.go
@@ -7,7 +7,7 @@
 )
 
 // reserve is what the runtime, the logs, the listener, the call to discovery and files being opened take.
-const reserve = 32
+const reserve = 24
 
 // Sockets counts the descriptors that connections may still take. Clients and servers share it, and neither can
 // crowd the other out: a third of the limit is left to clients, and what clients may take beyond that is bounded,
@@ -36,7 +36,7 @@
 		limit = 1 << 16
 	}
 	free := max(limit-reserve-aside, limit/2)
-	return &Sockets{limit: limit, free: free, kept: min(limit/3, free/2), most: max(1, min(limit/3+limit/10, free*2/3))}
+	return &Sockets{limit: limit, free: free, kept: min(limit/3, free/2), most: max(1, min(limit/2, free*2/3))}
 }
 
 // Usual is how many connections clients with queries may keep before the quietest has to go. It is less than the part
