--- a/rig/experiment.go
+++ b/rig/experiment.go
@@ -232,6 +232,7 @@
 	"resume": "box", "slow": "box", "refuse": "box", "accept": "box", "reset": "box", "cut": "box", "join": "box",
 	"errors": "box", "resets": "box", "half_answers": "box", "spoilt": "box", "surplus": "box", "late_surplus": "box",
 	"lost_answers": "box", "mend": "box", "fleet_slow": "all", "kill_node": "node", "stop_node": "node", "hangup_node": "node",
+	"replace_node": "node", "standby_node": "node", "active_node": "node",
 	"start_node": "node", "discovery_late": "all", "discovery_down": "all", "discovery_up": "all", "discovery_anew": "all",
 	"discovery_moves": "all", "rate": "all",
 }
@@ -239,7 +240,7 @@
 // undone is what a step's "for" does when it is over.
 var undone = map[string]string{"kill": "return", "drain": "undrain", "halt": "resume", "slow": "slow", "refuse": "accept",
 	"cut": "join", "errors": "mend", "resets": "mend", "half_answers": "mend", "spoilt": "mend", "surplus": "mend",
-	"late_surplus": "mend", "lost_answers": "mend", "kill_node": "start_node", "stop_node": "start_node",
+	"late_surplus": "mend", "lost_answers": "mend", "kill_node": "start_node", "stop_node": "start_node", "standby_node": "active_node",
 	"discovery_down": "discovery_up", "discovery_late": "discovery_late", "rate": "rate"}
 
 // settle fills in and checks.
--- a/rig/nodes.go
+++ b/rig/nodes.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,16 +42,22 @@
 	log    *os.File
 	config map[string]any
 	op     string
+	socket *os.File // the listening socket, where it is held for all processes of the node; nil: each has its own
 
 	mu      sync.Mutex
-	cmd     *exec.Cmd // nil within this process
-	stop    func()
-	ended   chan struct{} // of the process that runs
-	wanted  bool          // it is to run
+	cur     *process // the one that runs, or ran last
 	downs   []audit.Down
 	crashes []string
 }
 
+// process is one of a node.
+type process struct {
+	cmd    *exec.Cmd // nil within this process
+	stop   func()
+	ended  chan struct{}
+	wanted bool // it is to run
+}
+
 // nodes are all of them.
 type nodes struct {
 	all   []*nodeProc
@@ -69,6 +77,11 @@
 			return ns, fmt.Errorf("the folder of node %d: %w", i, err)
 		}
 		n.config = x.configuration(i, addr, f.Discovery.Addr(i), seed)
+		if x.successors() && p.Serve == nil {
+			if err := n.hold(); err != nil {
+				return ns, err
+			}
+		}
 		if n.log, err = os.Create(filepath.Join(dir, fmt.Sprintf("node-%d.log", i))); err != nil {
 			return ns, fmt.Errorf("a log of a node: %w", err)
 		}
@@ -87,6 +100,87 @@
 	return ns, nil
 }
 
+// successors tells whether processes take over from one another or are called by operators.
+func (x *Experiment) successors() bool {
+	return slices.ContainsFunc(x.At, func(s Step) bool {
+		return s.Do == "replace_node" || s.Do == "standby_node" || s.Do == "active_node"
+	})
+}
+
+// hold opens the node's listening socket for all its processes, and gives it a door for operators.
+func (n *nodeProc) hold() error {
+	ln, err := net.Listen("tcp4", n.addr)
+	if err != nil {
+		return fmt.Errorf("the socket of node %d: %w", n.no, err)
+	}
+	defer ln.Close()
+	if n.socket, err = ln.(*net.TCPListener).File(); err != nil {
+		return fmt.Errorf("the socket of node %d: %w", n.no, err)
+	}
+	return n.otherDoor()
+}
+
+// otherDoor gives the next process a door of its own.
+func (n *nodeProc) otherDoor() error {
+	admin, err := freeAddr()
+	if err == nil {
+		err = os.MkdirAll(n.own(), 0o755)
+	}
+	n.config["admin"] = admin
+	return err
+}
+
+// call asks at the door of the process that was started last.
+func (n *nodeProc) call(line string) (string, error) {
+	c, err := net.DialTimeout("tcp4", n.config["admin"].(string), time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		return "", err
+	}
+	b, err := io.ReadAll(c)
+	if err == nil && !strings.HasPrefix(string(b), "OK") {
+		err = fmt.Errorf("node %d answers %s with %q", n.no, line, b)
+	}
+	return string(b), err
+}
+
+// replace starts another process beside the one that runs, and ends that once the new one says that it serves.
+func (n *nodeProc) replace() error {
+	n.mu.Lock()
+	old := n.cur
+	n.mu.Unlock()
+	if err := n.otherDoor(); err != nil {
+		return err
+	}
+	if err := n.start(); err != nil {
+		return err
+	}
+	var err error
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if _, err = n.call("status"); err == nil {
+			break
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("the successor of node %d: %w", n.no, err)
+	}
+	n.mu.Lock()
+	old.wanted = false
+	n.mu.Unlock()
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-old.ended:
+		return nil
+	case <-time.After(5 * time.Second):
+		old.cmd.Process.Kill()
+		return fmt.Errorf("node %d does not end in the hands of its successor", n.no)
+	}
+}
+
 // freeAddr finds an address that nobody listens on.
 func freeAddr() (string, error) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -150,7 +244,7 @@
 // waitEnded waits until the process of before is gone.
 func (n *nodeProc) waitEnded() {
 	n.mu.Lock()
-	ended := n.ended
+	ended := n.cur.ended
 	n.mu.Unlock()
 	<-ended
 }
@@ -169,25 +263,29 @@
 	}
 	cmd := exec.Command(argv[0], argv[1:]...)
 	cmd.Env = append(os.Environ(), "LB_CONFIG="+n.file(), "MINTRIG_NODE_DIR="+n.own())
+	if n.socket != nil {
+		cmd.ExtraFiles = []*os.File{n.socket}
+		cmd.Env = append(cmd.Env, "LB_SOCKET_FD=3", "TMPDIR="+n.own())
+	}
 	cmd.Stdout, cmd.Stderr = n.log, n.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing is left running when the rig is killed
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("starting node %d: %w", n.no, err)
 	}
-	ended := make(chan struct{})
+	p := &process{cmd: cmd, ended: make(chan struct{}), wanted: true}
 	n.mu.Lock()
-	n.cmd, n.ended, n.wanted = cmd, ended, true
+	n.cur = p
 	n.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
 		n.mu.Lock()
-		if n.wanted {
-			n.wanted = false
+		if p.wanted {
+			p.wanted = false
 			n.crashes = append(n.crashes, fmt.Sprintf("node %d: %v: %s", n.no, err, n.lastWords()))
 			n.downs = append(n.downs, audit.Down{Node: model.NodeID(n.no), From: standin.Now(), To: standin.Now() + 3.6e6})
 		}
 		n.mu.Unlock()
-		close(ended)
+		close(p.ended)
 	}()
 	return nil
 }
@@ -202,7 +300,7 @@
 		return fmt.Errorf("starting node %d: %w", n.no, err)
 	}
 	n.mu.Lock()
-	n.stop, n.ended, n.wanted = stop, make(chan struct{}), true
+	n.cur = &process{stop: stop, ended: make(chan struct{}), wanted: true}
 	n.mu.Unlock()
 	return nil
 }
@@ -251,18 +349,18 @@
 // end sends a signal after which the process is gone: SIGKILL, or SIGTERM with time to answer.
 func (n *nodeProc) end(sig syscall.Signal) {
 	n.mu.Lock()
-	if !n.wanted {
+	if n.cur == nil || !n.cur.wanted {
 		n.mu.Unlock()
 		return
 	}
-	n.wanted = false
-	cmd, ended := n.cmd, n.ended
+	n.cur.wanted = false
+	cmd, ended := n.cur.cmd, n.cur.ended
 	n.downs = append(n.downs, audit.Down{Node: model.NodeID(n.no), From: standin.Now(), To: standin.Now() + 3.6e6})
 	at := len(n.downs) - 1
 	if sig == syscall.SIGTERM {
 		n.downs[at].From = standin.Now() + 3.6e6 // what it has taken must be answered still
 	}
-	stop := n.stop
+	stop := n.cur.stop
 	n.mu.Unlock()
 	if cmd == nil {
 		stop()
@@ -301,8 +399,8 @@
 func (n *nodeProc) hangup() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.wanted && n.cmd != nil {
-		n.cmd.Process.Signal(syscall.SIGHUP)
+	if n.cur.wanted && n.cur.cmd != nil {
+		n.cur.cmd.Process.Signal(syscall.SIGHUP)
 	}
 }
 
@@ -310,17 +408,17 @@
 func (n *nodeProc) runs() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.wanted
+	return n.cur != nil && n.cur.wanted
 }
 
 // usage is the resident memory in MB and the open descriptors of the process.
 func (n *nodeProc) usage() (mb float64, descriptors int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.wanted || n.cmd == nil {
+	if n.cur == nil || !n.cur.wanted || n.cur.cmd == nil {
 		return 0, 0
 	}
-	dir := filepath.Join("/proc", strconv.Itoa(n.cmd.Process.Pid))
+	dir := filepath.Join("/proc", strconv.Itoa(n.cur.cmd.Process.Pid))
 	if text, err := os.ReadFile(filepath.Join(dir, "status")); err == nil {
 		if _, rest, ok := strings.Cut(string(text), "VmRSS:"); ok {
 			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
@@ -342,6 +440,9 @@
 			defer done.Done()
 			n.end(syscall.SIGKILL)
 			n.log.Close()
+			if n.socket != nil {
+				n.socket.Close()
+			}
 		}()
 	}
 	done.Wait()
--- a/rig/play.go
+++ b/rig/play.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -292,6 +293,18 @@
 			}
 			n.hangup()
 		}
+	case "standby_node", "active_node":
+		_, err := st.nodes.all[*s.Node].call(strings.TrimSuffix(s.Do, "_node"))
+		return err
+	case "replace_node":
+		n := st.nodes.all[*s.Node]
+		st.busy.Go(func() {
+			if err := n.replace(); err != nil {
+				n.mu.Lock()
+				n.crashes = append(n.crashes, err.Error())
+				n.mu.Unlock()
+			}
+		})
 	case "kill_node", "stop_node", "start_node", "hangup_node":
 		n := st.nodes.all[*s.Node]
 		st.busy.Add(1)
