Take large values from clients too, held within room that they wait for

Clients could write at most 64 KiB. A write of up to 4 MiB is now read into memory of its own once there is room for it, an eighth of the memory for all; until then its client is not read from, and its time counts from its last byte. The value goes out by itself behind its head, whole each time it is executed.

--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -15,6 +15,7 @@
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/quota"
+	"mintspring/node/room"
 )
 
 // Node is what the client side needs of the node. None of it blocks.
@@ -32,6 +33,7 @@
 	Panicked func(any)
 	Logf     func(format string, args ...any)
 	Patience float64        // a connection may say nothing for so long before its first query, and a command take to come, ms
+	Room     *room.Room     // for large values that clients write; nil: none are taken
 	MostHeld int64          // bytes held for all clients, their commands and answers; 0: no limit
 	Chance   func() float64 // from [0,1), so that connections are not all closed together; nil: always 0
 
@@ -337,7 +339,14 @@
 }
 
 // dispatch answers a command, or hands the query on.
-func (s *Server) dispatch(c *conn, args [][]byte, at float64) {
+// Of a command that holds room for its value the bytes are its own, and the room is given back with its slot.
+func (s *Server) dispatch(c *conn, args [][]byte, at float64, held int64) {
+	taken := false
+	defer func() {
+		if held > 0 && !taken {
+			s.Room.Give(held)
+		}
+	}()
 	if len(args) == 0 {
 		return
 	}
@@ -356,12 +365,12 @@
 	case "QUIT":
 		c.reply("+OK\r\n", true)
 	case "KV.GET", "KV.SET":
-		x, why := s.Names().query(args, at)
+		x, why := s.Names().query(args, at, held > 0)
 		if why != "" {
 			c.fail(why, false)
 			return
 		}
-		c.take(x)
+		taken = c.take(x, held)
 	default:
 		c.fail("unknown command '"+string(args[0][:min(len(args[0]), 64)])+"'", false)
 	}
--- a/node/clients/clients_test.go
+++ b/node/clients/clients_test.go
@@ -17,6 +17,7 @@
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/quota"
+	"mintspring/node/room"
 	"mintspring/settings"
 )
 
@@ -780,3 +781,73 @@
 		t.Errorf("%d connections are open", n)
 	}
 }
+
+// A large value that a client writes, in any pieces, becomes one query with its bytes; room is held for it until its answer is
+// out, whoever goes first, and one for which there is none is turned away with the connection in order.
+func TestLargeWrites(t *testing.T) {
+	r := newRig(t, func(s *Server) { s.Room = room.New(1_000_000); s.Names().Stalled = 100 })
+	free := func() {
+		t.Helper()
+		for deadline := time.Now().Add(2 * time.Second); r.server.Room.Held() > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%d bytes of room are held", r.server.Room.Held())
+			}
+		}
+	}
+	value := strings.Repeat("0123456789abcdef", 30_000) // 480 kB
+	text := command("KV.SET", "k", "1", "c=put,d=400,k=m", value) + command("PING")
+	for _, piece := range []int{len(text), 50_000, 7_001} {
+		c := r.dial()
+		go func() {
+			for i := 0; i < len(text); i += piece {
+				io.WriteString(c, text[i:min(i+piece, len(text))])
+			}
+		}()
+		x := r.next()
+		if string(x.Value) != value || !x.Write || !x.Big() || string(x.Key) != "k" {
+			t.Fatalf("pieces of %d: %d bytes for %q", piece, len(x.Value), x.Key)
+		}
+		if r.server.Room.Held() < int64(len(value)) {
+			t.Error("no room is held for it")
+		}
+		x.Answer(exchange.Answer{Value: []byte("done")})
+		c.wants("$4\r\ndone\r\n+PONG\r\n")
+		free()
+	}
+	// Half a value and a close, a query left in hand, and a class that is not known.
+	c := r.dial()
+	io.WriteString(c, text[:200_000])
+	time.Sleep(20 * time.Millisecond)
+	c.Close()
+	free()
+	c = r.dial()
+	go io.WriteString(c, text)
+	x := r.next()
+	c.Close()
+	<-r.left
+	x.Answer(exchange.Answer{Value: []byte("late")})
+	free()
+	c = r.dial()
+	go io.WriteString(c, command("KV.SET", "k", "2", "c=none,d=400", value)+command("PING"))
+	c.wants("-ERR class 'none' is not known\r\n+PONG\r\n")
+	free()
+	// Two fit, the third waits for a moment and is turned away; what was refused stands in nobody's way.
+	var xs []*exchange.Exchange
+	for i := range 2 {
+		go io.WriteString(r.dial(), command("KV.SET", "k", fmt.Sprint("a", i), "c=put,d=400,k=m", value))
+		xs = append(xs, r.next())
+	}
+	c = r.dial()
+	go io.WriteString(c, command("KV.SET", "k", "3", "c=put,d=400,k=m", value)+command("PING"))
+	c.wants("-BUSY 70\r\n+PONG\r\n")
+	xs[0].Answer(exchange.Answer{Value: []byte("v")})
+	go io.WriteString(c, command("KV.SET", "k", "4", "c=put,d=400,k=m", value))
+	r.next().Answer(exchange.Answer{Value: []byte("w")})
+	c.wants("$1\r\nw\r\n")
+	xs[1].Answer(exchange.Answer{Value: []byte("v")})
+	free()
+	// Over 4 MiB nothing is held.
+	c = r.dial()
+	go io.WriteString(c, command("KV.SET", "k", "5", "c=put,d=400,k=m", strings.Repeat("x", 5<<20)))
+	c.wants("-ERR a value larger than 64 KiB")
+}
--- a/node/clients/command.go
+++ b/node/clients/command.go
@@ -58,8 +58,8 @@
 }
 
 // query reads KV.GET KEY ID EXTRA or KV.SET KEY ID EXTRA VALUE into an exchange with bytes of its own.
-// What cannot be read comes back as the words of an error.
-func (n *Names) query(args [][]byte, at float64) (*exchange.Exchange, string) {
+// What cannot be read comes back as the words of an error. Owned bytes are kept as they are.
+func (n *Names) query(args [][]byte, at float64, owned bool) (*exchange.Exchange, string) {
 	write := len(args[0]) == 6 && (args[0][3]|0x20) == 's'
 	want := 4
 	if write {
@@ -75,8 +75,14 @@
 	for _, a := range args {
 		size += len(a)
 	}
+	if owned {
+		size = 0
+	}
 	own := make([]byte, 0, size)
 	keep := func(b []byte) []byte {
+		if owned {
+			return b
+		}
 		k := len(own)
 		own = append(own, b...)
 		return own[k:len(own):len(own)]
@@ -151,6 +157,17 @@
 	return fleet.Key(h.Sum64())
 }
 
+// writesLarge looks at a command that is oversize: is it a write whose value may pass, and how long is it in all? What
+// stands before the value is there.
+func writesLarge(b []byte, size int) bool {
+	head := b[:min(len(b), 4096)]
+	return bytes.HasPrefix(head, []byte("*5\r\n$6\r\n")) && len(head) >= 14 && bytes.EqualFold(head[8:14], []byte("KV.SET")) &&
+		size <= exchange.MostLarge+mostBefore
+}
+
+// mostBefore is the most that may stand before a large value in its command.
+const mostBefore = 4096
+
 // oversize looks at a command that is not whole yet: is one of its parts larger than any may be? It returns
 // how long the command will be if so and if all parts before it are there, or -1 where it is no command.
 func oversize(b []byte) int {
--- a/node/clients/conn.go
+++ b/node/clients/conn.go
@@ -29,6 +29,7 @@
 	text string
 	last bool // the connection is closed after it
 	size int64
+	room int64 // held for a large value, until the answer is out
 }
 
 // conn is one client. One goroutine reads on while queries are in hand, so that a client that leaves is
@@ -56,6 +57,10 @@
 	closed  bool
 }
 
+// mostWrite is how long a large value may take to come, however steadily: it holds room for all that time. It is ten
+// times what the operators' page gives a client for a head.
+const mostWrite = 20 * time.Second
+
 var (
 	errShape = errors.New("Protocol error: not a command of RESP")
 	errLarge = errors.New("a value larger than 64 KiB")
@@ -105,6 +110,13 @@
 			if size := oversize(b); size < 0 || b[0] != '*' {
 				c.fail(errShape.Error(), true)
 				break
+			} else if size > 0 && c.server.Room != nil && writesLarge(b, size) {
+				var more bool
+				if skip, more = c.holds(&in, size); !more {
+					return
+				}
+				taken = true
+				continue
 			} else if size > 0 {
 				skip = size - min(size, len(b))
 				in.Skip(min(size, len(b)))
@@ -123,7 +135,7 @@
 			if err != nil || !whole {
 				break
 			}
-			c.server.dispatch(c, got, at)
+			c.server.dispatch(c, got, at, 0)
 			args, taken = got[:0], true
 			in.Skip(len(b) - len(rest))
 		}
@@ -169,27 +181,76 @@
 	c.left(false)
 }
 
-// take puts a query in the order of answers and hands it on.
-func (c *conn) take(x *exchange.Exchange) {
+// holds reads a write whose value is large into memory of its own, as fast as its client sends it, once there is room for
+// it. Until then nothing is read, which its client feels and nobody else. It returns how much of it is still to be skipped
+// where there was none, and whether the connection goes on.
+func (c *conn) holds(in *ringbuf.Ring, size int) (skip int, more bool) {
+	const around = 512
+	held := int64(size + around)
+	c.mu.Lock()
+	c.partial = true // it does not stand between queries meanwhile
+	c.mu.Unlock()
+	if !c.server.Room.Wait(held, clock.Span(c.server.Names().Stalled/2)) {
+		b := encode(nil, &exchange.Answer{Kind: exchange.Rejected, Wait: c.server.Names().BusyWait})
+		c.reply(string(b), false) // turned away before anything was sent
+		n := min(size, in.Len())
+		in.Skip(n)
+		return size - n, true
+	}
+	b := make([]byte, size)
+	end := time.Now().Add(mostWrite)
+	got := copy(b, in.Peek())
+	in.Skip(got)
+	for got < size {
+		until := time.Now().Add(clock.Span(c.server.Patience))
+		if end.Before(until) {
+			until = end
+		}
+		c.net.SetReadDeadline(until)
+		n, err := c.net.Read(b[got:])
+		if got += n; err != nil && got < size {
+			if c.mayGo() && time.Now().Before(end) {
+				continue // it can't, with half a command read
+			}
+			c.server.Room.Give(held)
+			c.left(false)
+			return 0, false
+		}
+	}
+	whole, args, _, _, err := redcon.ReadNextCommand(b, nil)
+	if err != nil || !whole {
+		c.server.Room.Give(held)
+		c.fail(errShape.Error(), true)
+		return 0, true
+	}
+	c.server.dispatch(c, args, c.server.Clock.Now(), held)
+	return 0, true
+}
+
+// take puts a query in the order of answers and hands it on, and tells whether it did.
+func (c *conn) take(x *exchange.Exchange, room int64) bool {
 	size := int64(len(x.Key) + len(x.ID) + len(x.Extra) + len(x.Value) + 512)
+	if room > 0 {
+		size = 512 // the rest stands in the room
+	}
 	if c.server.over(size, 1) {
 		// Turned away before anything was sent: what other queries hold is all the memory there is.
 		b := encode(nil, &exchange.Answer{Kind: exchange.Rejected, Wait: c.server.Names().BusyWait})
 		c.reply(string(b), false)
-		return
+		return false
 	}
 	if !c.server.claim(x) {
 		c.fail("another query in hand has this id", false)
-		return
+		return false
 	}
 	x.Back = c
 	c.mu.Lock()
 	first, second := !c.asked, c.asked && !c.again
 	c.again = c.again || second
 	c.mu.Unlock()
-	if !c.push(slot{x: x, size: size}) {
+	if !c.push(slot{x: x, size: size, room: room}) {
 		c.server.release(x)
-		return
+		return false
 	}
 	c.server.Node.Take(x)
 	if first {
@@ -197,6 +258,7 @@
 	} else if second {
 		c.server.countAsked(true)
 	}
+	return true
 }
 
 // reply puts an answer of our own in the order of answers.
@@ -312,6 +374,9 @@
 			c.net.SetWriteDeadline(time.Now().Add(clock.Span(c.server.Names().Stalled)))
 			_, err = out.Drain(c.net)
 		}
+		if s.room > 0 {
+			c.server.Room.Give(s.room)
+		}
 		c.mu.Lock()
 		if c.book(-s.size); a != nil {
 			c.book(-weight(a))
@@ -395,6 +460,9 @@
 		large.Close() // its server may be silent for long, and the writer with it
 	}
 	for _, s := range slots {
+		if s.room > 0 {
+			c.server.Room.Give(s.room)
+		}
 		if s.x == nil {
 			continue
 		}
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -45,6 +45,9 @@
 	answer atomic.Pointer[Answer]
 }
 
+// Big tells whether the value is too large to be written together with what stands around it.
+func (x *Exchange) Big() bool { return len(x.Value) > MostValue }
+
 // Back is the way back to the client. Ready is called once, when the exchange has its answer; it must not block.
 type Back interface{ Ready(x *Exchange) }
 
--- a/node/large_test.go
+++ b/node/large_test.go
@@ -10,6 +10,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,3 +93,35 @@
 	sort.Slice(took, func(i, k int) bool { return took[i] < took[k] })
 	t.Logf("small queries beside them: half within %v, the slowest %v; heap %d MB more", took[50], took[99], (int64(peak)-int64(before.HeapInuse))>>20)
 }
+
+// A large value goes to the origin whole, again where that is allowed, and only once where it may have run.
+func TestLargeWriteReachesTheOrigin(t *testing.T) {
+	var runs, bytes atomic.Int64
+	w := newTown(t, 1, hit, func(rw http.ResponseWriter, q *http.Request) {
+		n, err := io.Copy(io.Discard, q.Body)
+		if err != nil || n != q.ContentLength {
+			t.Errorf("%d bytes of %d: %v", n, q.ContentLength, err)
+		}
+		bytes.Store(n)
+		if runs.Add(1) == 1 && strings.HasPrefix(q.URL.Path, "/again") {
+			rw.Header().Set("Srv-Declined", "1")
+			rw.WriteHeader(503)
+			return
+		}
+		if strings.HasPrefix(q.URL.Path, "/once") {
+			panic(http.ErrAbortHandler)
+		}
+		io.WriteString(rw, "receipt")
+	})
+	value := strings.Repeat("x", 3<<20)
+	w.wants(w.ask("KV.SET", "again", "1", "c=put,d=590,k=1", value), "receipt")
+	if runs.Load() != 2 || bytes.Load() != 3<<20 {
+		t.Errorf("%d executions, the last with %d bytes", runs.Load(), bytes.Load())
+	}
+	runs.Store(0)
+	w.wants(w.ask("KV.SET", "once", "2", "c=pay,d=590", value), "-ERR it may or may not have been carried out")
+	if runs.Load() != 1 {
+		t.Errorf("executed %d times", runs.Load())
+	}
+	w.wants(w.ask("KV.GET", "k", "3", "c=read,d=500"), "hit")
+}
--- a/node/link/collect.go
+++ b/node/link/collect.go
@@ -5,13 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync/atomic"
 	"time"
 
 	"mintspring/fleet"
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/ringbuf"
+	"mintspring/node/room"
 )
 
 // ErrUnsized is what Parse says of an answer that does not tell the length of its value, and is not whole soon: its end is
@@ -25,31 +25,11 @@
 	Collect(r io.Reader, take func([]byte) error) (Reply, error)
 }
 
-// Room is what may be held, in bytes, of values that have to be collected, by all links together. Nil has no bound.
-type Room struct {
-	Most int64
-	held atomic.Int64
-}
-
 var errRoom = errors.New("no room is left for a value whose length is not told")
 
-func (r *Room) take(n int64) error {
-	if r != nil && r.held.Add(n) > r.Most {
-		r.held.Add(-n)
-		return errRoom
-	}
-	return nil
-}
-
-func (r *Room) give(n int64) {
-	if r != nil {
-		r.held.Add(-n)
-	}
-}
-
 // held is a value that was collected, in pieces so that it never has to be copied as it grows.
 type held struct {
-	room   *Room
+	room   *room.Room
 	pieces [][]byte
 	size   int64
 	next   int
@@ -64,8 +44,8 @@
 			if k < 0 {
 				size = 4 << 10
 			}
-			if err := h.room.take(int64(size)); err != nil {
-				return err
+			if !h.room.Take(int64(size)) {
+				return errRoom
 			}
 			h.pieces = append(h.pieces, make([]byte, 0, size))
 			continue
@@ -93,7 +73,7 @@
 // Close gives the room back. The pieces are the taker's until it is done, which it is when it closes.
 func (h *held) Close() {
 	for _, p := range h.pieces {
-		h.room.give(int64(cap(p)))
+		h.room.Give(int64(cap(p)))
 	}
 	h.pieces, h.next = nil, 0
 }
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -46,12 +46,19 @@
 	l := c.link
 	for e := range c.work {
 		limit := e.Until - l.group.Clock.Now()
-		b, err := out.Tail(len(e.X.Value) + 2*len(e.X.Extra) + len(e.X.Key) + len(e.X.ID) + 512)
+		size := 2*len(e.X.Extra) + len(e.X.Key) + len(e.X.ID) + 512
+		if !e.X.Big() {
+			size += len(e.X.Value)
+		}
+		b, err := out.Tail(size)
 		if err == nil {
 			b = l.wire.Append(b[:0], e.X, limit)
 			out.Fill(len(b))
 		}
 		whole := out.Len()
+		if e.X.Big() {
+			whole += len(e.X.Value) + len(l.wire.Behind())
+		}
 		stale := c.used && c.stale()
 		l.mu.Lock()
 		if c.closed {
@@ -73,6 +80,11 @@
 		e.reach, c.writing = exchange.WhollyWritten, true
 		l.mu.Unlock()
 		n, err := out.Drain(c.net)
+		if err == nil && e.X.Big() {
+			var more int64
+			more, err = (&net.Buffers{e.X.Value, []byte(l.wire.Behind())}).WriteTo(c.net)
+			n += int(more)
+		}
 		l.mu.Lock()
 		c.writing = false
 		if err == nil {
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -18,13 +18,16 @@
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/quota"
+	"mintspring/node/room"
 	"mintspring/pool"
 )
 
 // Wire is the protocol spoken with a peer.
 type Wire interface {
-	// Append writes the execution of x to the end of b; limit is how long the node will wait, in ms.
+	// Append writes the execution of x to the end of b; limit is how long the node will wait, in ms. Of a value that is Big it
+	// writes what stands before it, and Behind is what stands behind.
 	Append(b []byte, x *exchange.Exchange, limit float64) []byte
+	Behind() string
 	// Parse reads an answer off the head of b and says how long it was; 0 while it is not whole. Of one whose value is
 	// too large to be held it reads what comes before the value, and says in the reply how large that is.
 	Parse(b []byte) (int, Reply, error)
@@ -85,7 +88,7 @@
 	Panicked       func(any)                // a panic in a connection's code, which closes that connection
 	ConnectTimeout float64
 	Stall          float64        // an answer that has begun may stand still for so long, ms; 0: for ever
-	Room           *Room          // for values that have to be collected
+	Room           *room.Room     // for values that have to be collected
 	Pause          float64        // the same for a large value, which nobody can ask for again; 0: for ever
 	Chance         func() float64 // from [0,1), from any goroutine; nil: always 0
 
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -14,6 +14,7 @@
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/quota"
+	"mintspring/node/room"
 	"mintspring/pool"
 )
 
@@ -21,9 +22,15 @@
 type lines struct{}
 
 func (lines) Append(b []byte, x *exchange.Exchange, limit float64) []byte {
-	return append(append(append(b, x.Key...), x.Value...), '\n')
+	b = append(b, x.Key...)
+	if x.Big() {
+		return b
+	}
+	return append(append(b, x.Value...), '\n')
 }
 
+func (lines) Behind() string { return "\n" }
+
 func (lines) Tail(b []byte, head Reply) (int, bool, bool, Reply, error) {
 	if i := bytes.IndexByte(b, '\n'); i >= 0 {
 		return i + 1, i == 0, i == 0, Reply{Result: fleet.Completed}, map[bool]error{false: errors.New("bad end")}[i == 0]
@@ -80,7 +87,7 @@
 	}()
 	r.link = New(&Group{Clock: clock.New(), Sockets: quota.New(1000, 0), ConnectTimeout: 200,
 		Done:     func(_ *Execution, end Ending) { r.ended <- end },
-		Panicked: func(p any) { r.panics <- p }}, lines{}, "s", pool.Terms{Idle: 300})
+		Panicked: func(p any) { r.panics <- p }, Room: room.New(0)}, lines{}, "s", pool.Terms{Idle: 300})
 	r.link.Aim(ln.Addr().String(), true)
 	return r
 }
--- a/node/link/stream_test.go
+++ b/node/link/stream_test.go
@@ -11,6 +11,7 @@
 
 	"mintspring/fleet"
 	"mintspring/node/exchange"
+	"mintspring/node/room"
 )
 
 // taken is what a stream brings, and how it ends.
@@ -190,7 +191,7 @@
 		c.Close()
 	})
 	r.link.wire = unsized{}
-	r.link.group.Room = &Room{Most: 600_000}
+	r.link.group.Room = room.New(600_000)
 	for _, n := range []int{10, 60_000, 65_537, 400_000} {
 		size <- n
 		r.send("q", 5000)
@@ -216,7 +217,7 @@
 		t.Errorf("the server was cut off: %v", err)
 	}
 	time.Sleep(10 * time.Millisecond)
-	if n := r.link.group.Room.held.Load(); n != 0 {
+	if n := r.link.group.Room.Held(); n != 0 {
 		t.Errorf("%d bytes of room are not given back", n)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"mintspring/node/list"
 	"mintspring/node/origin"
 	"mintspring/node/quota"
+	"mintspring/node/room"
 	"mintspring/node/servers"
 	"mintspring/operator"
 	"mintspring/pool"
@@ -72,8 +73,8 @@
 // idleMay is when a connection on which nothing is in hand may be closed, in ms (the page of the service, "The long day").
 const idleMay = 2000
 
-// roomShare is the part of the memory that values of no told length may hold while they are collected: as much as commands and
-// answers of clients.
+// roomShare is the part of the memory that large values may hold which have to be held whole: those whose length the origin
+// does not tell and, as much again, those that clients write. It is that of commands and answers.
 const roomShare = 8
 
 // peer is one server as the list has it, with the link to it.
@@ -141,13 +142,14 @@
 	}
 	n.group = &link.Group{Clock: n.clock, Sockets: sockets, Done: n.done, Panicked: n.panicked,
 		ConnectTimeout: b.Site.ConnectTimeout, Stall: soonest / 4, Pause: longest,
-		Room:   &link.Room{Most: int64(b.MemoryMB) << 20 / roomShare},
+		Room:   room.New(int64(b.MemoryMB) << 20 / roomShare),
 		Chance: n.chance}
 	if n.group.ConnectTimeout <= 0 {
 		n.group.ConnectTimeout = longest / 4
 	}
 	n.front = &clients.Server{Node: n, Life: &n.life, Chance: n.chance, Clock: n.clock, Sockets: sockets,
-		Panicked: n.panicked, Logf: n.log.Warnf, Patience: patience, MostHeld: int64(b.MemoryMB) << 20 / 8}
+		Panicked: n.panicked, Logf: n.log.Warnf, Patience: patience, MostHeld: int64(b.MemoryMB) << 20 / 8,
+		Room: room.New(int64(b.MemoryMB) << 20 / roomShare)}
 	n.table.Turn(n.clock.Now(), b.Site.Workloads, b.Site.Limits.Workloads)
 	n.front.Tune(clients.NewNames(b.Site, n.table.ID))
 	n.calls = &list.Caller{Addr: b.Discovery,
--- a/node/origin/wire.go
+++ b/node/origin/wire.go
@@ -49,12 +49,15 @@
 		b = strconv.AppendInt(b, int64(len(x.Value)), 10)
 	}
 	b = append(b, "\r\n\r\n"...)
-	if x.Write {
+	if x.Write && !x.Big() {
 		b = append(b, x.Value...)
 	}
 	return b
 }
 
+// Behind: nothing stands behind a value that is written by itself.
+func (Wire) Behind() string { return "" }
+
 // large is the head of an answer whose value passes in pieces; other answers than good ones have no need to be so long.
 func large(b []byte, resp *http.Response) (int, link.Reply, error) {
 	if resp.ContentLength > exchange.MostLarge || resp.StatusCode != http.StatusOK {
--- a/node/room/room_test.go
+++ b/node/room/room_test.go
@@ -51,10 +51,12 @@
 		r := New(10)
 		r.Take(8)
 		got := make(chan int, 3)
-		for i, n := range []int64{9, 1, 1} {
+		for i, n := range []int64{9, 2, 2} {
 			go func() {
 				if r.Wait(n, time.Second) {
 					got <- i
+					time.Sleep(10 * time.Millisecond)
+					r.Give(n)
 				}
 			}()
 			time.Sleep(time.Millisecond)
@@ -63,10 +65,12 @@
 			t.Error("taken before those who wait")
 		}
 		r.Give(8)
-		for want := range 3 {
-			if i := <-got; i != want && want == 0 {
-				t.Errorf("%d came first", i)
-			}
+		if first := <-got; first != 0 {
+			t.Errorf("%d came first", first)
+		}
+		time.Sleep(time.Minute)
+		if len(got) != 2 || r.Held() != 0 {
+			t.Errorf("%d more came, %d are held", len(got), r.Held())
 		}
 	})
 }
--- a/node/servers/wire.go
+++ b/node/servers/wire.go
@@ -35,12 +35,18 @@
 	b = redcon.AppendBulk(b, x.Key)
 	b = redcon.AppendBulk(b, x.ID)
 	b = redcon.AppendBulk(b, withLimit(x.Extra, limit))
-	if x.Value != nil {
+	switch {
+	case x.Big():
+		b = append(strconv.AppendInt(append(b, '$'), int64(len(x.Value)), 10), "\r\n"...)
+	case x.Value != nil:
 		b = redcon.AppendBulk(b, x.Value)
 	}
 	return b
 }
 
+// Behind is the end of a value that is written by itself.
+func (Wire) Behind() string { return "\r\n" }
+
 // withLimit puts the limit in whole milliseconds where the client's d stands.
 func withLimit(extra []byte, limit float64) []byte {
 	ms := strconv.AppendInt(nil, max(1, int64(limit)), 10)
--- a/rig/load.go
+++ b/rig/load.go
@@ -177,7 +177,7 @@
 			c.net.Close()
 			timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 			// A node that was killed may have carried the query on; one that is up has closed between two queries.
-			if !timedOut && c.used && attempt == 0 && pings(l.front.addrs[no]) {
+			if !timedOut && c.used && attempt == 0 && lives(l.front.addrs[no]) {
 				continue
 			}
 			if !timedOut {
@@ -208,12 +208,13 @@
 	next int
 	dead []time.Time // since when a node seems to be; zero: it does not
 	asks []bool      // it is being asked whether it is back
+	out  []bool      // it has said no: nothing new is opened to it, and what is open stays in use
 	idle [][]*client
 }
 
 func newFront(addrs []string, notice time.Duration) *front {
 	return &front{addrs: addrs, notice: notice, dead: make([]time.Time, len(addrs)),
-		asks: make([]bool, len(addrs)), idle: make([][]*client, len(addrs))}
+		asks: make([]bool, len(addrs)), out: make([]bool, len(addrs)), idle: make([][]*client, len(addrs))}
 }
 
 // take gives a connection to the node whose turn it is.
@@ -221,7 +222,11 @@
 	f.mu.Lock()
 	no := f.next % len(f.addrs)
 	for range f.addrs {
-		if no = f.next % len(f.addrs); f.dead[no].IsZero() || time.Since(f.dead[no]) < f.notice {
+		if no = f.next % len(f.addrs); f.out[no] && (anew || len(f.idle[no]) == 0) {
+			f.next++
+			continue
+		}
+		if f.dead[no].IsZero() || time.Since(f.dead[no]) < f.notice {
 			break
 		}
 		f.next++
@@ -247,6 +252,13 @@
 	return no, c, err
 }
 
+// use has a node used again, or not any more.
+func (f *front) use(no int, is bool) {
+	f.mu.Lock()
+	f.out[no] = !is
+	f.mu.Unlock()
+}
+
 // look asks a dead node whether it is back.
 func (f *front) look(no int) {
 	back := pings(f.addrs[no])
--- a/rig/nodes.go
+++ b/rig/nodes.go
@@ -331,19 +331,24 @@
 	return fmt.Errorf("node %d does not serve within %v: %s", n.no, within, n.lastWords())
 }
 
-func pings(addr string) bool {
+// pings tells whether a node answers that it serves, and lives whether it answers at all.
+func pings(addr string) bool { return ping(addr) == "+PONG\r\n" }
+
+func lives(addr string) bool { return ping(addr) != "" }
+
+func ping(addr string) string {
 	c, err := net.DialTimeout("tcp4", addr, 200*time.Millisecond)
 	if err != nil {
-		return false
+		return ""
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(time.Second))
 	if _, err := c.Write([]byte("*1\r\n$4\r\nPING\r\n")); err != nil {
-		return false
+		return ""
 	}
 	b := make([]byte, 16)
-	k, err := c.Read(b)
-	return err == nil && string(b[:k]) == "+PONG\r\n"
+	k, _ := c.Read(b)
+	return string(b[:k])
 }
 
 // end sends a signal after which the process is gone: SIGKILL, or SIGTERM with time to answer.
--- a/rig/play.go
+++ b/rig/play.go
@@ -295,6 +295,8 @@
 		}
 	case "standby_node", "active_node":
 		_, err := st.nodes.all[*s.Node].call(strings.TrimSuffix(s.Do, "_node"))
+		// A front asks again and again, and goes by the answer a little later.
+		time.AfterFunc(200*time.Millisecond, func() { st.load.front.use(*s.Node, s.Do == "active_node") })
 		return err
 	case "replace_node":
 		n := st.nodes.all[*s.Node]
