Take a restart that the list tells of for a server's start, where it was left out then

Called back, a server was taken for started at the call, some seconds colder than the list knew. Where the list tells of a start since the call out, that holds.

--- a/maintenance/maintenance.go
+++ b/maintenance/maintenance.go
@@ -21,15 +21,21 @@
 // Roll is what is left out, and what may be.
 type Roll struct {
 	out    map[string]float64 // since when
-	back   map[string]float64 // when each was called back
+	back   map[string]Span    // of the last time out of each that was called back
 	seen   map[Mark]struct{}
 	order  []Mark // a ring once it is full
 	oldest int
 }
 
+// Span is a time out.
+type Span struct {
+	From float64 `json:"from"`
+	To   float64 `json:"to"`
+}
+
 // New makes an empty roll.
 func New() *Roll {
-	return &Roll{out: map[string]float64{}, back: map[string]float64{}, seen: map[Mark]struct{}{}}
+	return &Roll{out: map[string]float64{}, back: map[string]Span{}, seen: map[Mark]struct{}{}}
 }
 
 func mark(id string) Mark {
@@ -82,11 +88,12 @@
 	if err := r.known(id); err != nil {
 		return false, err
 	}
-	if _, out := r.out[id]; !out {
+	since, out := r.out[id]
+	if !out {
 		return false, nil
 	}
 	delete(r.out, id)
-	r.back[id] = now
+	r.back[id] = Span{since, now}
 	return true, nil
 }
 
@@ -98,9 +105,14 @@
 	return listed
 }
 
-// Started is when its process started: at the latest when it was called back, for it was restarted meanwhile and is cold,
-// also where the list has not said so yet.
-func (r *Roll) Started(id string, listed float64) float64 { return max(listed, r.back[id]) }
+// Started is when its process started. It was restarted while it was out: where the list tells of a start since then that is
+// it, and else it may have been any time until it was called back.
+func (r *Roll) Started(id string, listed float64) float64 {
+	if out := r.back[id]; listed < out.From {
+		return out.To
+	}
+	return listed
+}
 
 // Forget drops when a server that is long gone was called back. That it is left out is kept.
 func (r *Roll) Forget(id string) { delete(r.back, id) }
@@ -108,7 +120,7 @@
 // Kept is what a successor needs, or the next process after a kill.
 type Kept struct {
 	Out  map[string]float64 `json:"out"`
-	Back map[string]float64 `json:"back,omitempty"`
+	Back map[string]Span    `json:"back,omitempty"`
 	Seen []Mark             `json:"seen,omitempty"`
 }
 
@@ -126,7 +138,7 @@
 	for _, m := range k.Seen {
 		r.see(m)
 	}
-	r.out, r.back = map[string]float64{}, map[string]float64{}
+	r.out, r.back = map[string]float64{}, map[string]Span{}
 	maps.Copy(r.out, k.Out)
 	maps.Copy(r.back, k.Back)
 }
