--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -691,3 +691,38 @@
 	}
 	return closed, left
 }
+
+// A zone whose servers are cold can't carry its keys: they stay on the whole ring for as long, and come back as the zone's
+// servers warm.
+func TestColdZoneLeavesItsKeysToAll(t *testing.T) {
+	var slab fleet.Slab
+	lim := plainLimits()
+	lim.Zones, lim.WarmWithin, lim.StartCapacity = 3, 20_000, 0.2
+	share := func(coldUntil, now float64) float64 {
+		n := New(now, lim, &slab)
+		var all []fleet.Member
+		for i := range 9 {
+			m := fleet.Member{ID: fleet.ServerID(i), Name: fmt.Sprint("s", i), State: fleet.Ready, Size: 1, Zone: fleet.ZoneID(i % 3)}
+			if m.Zone == lim.Zone && i != int(lim.Zone) {
+				m.Started = coldUntil - lim.WarmWithin
+			}
+			all = append(all, m)
+		}
+		n.Members(now, fleet.ListFull, all)
+		n.util, n.cold.rate = 0.35, 1
+		near := 0
+		for i := range 4000 {
+			q := slab.Take()
+			q.Key, q.HasKey, q.Deadline = fleet.Key(fleet.Mix(uint64(i))), true, now+1000
+			if s := n.route(q); s != nil && s.zone == lim.Zone {
+				near++
+			}
+			slab.Free(q)
+		}
+		return float64(near) / 4000
+	}
+	const now = 1e6
+	if warm, cold := share(now-1, now), share(now+19_000, now); warm < 0.6 || cold > warm-0.2 {
+		t.Errorf("%.2f of the keys stay in a zone that is warm, %.2f in one where two of three servers are cold", warm, cold)
+	}
+}
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -175,7 +175,7 @@
 func (n *Node) route(q *fleet.Query) *server {
 	owner := n.walk(&n.ring, q, 0)
 	m := n.popular(q.Key)
-	k, reach := float64(len(n.near.servers)), 1.0
+	k, reach := n.near.warm, 1.0 // a cold server counts for what it can carry
 	if m == 0 {
 		reach -= 4 * n.util / k
 	}
