--- a/cmd/mintspring/main.go
+++ b/cmd/mintspring/main.go
@@ -89,8 +89,12 @@
 	if names := op.On(); len(names) > 0 {
 		on = strings.Join(names, ", ")
 	}
-	fmt.Fprintf(out, "node %s listens on %s, discovery at %s, %d workloads, %d zones; on by the operator's file: %s\n",
-		cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Site.Workloads), len(cfg.Site.Zones), on)
+	door := "nobody can call"
+	if cfg.Admin != "" {
+		door = "operators call at " + cfg.Admin
+	}
+	fmt.Fprintf(out, "node %s listens on %s, %s, discovery at %s, %d workloads, %d zones; on by the operator's file: %s\n",
+		cfg.Name, cfg.Listen, door, cfg.Discovery, len(cfg.Site.Workloads), len(cfg.Site.Zones), on)
 	return nil
 }
 
--- a/keep/keep_test.go
+++ b/keep/keep_test.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"mintspring/fleet"
 	"mintspring/learnt"
@@ -16,6 +19,45 @@
 	return learnt.Append(nil, &learnt.State{At: at, Node: "n", Servers: []learnt.Server{{Name: "s", ServerLearnt: fleet.ServerLearnt{Pace: 3}}}})
 }
 
+// asWriter has the test's own program write one state after the other into a folder, until it is killed.
+const asWriter = "MINTSPRING_TEST_WRITES_TO"
+
+func TestMain(m *testing.M) {
+	dir := os.Getenv(asWriter)
+	if dir == "" {
+		os.Exit(m.Run())
+	}
+	f, err := Open(dir)
+	for at := 1.0; err == nil; at++ {
+		err = f.Save(written(at))
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
+}
+
+// A process that is killed at any moment of its writing leaves a whole state, and gives the folder up.
+func TestSIGKILL(t *testing.T) {
+	dir, rng := t.TempDir(), rand.New(rand.NewPCG(1, 2))
+	for range 12 {
+		c := exec.Command(os.Args[0])
+		c.Env = append(os.Environ(), asWriter+"="+dir)
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if s, err := Load(dir); s != nil && err == nil {
+				break
+			}
+		}
+		time.Sleep(time.Duration(rng.IntN(20_000)) * time.Microsecond)
+		c.Process.Kill()
+		c.Wait()
+		if s, err := Load(dir); err != nil || s == nil || s.Servers[0].Pace != 3 {
+			t.Fatalf("after a kill it reads %+v, %v", s, err)
+		}
+	}
+}
+
 var errKilled = errors.New("killed")
 
 // dying does some steps of a write and then no more, the last of them by half.
--- a/node/kin.go
+++ b/node/kin.go
@@ -161,14 +161,17 @@
 
 // Welcome: a successor has come.
 func (n *Node) Welcome(c *succession.Channel) (s succession.State) {
+	var pause time.Duration
 	n.order(func(now float64) (string, error) {
+		start := time.Now()
 		s = n.bequeath(now)
+		pause = time.Since(start)
 		n.kin.mu.Lock()
 		n.kin.channel, n.kin.heir, n.kin.yes = c, false, false
 		n.kin.mu.Unlock()
 		return "", nil
 	})
-	n.log.Info("a successor has come")
+	n.log.WithField("pause", pause).Info("a successor has come") // for so long the loop did nothing else
 	n.share(true, n.sockets.Limit()/newcomersShare)
 	go n.tellHeld(c)
 	return s
--- a/node/node.go
+++ b/node/node.go
@@ -90,6 +90,7 @@
 	log      *logrus.Entry
 	name     string
 	seed     uint64
+	door     bool
 	memoryMB int
 	sockets  *quota.Sockets
 	kin      kin
@@ -126,7 +127,7 @@
 
 // New makes a node that knows what it was started with.
 func New(b Birth, log *logrus.Logger) *Node {
-	n := &Node{log: log.WithField("node", b.Name), name: b.Name, seed: b.Site.Limits.Seed, memoryMB: b.MemoryMB, site: b.Site, clock: clock.New(),
+	n := &Node{log: log.WithField("node", b.Name), name: b.Name, seed: b.Site.Limits.Seed, door: b.Door, memoryMB: b.MemoryMB, site: b.Site, clock: clock.New(),
 		roll: maintenance.New(), hands: map[*exchange.Exchange]*hand{}, byRef: map[fleet.Ref]*hand{}, ids: map[string]fleet.ServerID{},
 		idle: make(chan struct{}), quit: make(chan struct{})}
 	n.inbox.wake = make(chan struct{}, 1)
@@ -404,8 +405,8 @@
 		terms := n.pools
 		if e.Flavor == originFlavor {
 			w, terms = origin.Wire{}, n.originPool
-		} else {
-			n.roll.Listed(e.ID)
+		} else if n.door {
+			n.roll.Listed(e.ID) // nobody else asks whether it ever was
 		}
 		n.ids[e.ID] = id
 		n.peers[id] = &peer{link: link.New(n.group, w, e.ID, terms)}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -88,7 +88,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	w.node = New(Birth{Name: "n0", Discovery: strings.TrimPrefix(d.URL, "http://"), Site: site, Sockets: 1024, MemoryMB: 192,
+	w.node = New(Birth{Name: "n0", Discovery: strings.TrimPrefix(d.URL, "http://"), Site: site, Sockets: 1024, MemoryMB: 192, Door: true,
 		Known: list.Update{}}, log)
 	ln := listen(t)
 	w.addr = ln.Addr().String()
