--- a/node/node_test.go
+++ b/node/node_test.go
@@ -52,7 +52,7 @@
 	sends      atomic.Int64
 }
 
-func newTown(t *testing.T, caches int, cache func(redcon.Conn, string, string), origin http.HandlerFunc) *town {
+func newTown(t *testing.T, caches int, cache func(redcon.Conn, string, string), origin http.HandlerFunc, with ...func(*Birth)) *town {
 	t.Helper()
 	w := &town{t: t, cache: cache, origin: origin, tell: make(chan string, 10)}
 	var known []string
@@ -88,8 +88,12 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	w.node = New(Birth{Name: "n0", Discovery: strings.TrimPrefix(d.URL, "http://"), Site: site, Sockets: 1024, MemoryMB: 192, Door: true,
-		Known: list.Update{}}, log)
+	b := Birth{Name: "n0", Discovery: strings.TrimPrefix(d.URL, "http://"), Site: site, Sockets: 1024, MemoryMB: 192, Door: true,
+		Known: list.Update{}}
+	for _, f := range with {
+		f(&b)
+	}
+	w.node = New(b, log)
 	ln := listen(t)
 	w.addr = ln.Addr().String()
 	go w.node.Serve(ln)
--- a/node/operation.go
+++ b/node/operation.go
@@ -80,20 +80,16 @@
 	var no uint64
 	words, err = n.order(func(now float64) (string, error) {
 		switch word {
-		case "maint-on":
-			changed, err := n.roll.Out(id, now)
-			n.rolled(now, id, changed)
-			if changed {
-				kept, no = n.roll.Keep(false), n.kin.next()
+		case "maint-on", "maint-off":
+			call, words := n.roll.Out, " is left out"
+			if word == "maint-off" {
+				call, words = n.roll.Back, " is used as the list has it"
 			}
-			return id + " is left out", err
-		case "maint-off":
-			changed, err := n.roll.Back(id, now)
-			n.rolled(now, id, changed)
-			if changed {
+			changed, err := call(id, now)
+			if n.rolled(now, id, changed); changed {
 				kept, no = n.roll.Keep(false), n.kin.next()
 			}
-			return id + " is used as the list has it", err
+			return id + words, err
 		case "standby":
 			if n.life.Standby(now) {
 				n.log.Info("on standby")
