Pass large writes in pieces where there is no room to hold them

Two writes of 4 MiB at 64 MB kept all others waiting for room. What finds none is handed on at its head now and passes as it comes, its time counted from its last byte; the module is told that it is still coming (nothing is booked, the origin does not seem silent for it) and, once some has passed, that it can't be sent again.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -178,9 +178,12 @@
 		return fleet.Move{}
 	}
 	e := &q.Execs[o.Exec]
+	s := n.servers[e.Server]
+	if q.Coming {
+		n.sent(s, q) // it ends before it was booked
+	}
 	e.Result = o.Result
 	q.Out--
-	s := n.servers[e.Server]
 	n.learn(s, q, e, o)
 	m := n.next(q, s, o)
 	if c := n.spare(s, o.Result); c != nil {
@@ -240,6 +243,16 @@
 	n.now, q.Streamed = now, true
 }
 
+// Whole reports that the value of q has come, by when its deadline is known. What is out begins only now.
+func (n *Node) Whole(now float64, q *fleet.Query) {
+	if n.now = now; q.Coming && q.Out > 0 {
+		e := &q.Execs[q.N-1]
+		e.Sent = now
+		n.sent(n.servers[e.Server], q)
+	}
+	q.Coming = false
+}
+
 // Left reports that the client of q is gone.
 func (n *Node) Left(now float64, q *fleet.Query) {
 	n.now, q.Closed = now, true
@@ -265,7 +278,7 @@
 	switch {
 	case q.Out > 0:
 		return n.lookBack(q)
-	case q.Deadline-n.now <= n.lim.slack || q.N >= execs:
+	case q.Deadline-n.now <= n.lim.slack || q.N >= execs || q.Spent:
 		return n.giveUp(q, n.lim.sloMin)
 	case n.lim.origin < 0:
 	case q.Write || q.Stage == queued || q.Stage == waiting || q.N+1 == execs && n.store.room(n):
@@ -326,8 +339,9 @@
 		m.Exec, q.Wake = q.N, 0
 		q.Execs[q.N] = fleet.Exec{Server: s.id, Sent: n.now, Ahead: s.ahead()}
 		q.N++
-		q.Out++
-		n.sent(s, q)
+		if q.Out++; !q.Coming {
+			n.sent(s, q)
+		}
 		if q.Stage = out; s == n.origin {
 			q.Stage = fetching
 		}
--- a/fleet/slab.go
+++ b/fleet/slab.go
@@ -27,8 +27,10 @@
 	Work     float64 // told in advance; 0 if not
 	Size     float64
 	Execs    [MaxExecs]Exec
-	N        int // executions so far
-	Out      int // of these still out
+	N        int  // executions so far
+	Out      int  // of these still out
+	Coming   bool // its value is still coming: no execution of it can have begun
+	Spent    bool // its value has been passed on, and is not held for another execution
 	Closed   bool
 	Streamed bool
 
--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -20,8 +20,9 @@
 
 // Node is what the client side needs of the node. None of it blocks.
 type Node interface {
-	Take(x *exchange.Exchange) // a query has come
-	Left(x *exchange.Exchange) // its client has gone
+	Take(x *exchange.Exchange)              // a query has come
+	Left(x *exchange.Exchange)              // its client has gone
+	Whole(x *exchange.Exchange, at float64) // all of its value has come, which it was handed on without
 }
 
 // Server accepts clients on one address.
@@ -33,7 +34,7 @@
 	Panicked func(any)
 	Logf     func(format string, args ...any)
 	Patience float64        // a connection may say nothing for so long before its first query, and a command take to come, ms
-	Room     *room.Room     // for large values that clients write; nil: none are taken
+	Room     *room.Room     // for large values that clients write; what finds none is passed on as it comes. Nil: none are taken
 	MostHeld int64          // bytes held for all clients, their commands and answers; 0: no limit
 	Chance   func() float64 // from [0,1), so that connections are not all closed together; nil: always 0
 
--- a/node/clients/command.go
+++ b/node/clients/command.go
@@ -165,6 +165,30 @@
 		size <= exchange.MostLarge+mostBefore
 }
 
+// beforeValue reads what stands before the value of a write: its words, where the value begins and how long it is. Nil: the
+// large part is another.
+func beforeValue(b []byte) (args [][]byte, from, length int) {
+	at := bytes.IndexByte(b, '\n') + 1
+	for {
+		i := bytes.IndexByte(b[at:], '\n')
+		if i < 2 {
+			return nil, 0, 0
+		}
+		n, err := strconv.Atoi(string(b[at+1 : at+i-1]))
+		if at += i + 1; err != nil {
+			return nil, 0, 0
+		}
+		if len(args) == 4 {
+			return args, at, n
+		}
+		if n < 0 || len(b) < at+n+2 {
+			return nil, 0, 0
+		}
+		args = append(args, b[at:at+n:at+n])
+		at += n + 2
+	}
+}
+
 // mostBefore is the most that may stand before a large value in its command.
 const mostBefore = 4096
 
--- a/node/clients/conn.go
+++ b/node/clients/conn.go
@@ -181,37 +181,25 @@
 	c.left(false)
 }
 
-// holds reads a write whose value is large into memory of its own, as fast as its client sends it, once there is room for
-// it. Until then nothing is read, which its client feels and nobody else. It returns how much of it is still to be skipped
-// where there was none, and whether the connection goes on.
+// holds reads a write whose value is large into memory of its own, as fast as its client sends it: held whole it can be
+// executed again. Where there is no room for it, it is passed on as it comes. It returns how much of the command is still to be
+// skipped, and whether the connection goes on.
 func (c *conn) holds(in *ringbuf.Ring, size int) (skip int, more bool) {
 	const around = 512
 	held := int64(size + around)
 	c.mu.Lock()
 	c.partial = true // it does not stand between queries meanwhile
 	c.mu.Unlock()
-	if !c.server.Room.Wait(held, clock.Span(c.server.Names().Stalled/2)) {
-		b := encode(nil, &exchange.Answer{Kind: exchange.Rejected, Wait: c.server.Names().BusyWait})
-		c.reply(string(b), false) // turned away before anything was sent
-		n := min(size, in.Len())
-		in.Skip(n)
-		return size - n, true
+	if !c.server.Room.Take(held) {
+		return c.streams(in, size)
 	}
 	b := make([]byte, size)
 	end := time.Now().Add(mostWrite)
 	got := copy(b, in.Peek())
 	in.Skip(got)
 	for got < size {
-		until := time.Now().Add(clock.Span(c.server.Patience))
-		if end.Before(until) {
-			until = end
-		}
-		c.net.SetReadDeadline(until)
-		n, err := c.net.Read(b[got:])
+		n, err := c.slowly(end, func() (int, error) { return c.net.Read(b[got:]) })
 		if got += n; err != nil && got < size {
-			if c.mayGo() && time.Now().Before(end) {
-				continue // it can't, with half a command read
-			}
 			c.server.Room.Give(held)
 			c.left(false)
 			return 0, false
@@ -227,6 +215,82 @@
 	return 0, true
 }
 
+// slowly reads once more of a value, for which its client may take its time until the end, but has to send something.
+func (c *conn) slowly(end time.Time, read func() (int, error)) (int, error) {
+	for {
+		until := time.Now().Add(clock.Span(c.server.Patience))
+		if end.Before(until) {
+			until = end
+		}
+		c.net.SetReadDeadline(until)
+		n, err := read()
+		if n == 0 && err != nil && c.mayGo() && time.Now().Before(end) {
+			continue // it was asked to go to another process, which it can't with half a command read
+		}
+		return n, err
+	}
+}
+
+var errCut = errors.New("its client has not sent all of it")
+
+// streams hands a write on at its head, and its value as it comes: the execution begins with the last byte, by which the
+// client's time counts, and takes each piece when its server does. The last one goes on only with the command's end behind it.
+func (c *conn) streams(in *ringbuf.Ring, size int) (skip int, more bool) {
+	rest := func() (int, bool) {
+		n := min(size, in.Len())
+		in.Skip(n)
+		return size - n, true
+	}
+	at := c.server.Clock.Now()
+	args, from, length := beforeValue(in.Peek())
+	if args == nil {
+		c.fail(errLarge.Error(), false)
+		return rest()
+	}
+	x, why := c.server.Names().query(append(args, nil), at, false)
+	if why != "" {
+		c.fail(why, false)
+		return rest()
+	}
+	x.Value, x.Body, x.Span = nil, exchange.NewBody(int64(length)), x.Deadline-x.Arrived
+	x.Deadline += float64(mostWrite / time.Millisecond)
+	if !c.take(x, 0) {
+		return rest()
+	}
+	defer x.Body.Break(errCut)
+	in.Skip(from)
+	size -= from
+	end := time.Now().Add(mostWrite)
+	for left := length; left > 0; {
+		b := in.Peek()
+		n := min(len(b), left)
+		if n == left && len(b) >= left+2 {
+			if string(b[left:left+2]) != "\r\n" {
+				c.fail(errShape.Error(), true)
+				return 0, true
+			}
+			c.server.Node.Whole(x, c.server.Clock.Now())
+		} else if n == left {
+			n--
+		}
+		if n > 0 {
+			if _, err := x.Body.Write(b[:n]); err != nil {
+				return rest() // it has its answer, or can't be executed any more
+			}
+			in.Skip(n)
+			left, size = left-n, size-n
+			continue
+		}
+		in.Reserve(exchange.Window)
+		if _, err := c.slowly(end, func() (int, error) { return in.ReadOnce(c.net) }); err != nil {
+			c.left(false)
+			return 0, false
+		}
+	}
+	in.Skip(2)
+	return 0, true
+}
+
 // take puts a query in the order of answers and hands it on, and tells whether it did.
 func (c *conn) take(x *exchange.Exchange, room int64) bool {
 	size := int64(len(x.Key) + len(x.ID) + len(x.Extra) + len(x.Value) + 512)
@@ -298,6 +362,9 @@
 	c.server.release(x)
 	c.mu.Lock() // without it the writer could look, miss the answer, and only then begin to wait
 	a := x.Answered()
+	if x.Body != nil {
+		x.Body.Drop(net.ErrClosed) // nobody takes any more of it, whoever still sends
+	}
 	c.book(weight(a))
 	slow := c.held > exchange.MostValue && c.server.over(0, pressing)
 	gone := c.closed
@@ -466,6 +533,9 @@
 		if s.x == nil {
 			continue
 		}
+		if s.x.Body != nil {
+			s.x.Body.Drop(net.ErrClosed)
+		}
 		if a := s.x.Answered(); a == nil {
 			c.server.release(s.x)
 			c.server.Node.Left(s.x)
--- a/node/events.go
+++ b/node/events.go
@@ -68,11 +68,34 @@
 	n.table.Take(q.Workload)
 	q.Key, q.HasKey, q.Write = x.Point, true, x.Write
 	q.Arrived, q.Deadline, q.Work, q.Size = x.Arrived, x.Deadline, x.Work, x.Size
+	q.Coming = x.Body != nil
 	h := &hand{x: x, q: q}
 	n.hands[x], n.byRef[q.Ref] = h, h
 	n.act(h, n.mind.Where(now, q))
 }
 
+// whole: all of a value has come that was passed on as it came. The client's time runs from here.
+type whole struct {
+	x  *exchange.Exchange
+	at float64
+}
+
+func (e whole) about() *exchange.Exchange { return e.x }
+
+func (e whole) handle(n *Node, now float64) {
+	h := n.hands[e.x]
+	if h == nil || h.q.Closed {
+		return
+	}
+	h.q.Arrived, h.q.Deadline = e.at, e.at+e.x.Span
+	n.mind.Whole(now, h.q)
+	for i := range h.q.Execs[:h.q.N] {
+		if h.q.Execs[i].Result == fleet.Pending && h.execs[i] != nil {
+			n.peers[h.q.Execs[i].Server].link.Whole(h.execs[i], h.q.Deadline)
+		}
+	}
+}
+
 // gone: the client of a query has left.
 type gone struct{ x *exchange.Exchange }
 
@@ -107,6 +130,7 @@
 		n.tally.lastBreak = b
 	}
 	n.tally.outcomes[o.Result]++
+	h.q.Spent = h.x.Body != nil && h.x.Body.Used()
 	if o.Over = h.q.Closed; o.Result == fleet.Completed && !o.Over {
 		// Of a large value the rest is between its server and its client: to the module the query is over.
 		o.Over = true
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -41,12 +41,23 @@
 	Arrived  float64 // when its last byte was read
 	Deadline float64 // when its client stops waiting
 
+	Body *Body   // the value, in place of Value, while it is still coming
+	Span float64 // with a body: the time that the client gives from its last byte on, in ms
+
 	Back   Back
 	answer atomic.Pointer[Answer]
 }
 
 // Big tells whether the value is too large to be written together with what stands around it.
-func (x *Exchange) Big() bool { return len(x.Value) > MostValue }
+func (x *Exchange) Big() bool { return x.Body != nil || len(x.Value) > MostValue }
+
+// Length is how many bytes the value has.
+func (x *Exchange) Length() int64 {
+	if x.Body != nil {
+		return x.Body.Size
+	}
+	return int64(len(x.Value))
+}
 
 // Back is the way back to the client. Ready is called once, when the exchange has its answer; it must not block.
 type Back interface{ Ready(x *Exchange) }
--- a/node/large_test.go
+++ b/node/large_test.go
@@ -125,3 +125,55 @@
 	}
 	w.wants(w.ask("KV.GET", "k", "3", "c=read,d=500"), "hit")
 }
+
+// Where large writes find no room they pass as they come: the client's time runs from its last byte, reads at the origin go on
+// beside them, each is executed once, and one that the origin turns away early is rejected, for it never ran.
+func TestLargeWritesPass(t *testing.T) {
+	var runs, whole atomic.Int64
+	w := newTown(t, 1, miss, func(rw http.ResponseWriter, q *http.Request) {
+		if q.Method == "GET" {
+			io.WriteString(rw, "read")
+			return
+		}
+		if strings.HasPrefix(q.URL.Path, "/full") {
+			rw.Header().Set("Srv-Declined", "1")
+			rw.WriteHeader(503)
+			return
+		}
+		runs.Add(1)
+		if n, _ := io.Copy(io.Discard, q.Body); n == q.ContentLength {
+			whole.Add(1)
+			io.WriteString(rw, "receipt")
+		}
+	}, func(b *Birth) { b.MemoryMB = 1 })
+	value := bytes.Repeat([]byte("x"), 2<<20)
+	slow := func(key, class string) string {
+		c := dialTown(t, w)
+		b := redcon.AppendArray(nil, 5)
+		for _, s := range []string{"KV.SET", key, key, class} {
+			b = redcon.AppendBulkString(b, s)
+		}
+		b = redcon.AppendBulk(b, value)
+		for i := 0; i < 10; i++ {
+			time.Sleep(80 * time.Millisecond) // 0.8 s in all, where it gives 0.5 s from its end on
+			if _, err := c.Write(b[i*len(b)/10 : (i+1)*len(b)/10]); err != nil {
+				break
+			}
+		}
+		return w.on(c, "PING")
+	}
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() { w.wants(slow(fmt.Sprint("w", i), "c=pay,d=500"), "receipt") })
+	}
+	time.Sleep(300 * time.Millisecond)
+	for i := range 10 {
+		w.wants(w.ask("KV.GET", fmt.Sprint("k", i), fmt.Sprint("r", i), "c=read,d=400"), "read")
+	}
+	wg.Wait()
+	if runs.Load() != 4 || whole.Load() != 4 {
+		t.Errorf("%d executions, %d whole", runs.Load(), whole.Load())
+	}
+	w.wants(slow("full", "c=pay,d=500"), "-BUSY")
+	w.wants(w.ask("KV.GET", "k", "last", "c=read,d=400"), "read")
+}
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -47,6 +47,7 @@
 	for e := range c.work {
 		limit := e.Until - l.group.Clock.Now()
 		size := 2*len(e.X.Extra) + len(e.X.Key) + len(e.X.ID) + 512
+		own := e.X.Big() && e.X.Body == nil // written by itself, behind its head
 		if !e.X.Big() {
 			size += len(e.X.Value)
 		}
@@ -56,7 +57,7 @@
 			out.Fill(len(b))
 		}
 		whole := out.Len()
-		if e.X.Big() {
+		if own {
 			whole += len(e.X.Value) + len(l.wire.Behind())
 		}
 		stale := c.used && c.stale()
@@ -78,13 +79,21 @@
 		}
 		// Said before the bytes go: should the execution be given up meanwhile, it may have run.
 		e.reach, c.writing = exchange.WhollyWritten, true
+		if e.X.Body != nil {
+			e.reach = exchange.PartlyWritten
+		}
 		l.mu.Unlock()
 		n, err := out.Drain(c.net)
-		if err == nil && e.X.Big() {
+		if err == nil && own {
 			var more int64
 			more, err = (&net.Buffers{e.X.Value, []byte(l.wire.Behind())}).WriteTo(c.net)
 			n += int(more)
 		}
+		if err == nil && e.X.Body != nil {
+			if err = c.passes(e); err != nil {
+				n = 0 // partly
+			}
+		}
 		l.mu.Lock()
 		c.writing = false
 		if err == nil {
@@ -99,6 +108,36 @@
 	}
 }
 
+// passes writes a value that is still coming, each piece as it comes. Before the last one goes it is said that all has gone.
+func (c *conn) passes(e *Execution) error {
+	l, b := c.link, e.X.Body
+	piece := make([]byte, exchange.Window)
+	for left := b.Size; left > 0; {
+		n, err := b.Read(piece)
+		if err != nil {
+			return err
+		}
+		tail := ""
+		if left -= int64(n); left == 0 {
+			tail = l.wire.Behind()
+			l.mu.Lock()
+			if gone := e.done || c.closed; gone {
+				l.mu.Unlock()
+				return errShut
+			}
+			e.reach = exchange.WhollyWritten
+			l.mu.Unlock()
+		}
+		if _, err := (&net.Buffers{piece[:n], []byte(tail)}).WriteTo(c.net); err != nil {
+			if left == 0 {
+				return nil // the reader meets the end, and the last byte may have gone
+			}
+			return err
+		}
+	}
+	return nil
+}
+
 // reads takes answers in. Bytes that come while nothing is out end the connection.
 func (c *conn) reads() {
 	var in ringbuf.Ring
@@ -129,6 +168,12 @@
 			l.mu.Unlock()
 			return
 		}
+		if e.X.Body != nil && e.reach == exchange.PartlyWritten {
+			// Whatever it says, the execution has not begun: its last byte has not gone.
+			l.mu.Unlock()
+			l.end(e, fleet.Full, errEarly)
+			return
+		}
 		if c.used && e.reach < exchange.WhollyWritten {
 			l.again(c) // these bytes came before the execution went out, and are no answer to it
 			l.mu.Unlock()
@@ -225,7 +270,9 @@
 	}
 	l.shut(c)
 	if c.writing {
-		c.cause = cause
+		if c.cause = cause; e != nil && e.X.Body != nil {
+			e.X.Body.Drop(cause) // the writer may be waiting for more of it
+		}
 		l.mu.Unlock()
 		return
 	}
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -78,6 +78,7 @@
 	errSockets   = errors.New("no descriptor is left")
 	errWaited    = errors.New("it waited too long for a connection")
 	errCrowded   = errors.New("too many wait for a connection")
+	errEarly     = errors.New("it was answered before its value had come")
 )
 
 // Group is what the links of a node share.
@@ -332,6 +333,16 @@
 	}
 }
 
+// Whole says that the value of an execution has come, which was passed on meanwhile: it is sent now, and given up then.
+func (l *Link) Whole(e *Execution, until float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := l.group.Clock.Now(); !e.done {
+		e.Sent, e.Until = now, until
+		e.timer.Reset(clock.Span(max(0, until-now)))
+	}
+}
+
 // Cancel gives an execution up.
 func (l *Link) Cancel(e *Execution) { l.end(e, fleet.Cancelled, errCancelled) }
 
@@ -458,6 +469,9 @@
 		l.mu.Unlock()
 		return
 	}
+	if e.X.Body != nil && e.reach >= exchange.PartlyWritten {
+		e.X.Body.Drop(cause)
+	}
 	if e.conn != nil {
 		l.leave(e.conn)
 		if e.conn.collecting {
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,7 @@
 	Wait(now float64) (fleet.Ref, float64)
 	Members(now float64, mode fleet.ListMode, entries []fleet.Member)
 	Left(now float64, q *fleet.Query)
+	Whole(now float64, q *fleet.Query)
 }
 
 // hand is a query in hand: its exchange and its executions by number.
@@ -253,9 +254,10 @@
 // Ready tells whether the node would answer PING with yes.
 func (n *Node) Ready() bool { return n.life.Serves() }
 
-// Take and Left are what the client side calls.
-func (n *Node) Take(x *exchange.Exchange) { n.inbox.post(arrived{x}) }
-func (n *Node) Left(x *exchange.Exchange) { n.inbox.post(gone{x}) }
+// Take, Whole and Left are what the client side calls.
+func (n *Node) Whole(x *exchange.Exchange, at float64) { n.inbox.post(whole{x, at}) }
+func (n *Node) Take(x *exchange.Exchange)              { n.inbox.post(arrived{x}) }
+func (n *Node) Left(x *exchange.Exchange)              { n.inbox.post(gone{x}) }
 
 func (n *Node) done(e *link.Execution, end link.Ending) { n.inbox.post(ended{e, end}) }
 
--- a/node/origin/wire.go
+++ b/node/origin/wire.go
@@ -46,7 +46,7 @@
 	b = append(b, x.Extra...)
 	if x.Write {
 		b = append(b, "\r\nContent-Length: "...)
-		b = strconv.AppendInt(b, int64(len(x.Value)), 10)
+		b = strconv.AppendInt(b, x.Length(), 10)
 	}
 	b = append(b, "\r\n\r\n"...)
 	if x.Write && !x.Big() {
--- a/node/servers/wire.go
+++ b/node/servers/wire.go
@@ -27,7 +27,7 @@
 // Append writes the command as the client gave it, with the node's own limit in place of the client's.
 func (Wire) Append(b []byte, x *exchange.Exchange, limit float64) []byte {
 	count := 4
-	if x.Value != nil {
+	if x.Value != nil || x.Body != nil {
 		count++
 	}
 	b = redcon.AppendArray(b, count)
@@ -37,7 +37,7 @@
 	b = redcon.AppendBulk(b, withLimit(x.Extra, limit))
 	switch {
 	case x.Big():
-		b = append(strconv.AppendInt(append(b, '$'), int64(len(x.Value)), 10), "\r\n"...)
+		b = append(strconv.AppendInt(append(b, '$'), x.Length(), 10), "\r\n"...)
 	case x.Value != nil:
 		b = redcon.AppendBulk(b, x.Value)
 	}
