Give back what was lent to a process that is gone, and keep a ban when it is said again

Read once more: descriptors could stay lent for good to a process lost between a look at it and the lending, and a channel that died before it was known left its node half an heir; both go by the channel under its lock now, with a test. A ban that could not be kept was said to hold when called again. Less of its own: one look at quiet connections, one place that wakes who waits to accept, no parameter that is always nil; an error that named 64 KiB as the largest part.

--- a/baseline/baseline.go
+++ b/baseline/baseline.go
@@ -110,10 +110,10 @@
 // Wait says when something is due.
 func (p *Policy) Wait(now float64) (fleet.Ref, float64) { return fleet.NoQuery, max(0, p.askAt-now) }
 
-// Left takes in that a client has gone.
 // Whole reports that the value of q has come.
 func (p *Policy) Whole(now float64, q *fleet.Query) { q.Coming = false }
 
+// Left takes in that a client has gone.
 func (p *Policy) Left(now float64, q *fleet.Query) { q.Closed = true }
 
 func (p *Policy) place(now float64, q *fleet.Query) fleet.Move {
--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -136,15 +136,6 @@
 	if ln, ok := s.ln.(interface{ SetDeadline(time.Time) error }); ok {
 		ln.SetDeadline(time.Time{})
 	}
-	s.mu.Unlock()
-	s.wake()
-}
-
-func (s *Server) wake() {
-	s.mu.Lock()
-	if s.resumed.L == nil {
-		s.resumed.L = &s.mu
-	}
 	s.resumed.Broadcast()
 	s.mu.Unlock()
 }
@@ -153,9 +144,7 @@
 func (s *Server) mayAccept() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.resumed.L == nil {
-		s.resumed.L = &s.mu
-	}
+	s.resumed.L = &s.mu // whoever broadcasts before finds nobody waiting
 	for !s.shut && !s.Life.Accepts() {
 		s.resumed.Wait()
 	}
@@ -180,7 +169,7 @@
 	s.mu.Lock()
 	var leaving []*conn
 	for c := range s.conns {
-		if is, _, since := c.quiet(); is && now-since >= c.fresh() && s.Life.Closing(now, c.chance) == lifecycle.Quiet {
+		if is, since := c.quiet(); is && since <= now && s.Life.Closing(now, c.chance) == lifecycle.Quiet {
 			leaving = append(leaving, c)
 		}
 	}
@@ -197,9 +186,7 @@
 	if s.shut = true; s.ln != nil {
 		s.ln.Close()
 	}
-	if s.resumed.L != nil {
-		s.resumed.Broadcast()
-	}
+	s.resumed.Broadcast()
 }
 
 // Open is how many clients are connected.
--- a/node/clients/clients_test.go
+++ b/node/clients/clients_test.go
@@ -105,6 +105,13 @@
 	return s
 }
 
+// writeIn writes a text in pieces.
+func (c *client) writeIn(piece int, text string) {
+	for i := 0; i < len(text); i += piece {
+		io.WriteString(c, text[i:min(i+piece, len(text))])
+	}
+}
+
 func (c *client) wants(answer string) {
 	c.t.Helper()
 	b := make([]byte, len(answer))
@@ -217,7 +224,7 @@
 	r := newRig(t)
 	c := r.dial()
 	c.Write([]byte(command("KV.SET", "k", "i", "c=put,d=5,k=1", strings.Repeat("v", 1<<20)) + command("PING")))
-	c.wants("-ERR a value larger than 64 KiB\r\n+PONG\r\n")
+	c.wants("-ERR a part larger than any may be\r\n+PONG\r\n")
 	c.Write([]byte(command("KV.SET", "k", "i", "c=put,d=5,k=1", strings.Repeat("v", exchange.MostValue))))
 	if x := r.next(); len(x.Value) != exchange.MostValue {
 		t.Errorf("%d bytes of the largest value", len(x.Value))
@@ -225,7 +232,7 @@
 	// With the refused value ends its command: once the connection stood as if one were still coming.
 	other := r.dial()
 	other.Write([]byte(command("KV.SET", "k", "i", "c=put,d=5,k=1", strings.Repeat("v", 1<<20))))
-	other.wants("-ERR a value larger than 64 KiB\r\n")
+	other.wants("-ERR a part larger than any may be\r\n")
 	for deadline := time.Now().Add(5 * time.Second); !r.server.Spare(Mute, 0); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("no connection is quiet")
@@ -800,11 +807,7 @@
 	text := command("KV.SET", "k", "1", "c=put,d=400,k=m", value) + command("PING")
 	for _, piece := range []int{len(text), 50_000, 7_001} {
 		c := r.dial()
-		go func() {
-			for i := 0; i < len(text); i += piece {
-				io.WriteString(c, text[i:min(i+piece, len(text))])
-			}
-		}()
+		go c.writeIn(piece, text)
 		x := r.next()
 		if string(x.Value) != value || !x.Write || !x.Big() || string(x.Key) != "k" {
 			t.Fatalf("pieces of %d: %d bytes for %q", piece, len(x.Value), x.Key)
@@ -855,7 +858,7 @@
 	// Over 4 MiB nothing is held.
 	c = r.dial()
 	go io.WriteString(c, command("KV.SET", "k", "5", "c=put,d=400,k=m", strings.Repeat("x", 5<<20)))
-	c.wants("-ERR a value larger than 64 KiB")
+	c.wants("-ERR a part larger than any may be")
 }
 
 // A large write for which there is no room is handed on at its head; its value follows as it comes and as it is taken, the
@@ -866,11 +869,7 @@
 	text := command("KV.SET", "k", "1", "c=put,d=400,k=m", value) + command("PING")
 	for _, piece := range []int{len(text), 50_000, 7_001} {
 		c := r.dial()
-		go func() {
-			for i := 0; i < len(text); i += piece {
-				io.WriteString(c, text[i:min(i+piece, len(text))])
-			}
-		}()
+		go c.writeIn(piece, text)
 		x := r.next()
 		if x.Body == nil || x.Body.Size != int64(len(value)) || x.Span < 300 || x.Deadline-x.Arrived < 20_000 || x.Body.Used() {
 			t.Fatalf("pieces of %d: %+v", piece, x)
--- a/node/clients/command.go
+++ b/node/clients/command.go
@@ -157,12 +157,10 @@
 	return fleet.Key(h.Sum64())
 }
 
-// writesLarge looks at a command that is oversize: is it a write whose value may pass, and how long is it in all? What
-// stands before the value is there.
+// writesLarge tells of a command that is oversize and so long whether it is a write whose value may pass.
 func writesLarge(b []byte, size int) bool {
-	head := b[:min(len(b), 4096)]
-	return bytes.HasPrefix(head, []byte("*5\r\n$6\r\n")) && len(head) >= 14 && bytes.EqualFold(head[8:14], []byte("KV.SET")) &&
-		size <= exchange.MostLarge+mostBefore
+	const head = "*5\r\n$6\r\nKV.SET"
+	return len(b) >= len(head) && bytes.EqualFold(b[:len(head)], []byte(head)) && size <= exchange.MostLarge+mostBefore
 }
 
 // beforeValue reads what stands before the value of a write: its words, where the value begins and how long it is. Nil: the
--- a/node/clients/conn.go
+++ b/node/clients/conn.go
@@ -63,7 +63,7 @@
 
 var (
 	errShape = errors.New("Protocol error: not a command of RESP")
-	errLarge = errors.New("a value larger than 64 KiB")
+	errLarge = errors.New("a part larger than any may be")
 )
 
 // reads takes commands in until the client goes.
@@ -486,21 +486,14 @@
 	return c.left(k != Unfinished)
 }
 
-// quiet tells whether the connection stands between queries, whether there were any, and since when.
-func (c *conn) quiet() (is, asked bool, since float64) {
+// quiet tells whether the connection stands between queries, and since when it may be closed for that.
+func (c *conn) quiet() (is bool, since float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.between(), c.asked, c.since
-}
-
-// fresh is for how long Sweep leaves the connection alone, in ms.
-func (c *conn) fresh() float64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.heard {
-		return 0
+	if !c.heard {
+		return c.between(), c.since + fresh
 	}
-	return fresh
+	return c.between(), c.since
 }
 
 func (c *conn) between() bool { return len(c.slots) == 0 && !c.writing && !c.partial && !c.closed }
--- a/node/kin.go
+++ b/node/kin.go
@@ -67,10 +67,12 @@
 	n.life.Heir(true)
 	n.share(true, n.sockets.Limit()*(newcomersShare-1)/newcomersShare)
 	n.inherit(n.clock.Now(), &j.State)
-	c := j.Start(n)
+	// Known before the channel is heard: should the other process be gone already, Lost has to find what to undo.
+	c := j.Channel()
 	n.kin.mu.Lock()
 	n.kin.heir, n.kin.channel = true, c
 	n.kin.mu.Unlock()
+	j.Start(n)
 	go n.tellHeld(c)
 	go n.succeed(c, j.State.Held)
 }
@@ -93,7 +95,7 @@
 			return
 		}
 		st.Rest.ColdRate = s.ColdRate
-		n.recall(now, mind, st, n.terms(nil))
+		n.recall(now, mind, st, n.terms())
 	}
 }
 
@@ -109,7 +111,7 @@
 	n.kin.mu.Lock()
 	n.kin.yes = true
 	n.kin.mu.Unlock()
-	n.sockets.Lend(held + slack) // it takes no more than it has from the yes on
+	n.lend(c, held+slack) // it takes no more than it has from the yes on
 	if err := c.Yes(); err != nil {
 		n.log.WithError(err).Warn("the process before does not hear the yes")
 	}
@@ -137,6 +139,16 @@
 	MemoryLimit(n.memoryMB, 2)
 }
 
+// lend leaves descriptors to the process at the other end of a channel, if that is still there. One that was lost between a
+// look and the lending would keep them for good.
+func (n *Node) lend(c *succession.Channel, held int) {
+	n.kin.mu.Lock()
+	defer n.kin.mu.Unlock()
+	if c != nil && n.kin.channel == c {
+		n.sockets.Lend(held)
+	}
+}
+
 // other is the channel to the other process, if there is one.
 func (n *Node) other() (c *succession.Channel, heir, yes bool) {
 	n.kin.mu.Lock()
@@ -151,7 +163,7 @@
 		if o, heir, yes := n.other(); o != c {
 			return
 		} else if yes && !heir {
-			n.sockets.Lend(n.sockets.Limit() - held) // it takes no more than it has, and what it gives up is the other's
+			n.lend(c, n.sockets.Limit()-held) // it takes no more than it has, and what it gives up is the other's
 		}
 		if c.Held(held) != nil {
 			return
@@ -191,7 +203,7 @@
 	}
 	if mind, can := n.mind.(rememberer); can {
 		var raw fleet.Learnt
-		s.Learnt = learnt.Append(nil, n.learnt(now, mind, n.terms(nil), &raw))
+		s.Learnt = learnt.Append(nil, n.learnt(now, mind, n.terms(), &raw))
 		s.ColdRate = raw.ColdRate
 	}
 	return s
@@ -220,8 +232,8 @@
 
 // Held: the other process holds so many descriptors.
 func (n *Node) Held(held int) {
-	if _, heir, yes := n.other(); heir && yes {
-		n.sockets.Lend(held + slack)
+	if c, heir, yes := n.other(); heir && yes {
+		n.lend(c, held+slack)
 	}
 }
 
@@ -233,8 +245,8 @@
 	n.kin.mu.Lock()
 	heir, yes := n.kin.heir, n.kin.yes
 	n.kin.channel, n.kin.heir, n.kin.yes = nil, false, false
-	n.kin.mu.Unlock()
 	n.share(false, 0)
+	n.kin.mu.Unlock()
 	if heir {
 		n.life.Heir(false)
 		n.front.Resume()
@@ -250,12 +262,9 @@
 	}
 }
 
-// terms are what the trust in what was learnt is reckoned by.
-func (n *Node) terms(o *operator.Learnt) learnt.Terms {
-	if o == nil {
-		o = &operator.Learnt{HalfLife: 600e9, ForgetAfter: 86400e9} // it is of this moment; any will do
-	}
-	return Terms(n.name, n.site, o)
+// terms are what the trust in what the other process has learnt is reckoned by. It is of this moment, so that any times do.
+func (n *Node) terms() learnt.Terms {
+	return Terms(n.name, n.site, &operator.Learnt{HalfLife: 600e9, ForgetAfter: 86400e9})
 }
 
 // reroll makes the whole roll hold.
--- /dev/null
+++ b/node/kin_test.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"mintspring/node/succession"
+)
+
+// What was left to another process comes back when that is lost, also where its last word is worked on only then: the node
+// once kept so few descriptors for good.
+func TestNothingIsLentToTheLost(t *testing.T) {
+	w := newTown(t, 1, hit, fromOrigin)
+	n, c := w.node, new(succession.Channel)
+	n.kin.mu.Lock()
+	n.kin.channel, n.kin.heir, n.kin.yes = c, true, true
+	n.kin.mu.Unlock()
+	all := n.sockets.Limit()
+	n.Held(all)
+	if n.sockets.Take(false) {
+		t.Fatal("the other holds all, and one more is taken")
+	}
+	n.Lost(nil)
+	n.lend(c, all) // looked at before it was lost
+	n.Held(all)
+	if !n.sockets.Take(false) {
+		t.Error("all is left to a process that is gone")
+	}
+}
+
+// A ban that can't be kept for the next process holds in this one, and its caller is told.
+func TestBanThatCannotBeKept(t *testing.T) {
+	w := newTown(t, 1, hit, fromOrigin)
+	dir := filepath.Join(t.TempDir(), "kin")
+	f, err := succession.Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.node.kin.folder = f
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	if words, err := w.node.MaintOn("s0"); err == nil || !strings.Contains(err.Error(), "not beyond this process") {
+		t.Errorf("%q, %v", words, err)
+	}
+	w.wants(w.ask("KV.GET", "k", "1", "c=read,d=500"), "GET /k")
+	if _, err := w.node.MaintOn("s0"); err == nil {
+		t.Error("called again, it is said to be kept")
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.node.MaintOn("s0"); err != nil {
+		t.Error(err)
+	}
+	if k, err := f.Roll(); err != nil || len(k.Out) != 1 {
+		t.Errorf("kept %+v, %v", k, err)
+	}
+}
--- a/node/operation.go
+++ b/node/operation.go
@@ -86,8 +86,9 @@
 				call, words = n.roll.Back, " is used as the list has it"
 			}
 			changed, err := call(id, now)
-			if n.rolled(now, id, changed); changed {
-				kept, no = n.roll.Keep(false), n.kin.next()
+			n.rolled(now, id, changed)
+			if err == nil {
+				kept, no = n.roll.Keep(false), n.kin.next() // also when said again: what could not be kept before may be now
 			}
 			return id + words, err
 		case "standby":
--- a/node/succession/folder.go
+++ b/node/succession/folder.go
@@ -132,12 +132,14 @@
 	r     *reader
 }
 
+// Channel is the one that is up. Nothing is heard on it before Start.
+func (j *Joining) Channel() *Channel { return j.c }
+
 // Start begins to take messages in.
-func (j *Joining) Start(n Node) *Channel {
+func (j *Joining) Start(n Node) {
 	j.c.node = n
 	close(j.c.up)
 	go j.c.reads(j.r)
-	return j.c
 }
 
 // Listen waits for successors, one at a time, in place of whoever listened before.
--- a/node/succession/succession_test.go
+++ b/node/succession/succession_test.go
@@ -70,7 +70,8 @@
 	if err != nil || j == nil || j.State.Roll.Out["s1"] != 5 {
 		t.Fatalf("joined %+v, %v", j, err)
 	}
-	up = j.Start(heir)
+	up = j.Channel()
+	j.Start(heir)
 	down = <-old.channel
 	t.Cleanup(down.Close)
 	t.Cleanup(up.Close)
