Nothing of a closed query is sent any more; the origin is told the time that is left

Looked at and ruled out: that the client's leaving is noticed late (its reader sees the end at once), and that the module routes a closed query anew (gate and place refuse). The time: node/origin/wire.go wrote Req-Extra as the client sent it; cache servers were told what was left, so that it was the attempts at the origin, which is most further ones, that told too much.

Changed: once a query is closed, whatever closed it, hands.settle withdraws each execution whose last byte has not gone (link.Withdraw); what has gone is left alone. The origin is told the time left as cache servers are (link.Told); of a value that passes in pieces, no more than its client's span. The emulated origin is told the same.

--- a/emulate/line.go
+++ b/emulate/line.go
@@ -43,6 +43,7 @@
 	no    int
 	sent  float64
 	until float64
+	told  float64 // the time that was left when it went, ms
 	conn  *conn
 	reach exchange.Reach
 	stale bool
@@ -124,7 +125,7 @@
 
 // Assign sends an execution out.
 func (l *line) Assign(now float64, c *conn, e *exec) {
-	c.cur, e.conn, e.reach = e, c, exchange.WhollyWritten
+	c.cur, e.conn, e.reach, e.told = e, c, exchange.WhollyWritten, e.until-now
 	l.p.w.in(l.p.w.hop, (*arrival)(e))
 }
 
@@ -295,12 +296,8 @@
 	}
 	w.deliver() // what has ended by now makes place first
 	now := w.ms()
-	limit := e.until - e.sent
-	if b.Origin {
-		limit = float64(int(w.x.Limit(e.try.asked.Workload))) // the client's own, which the origin is told as it came
-	}
 	ask := model.Ask{Query: e.try.ID, Key: e.try.asked.Key, Mark: e.try.Mark, Workload: w.x.Workloads[e.try.asked.Workload].Name,
-		Write: e.x.Write, Node: model.NodeID(no), First: now, Whole: now, Expire: now + max(1, float64(int64(limit))), Told: w.list.knows(no, b, now)}
+		Write: e.x.Write, Node: model.NodeID(no), First: now, Whole: now, Expire: now + max(1, float64(int64(e.told))), Told: w.list.knows(no, b, now)}
 	if c.full {
 		e.me = &model.Execution{Ask: ask, Server: b.server.ID, How: model.Full, Ended: now}
 		e.try.began(e)
--- a/emulate/node.go
+++ b/emulate/node.go
@@ -283,7 +283,7 @@
 	p.idle++
 }
 
-// Send, Cancel, Whole, LetGo, Watch, Ask, Began and Over are the ways of the queries in hand.
+// Send, Cancel, Withdraw, Whole, LetGo, Watch, Ask, Began and Over are the ways of the queries in hand.
 func (p *process) Send(now float64, to fleet.ServerID, x *exchange.Exchange, no int, limit float64) *exec {
 	return p.lines[to].send(now, x, no, limit)
 }
@@ -293,6 +293,13 @@
 	p.lines[at].later(e, fleet.Cancelled)
 }
 
+// Withdraw gives an execution up that has not gone.
+func (p *process) Withdraw(_ float64, at fleet.ServerID, e *exec) {
+	if e.reach == exchange.NotConnected {
+		p.lines[at].later(e, fleet.Cancelled)
+	}
+}
+
 // Whole is of values that pass in pieces, which are not emulated.
 func (p *process) Whole(float64, fleet.ServerID, *exec, float64) {}
 
--- a/hands/hands.go
+++ b/hands/hands.go
@@ -25,6 +25,7 @@
 type Ways[E comparable] interface {
 	Send(now float64, to fleet.ServerID, x *exchange.Exchange, no int, limit float64) E
 	Cancel(now float64, at fleet.ServerID, e E)
+	Withdraw(now float64, at fleet.ServerID, e E)             // give e up unless its last byte has gone
 	Whole(now float64, at fleet.ServerID, e E, until float64) // the value of the query has come
 	LetGo(of fleet.ServerID)                                  // close its idle connections
 	Watch()                                                   // be told of changes of the list
@@ -39,6 +40,7 @@
 	Q       *fleet.Query
 	Receipt []byte // of an execution that was completed; nil: none was, or its value is large
 	execs   [fleet.MaxExecs]E
+	drawn   bool // what had not gone of it was withdrawn
 }
 
 // Ending is how an execution ended, as the connection's side saw it.
@@ -241,7 +243,18 @@
 }
 
 // settle gives the place of a query back once it is closed and nothing of it is out.
+//
+// Of a closed query nothing more is sent: what still waits for a connection, or is being written, is withdrawn. A client that leaves
+// while connections come up late otherwise has its query executed long after.
 func (t *Table[E]) settle(now float64, h *Hand[E]) {
+	if h.Q.Closed && h.Q.Out > 0 && !h.drawn {
+		h.drawn = true
+		for i := range h.Q.Execs[:h.Q.N] {
+			if e := &h.Q.Execs[i]; e.Result == fleet.Pending && !e.Quit {
+				t.ways.Withdraw(now, e.Server, h.execs[i])
+			}
+		}
+	}
 	if h.Q.Closed && h.Q.Out == 0 && t.byX[h.X] == h {
 		t.ways.Over(now, h)
 		delete(t.byX, h.X)
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -39,6 +39,9 @@
 	l := c.link
 	for e := range c.work {
 		limit := e.Until - l.group.Clock.Now()
+		if e.X.Body != nil {
+			limit = min(limit, e.X.Span) // what its client may take to send the value is no time to answer in
+		}
 		size := 2*len(e.X.Extra) + len(e.X.Key) + len(e.X.ID) + 512
 		own := e.X.Big() && e.X.Body == nil // written by itself, behind its head
 		if !e.X.Big() {
@@ -96,7 +99,7 @@
 		l.mu.Lock()
 		c.writing = false
 		if err == nil {
-			err = c.cause
+			e.sent, err = true, c.cause
 		}
 		l.mu.Unlock()
 		if err != nil {
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -65,6 +65,7 @@
 	conn  *conn
 	reach exchange.Reach
 	stale bool // its connection was forgotten by the peer
+	sent  bool // its last byte has gone
 	done  bool
 	timer *time.Timer
 }
@@ -73,6 +74,7 @@
 var (
 	errExpired   = errors.New("its time is up")
 	errCancelled = errors.New("it was cancelled")
+	errWithdrawn = errors.New("nobody waits for it any more")
 	errShut      = errors.New("nothing new may go to this server")
 	errSockets   = errors.New("no descriptor is left")
 	errWaited    = errors.New("it waited too long for a connection")
@@ -265,6 +267,17 @@
 // Cancel gives an execution up.
 func (l *Link) Cancel(e *Execution) { l.end(e, fleet.Cancelled, errCancelled) }
 
+// Withdraw gives an execution up unless its last byte has gone: its server would begin it for nobody. What has gone is not taken
+// back, for a connection costs more than the rest of its answer.
+func (l *Link) Withdraw(e *Execution) {
+	l.mu.Lock()
+	sent := e.sent
+	l.mu.Unlock()
+	if !sent {
+		l.end(e, fleet.Cancelled, errWithdrawn)
+	}
+}
+
 // LetGo closes the idle connections.
 func (l *Link) LetGo() {
 	l.mu.Lock()
--- /dev/null
+++ b/node/link/withdraw_test.go
@@ -0,0 +1,92 @@
+package link
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"mintspring/fleet"
+	"mintspring/node/exchange"
+	"mintspring/pool"
+)
+
+// What waits for a connection when its client leaves is never sent, also once a connection is there.
+func TestWithdrawnBeforeItHasAConnection(t *testing.T) {
+	got, answer := make(chan string, 10), make(chan struct{})
+	r := newRig(t, func(c net.Conn) {
+		for {
+			s := read(c)
+			if s == "" {
+				return
+			}
+			got <- s
+			<-answer
+			c.Write([]byte("done\n"))
+		}
+	})
+	r.link = New(r.link.group, lines{}, "one", pool.Terms{Idle: 300, Most: 1, Nodes: 1})
+	r.link.Aim(r.ln.Addr().String(), true)
+	r.send("first", 4000)
+	if s := <-got; s != "first\n" {
+		t.Fatalf("the server got %q", s)
+	}
+	left, stays := r.send("left", 4000), r.send("stays", 4000)
+	r.link.Withdraw(left)
+	r.wants("withdrawn while it waits", fleet.NotSent)
+	close(answer)
+	if s := <-got; s != "stays\n" {
+		t.Errorf("the server got %q of a query whose client has left", s)
+	}
+	r.wants("the one before it", fleet.Completed)
+	r.wants("the one behind it", fleet.Completed)
+	r.link.Withdraw(stays)
+}
+
+// What is withdrawn while it is being written is cut off before its last byte, so that its server never begins it. To the node it
+// may have run, for the last byte could have gone in that moment.
+func TestWithdrawnWhileItIsWritten(t *testing.T) {
+	begun, on, all := make(chan struct{}), make(chan struct{}), make(chan int, 1)
+	value := bytes.Repeat([]byte("v"), 64<<20) // far over what the kernel takes of it
+	r := newRig(t, func(c net.Conn) {
+		c.Read(make([]byte, 1))
+		close(begun)
+		<-on
+		n, _ := io.Copy(io.Discard, c)
+		all <- int(n) + 1
+	})
+	e := r.link.Send(&exchange.Exchange{Key: []byte("k"), Value: value}, 0, 4000)
+	<-begun
+	r.link.Withdraw(e)
+	r.wants("withdrawn while it is written", fleet.Cancelled)
+	close(on)
+	if n := <-all; n > len(value) {
+		t.Errorf("all %d bytes came", n)
+	}
+}
+
+// What has gone is left alone: its answer is taken in, and its connection is used again.
+func TestWithdrawnAfterItHasGone(t *testing.T) {
+	on := make(chan struct{})
+	r := newRig(t, func(c net.Conn) {
+		for s := read(c); s != ""; s = read(c) {
+			<-on
+			c.Write([]byte(s))
+		}
+	})
+	e := r.send("gone", 4000)
+	for sent := false; !sent; time.Sleep(time.Millisecond) {
+		r.link.mu.Lock()
+		sent = e.sent
+		r.link.mu.Unlock()
+	}
+	r.link.Withdraw(e)
+	close(on)
+	r.wants("withdrawn after it had gone", fleet.Completed)
+	r.send("next", 4000)
+	r.wants("the next one", fleet.Completed)
+	if n := len(r.conns); n != 1 {
+		t.Errorf("%d connections for two executions, one after the other", n)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -372,7 +372,8 @@
 func (w ways) Send(_ float64, to fleet.ServerID, x *exchange.Exchange, no int, limit float64) *link.Execution {
 	return w.peers[to].link.Send(x, no, limit)
 }
-func (w ways) Cancel(_ float64, at fleet.ServerID, e *link.Execution) { w.peers[at].link.Cancel(e) }
+func (w ways) Cancel(_ float64, at fleet.ServerID, e *link.Execution)   { w.peers[at].link.Cancel(e) }
+func (w ways) Withdraw(_ float64, at fleet.ServerID, e *link.Execution) { w.peers[at].link.Withdraw(e) }
 func (w ways) Whole(_ float64, at fleet.ServerID, e *link.Execution, until float64) {
 	w.peers[at].link.Whole(e, until)
 }
--- a/node/origin/wire.go
+++ b/node/origin/wire.go
@@ -32,7 +32,8 @@
 
 var errLong = errors.New("an answer longer than any may be")
 
-// Append writes the request; the list of names and values goes on as it came.
+// Append writes the request; the list of names and values goes on as it came, but for the time that is left. A further attempt
+// that told the client's own time had the origin work for clients that had long given up.
 func (Wire) Append(b []byte, x *exchange.Exchange, limit float64) []byte {
 	method := "GET /"
 	if x.Write {
@@ -43,7 +44,7 @@
 	b = append(b, " HTTP/1.1\r\nHost: origin\r\nReq-Id: "...)
 	b = append(b, x.ID...)
 	b = append(b, "\r\nReq-Extra: "...)
-	b = append(b, x.Extra...)
+	b = append(b, link.Told(x.Extra, limit)...)
 	if x.Write {
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, x.Length(), 10)
--- a/node/servers/wire.go
+++ b/node/servers/wire.go
@@ -34,7 +34,7 @@
 	b = redcon.AppendBulk(b, x.Command)
 	b = redcon.AppendBulk(b, x.Key)
 	b = redcon.AppendBulk(b, x.ID)
-	b = redcon.AppendBulk(b, withLimit(x.Extra, limit))
+	b = redcon.AppendBulk(b, link.Told(x.Extra, limit))
 	switch {
 	case x.Big():
 		b = append(strconv.AppendInt(append(b, '$'), x.Length(), 10), "\r\n"...)
@@ -47,24 +47,6 @@
 // Behind is the end of a value that is written by itself.
 func (Wire) Behind() string { return "\r\n" }
 
-// withLimit puts the limit in whole milliseconds where the client's d stands.
-func withLimit(extra []byte, limit float64) []byte {
-	ms := strconv.AppendInt(nil, max(1, int64(limit)), 10)
-	out := make([]byte, 0, len(extra)+len(ms))
-	for first := true; first || len(extra) > 0; first = false {
-		var part []byte
-		part, extra, _ = bytes.Cut(extra, []byte(","))
-		if !first {
-			out = append(out, ',')
-		}
-		if bytes.HasPrefix(part, []byte("d=")) {
-			part = append([]byte("d="), ms...)
-		}
-		out = append(out, part...)
-	}
-	return out
-}
-
 // Parse reads an answer: an array of the value, how it went and the load report, or an error line.
 func (Wire) Parse(b []byte) (int, link.Reply, error) {
 	line, at, err := lineOf(b, 0)
