Waits of a call for the list add up to less than 6 s; lists indented, unsized or in pieces are read

After SIGHUP, which counts after 4 s, a silent first call alone took 4.5 s. A list indented within a watch failed the call, for each line was read as an object; a whole list without a length was waited for until its connection ended; provisional answers failed the call.

Changed: one set of waits (list.Waits: dial 1 s, head 2.3 s from the call's beginning, silence 3.2 s) whose sum is stated there; the module's pause is 1.5 s at the most (one line in decide/list.go). Objects are read by json.Decoder, which ends them with their last brace, lines only keep the watch alive. A failure that is told when the next call is out already does not begin that anew.

Tests: silence at eight places, 50 forms of a list, a turn to another discovery with a call out, the sum (all fail on the code before), and the pause after twenty failures (4.3 s without the bound).

--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -75,6 +75,30 @@
 	})
 }
 
+// However often calls for the list fail, the next one is not far: what discovery has by then counts as known soon after it is back.
+func TestPauseBetweenFailedCallsIsShort(t *testing.T) {
+	lim := plainLimits()
+	lim.Subscribe, lim.MustAskIn = true, 10_000
+	w := newWorld(lim)
+	for i := range 20 {
+		for _, wait := w.node.Wait(w.now); w.node.Where(w.now, nil).Action != fleet.Subscribe; _, wait = w.node.Wait(w.now) {
+			w.now += max(wait, 0.01)
+		}
+		w.node.Members(w.now, fleet.ListFailed, nil)
+		from := w.now
+		for w.node.askAt > w.now {
+			_, wait := w.node.Wait(w.now)
+			w.now += max(wait, 0.01)
+			if w.node.askAt > w.now {
+				w.node.Where(w.now, nil)
+			}
+		}
+		if took := w.now - from; took > 1500 || i == 0 && took > 300 {
+			t.Fatalf("after %d failed calls the next comes %.0f ms later", i+1, took)
+		}
+	}
+}
+
 func TestMoveFormula(t *testing.T) {
 	near := func(what string, got, want float64) {
 		t.Helper()
--- a/decide/list.go
+++ b/decide/list.go
@@ -7,6 +7,9 @@
 	"mintspring/fleet"
 )
 
+// mostPause is the longest pause between calls for the list: with what calls take it is under 6 s (list.Waits).
+const mostPause = 1500.0
+
 // upkeep does what is due for the node itself: it moves the ring and renews the subscription.
 func (n *Node) upkeep() fleet.Move {
 	if n.now >= n.askAt {
@@ -30,7 +33,7 @@
 	if mode == fleet.ListFailed {
 		if n.lim.askWithin > 0 {
 			// Back off, but stay well inside the time after which the rules treat the node as told.
-			wait := min(n.lim.sloMin*float64(int(1)<<min(n.asks, 6)), n.lim.askWithin/2)
+			wait := min(n.lim.sloMin*float64(int(1)<<min(n.asks, 6)), n.lim.askWithin/2, mostPause)
 			n.askAt = now + wait*(0.5+0.5*n.chance())
 			n.asks++
 		}
--- a/node/events.go
+++ b/node/events.go
@@ -150,6 +150,9 @@
 
 func (e unlisted) handle(n *Node, now float64) {
 	n.log.WithError(e.err).Warn("the list cannot be had; the one held stays")
+	if n.calls.Watches() {
+		return // of a call before: the next one is out already
+	}
 	n.hands.Mind.Members(now, fleet.ListFailed, nil)
 }
 
--- a/node/list/list.go
+++ b/node/list/list.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -20,15 +21,31 @@
 	"mintspring/settings"
 )
 
-// UsualSilence is how long discovery may say nothing. While nothing changes a watch brings an empty line every 2 s;
-// after two of them have failed to come it is taken for broken, for a machine that is cut off says nothing.
-const UsualSilence = 4500 * time.Millisecond
+// Waits are how long a call may take for its parts. Each is bounded by itself, and their sum is what counts: a change that discovery
+// has, and could be asked for, is held to be known 6 s later, whatever became of the calls meanwhile (the standing test's page).
+//
+// The worst that may come before a call that succeeds: a watch falls silent (Silence, 3.2 s), its end is told, and the module begins
+// the next call after at most its shortest pause (an SLO time): 4.2 s with one of 1 s, and 1.8 s are left for an answer. Or discovery comes back
+// just after a call began that it never sees: its dial or its head is waited for (Head, 2.3 s) and the longest pause of the module
+// is added (1.5 s): 3.8 s, and 2.2 s are left. A call itself takes Head + Silence at the most until its first line has come, 5.5 s.
+type Waits struct {
+	Dial    time.Duration // a connection comes up, within Head
+	Head    time.Duration // and the head of the answer has come, from the call's beginning; discovery itself turns calls away after 2 s
+	Silence time.Duration // from one line to the next: while nothing changes a watch brings an empty one every 2 s
+}
+
+// What holds where a caller is given none.
+const (
+	UsualDial    = time.Second
+	UsualHead    = 2300 * time.Millisecond
+	UsualSilence = 3200 * time.Millisecond
+)
 
 // whole is the path of the whole list.
 const whole = "/catalog/members"
 
-// mostLine bounds one line of a watch, and a whole list.
-const mostLine = 8 << 20
+// mostObject bounds one object of a watch, and a whole list.
+const mostObject = 8 << 20
 
 // Entry is one server as discovery tells of it. Fields may be missing.
 type Entry struct {
@@ -97,13 +114,14 @@
 // Caller makes the calls. Each call is answered through Told, which must not block, and, when it fails or a watch
 // ends, Failed.
 type Caller struct {
-	Addr    string
-	Told    func(Update)
-	Failed  func(error)
-	Heard   func()        // nil, or called when discovery says anything, also that nothing has changed; must not block
-	Silence time.Duration // 0: the usual
+	Addr   string
+	Told   func(Update)
+	Failed func(error)
+	Heard  func() // nil, or called when discovery says anything, also that nothing has changed; must not block
+	Waits  Waits  // the zero value: the usual
 
 	mu   sync.Mutex
+	live bool // a watch is out that was not replaced
 	from int64
 	anew bool               // the revision is of another discovery, and a whole list is due before a watch
 	stop context.CancelFunc // of the watch that stands
@@ -132,14 +150,36 @@
 		c.stop()
 	}
 	c.stop = stop
-	go c.call(ctx, c.Addr, true)
+	c.live = true
+	go func(addr string) {
+		err := c.call(ctx, addr, true)
+		c.mu.Lock()
+		mine := ctx.Err() == nil
+		c.live = c.live && !mine
+		c.mu.Unlock()
+		if mine {
+			c.Failed(err)
+		}
+	}(c.Addr)
+}
+
+// Watches tells whether a watch is out, or a call that will become one. A failure of which the word comes late, when the next call is
+// out already, is no reason to begin that anew.
+func (c *Caller) Watches() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.live
 }
 
 // Ask asks for the whole list once.
 func (c *Caller) Ask() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	go c.call(context.Background(), c.Addr, false)
+	go func(addr string) {
+		if err := c.call(context.Background(), addr, false); err != nil {
+			c.Failed(err)
+		}
+	}(c.Addr)
 }
 
 // Follow turns to discovery at another address, at once. The watch that stands ends unsaid, and nothing that the
@@ -152,87 +192,103 @@
 }
 
 // call tells what one call brings, until it ends. A call that a later one has replaced ends unsaid.
-func (c *Caller) call(ctx context.Context, addr string, watch bool) {
-	err := func() (err error) {
-		defer func() {
-			if p := recover(); p != nil {
-				err = fmt.Errorf("panic in a call to discovery: %v", p)
-			}
-		}()
-		c.mu.Lock()
-		anew := c.anew
-		c.mu.Unlock()
-		// Another discovery may count in another way: its changes since a revision of the old one's, or since one that
-		// it has not come to yet, would leave out what it had to tell before. Its whole list does not.
-		if !watch || anew {
-			if err := c.read(ctx, addr, whole); err != nil || !watch {
-				return err
-			}
+func (c *Caller) call(ctx context.Context, addr string, watch bool) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("panic in a call to discovery: %v", p)
 		}
-		c.mu.Lock()
-		from := c.from
-		c.mu.Unlock()
-		return c.read(ctx, addr, whole+"?watch=1&from="+strconv.FormatInt(from, 10))
 	}()
-	if err != nil && ctx.Err() == nil {
-		c.Failed(err)
+	c.mu.Lock()
+	anew := c.anew
+	c.mu.Unlock()
+	// Another discovery may count in another way: its changes since a revision of the old one's, or since one that
+	// it has not come to yet, would leave out what it had to tell before. Its whole list does not.
+	if !watch || anew {
+		if err := c.read(ctx, addr, whole); err != nil || !watch {
+			return err
+		}
 	}
+	c.mu.Lock()
+	from := c.from
+	c.mu.Unlock()
+	return c.read(ctx, addr, whole+"?watch=1&from="+strconv.FormatInt(from, 10))
 }
 
 func (c *Caller) read(ctx context.Context, addr, path string) error {
-	silence := cmp.Or(c.Silence, UsualSilence)
-	nc, err := (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	waits := cmp.Or(c.Waits, Waits{UsualDial, UsualHead, UsualSilence})
+	head := time.Now().Add(waits.Head)
+	nc, err := (&net.Dialer{Timeout: waits.Dial, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return fmt.Errorf("calling discovery: %w", err)
 	}
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
-	nc.SetDeadline(time.Now().Add(silence))
+	nc.SetDeadline(head)
 	if _, err := io.WriteString(nc, "GET "+path+" HTTP/1.1\r\nHost: "+addr+"\r\n\r\n"); err != nil {
 		return fmt.Errorf("calling discovery: %w", err)
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	in := bufio.NewReader(nc)
+	resp, err := http.ReadResponse(in, nil)
+	for err == nil && resp.StatusCode/100 == 1 { // provisional ones, which say nothing yet
+		resp, err = http.ReadResponse(in, nil)
+	}
 	if err != nil {
 		return fmt.Errorf("discovery's answer: %w", err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", resp.Status)
 	}
-	if path == whole {
-		text, err := io.ReadAll(io.LimitReader(resp.Body, mostLine))
-		if err != nil {
-			return fmt.Errorf("discovery's list: %w", err)
-		}
-		return c.tell(ctx, addr, text)
-	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, mostLine)
-	for lines.Scan() {
-		nc.SetDeadline(time.Now().Add(silence))
+	// An object ends with its last brace, whether it stands on one line or is indented, and whether its answer ends with it or not.
+	text := &lines{src: resp.Body, left: mostObject, line: func() {
+		nc.SetDeadline(time.Now().Add(waits.Silence))
 		if c.Heard != nil {
 			c.Heard()
 		}
-		if len(lines.Bytes()) == 0 {
-			continue
+	}}
+	nc.SetDeadline(time.Now().Add(waits.Silence))
+	for objects := json.NewDecoder(text); ; {
+		var u Update
+		err := objects.Decode(&u)
+		if err == io.EOF {
+			return errors.New("the watch ended")
 		}
-		if err := c.tell(ctx, addr, lines.Bytes()); err != nil {
+		if err != nil {
+			return fmt.Errorf("discovery's list: %w", err)
+		}
+		text.left = mostObject
+		if err := c.tell(ctx, addr, u); err != nil || path == whole {
 			return err
 		}
 	}
-	if err := lines.Err(); err != nil {
-		return fmt.Errorf("discovery's list: %w", err)
+}
+
+// lines are the bytes of an answer. They tell of each end of a line, and bound what comes as one object.
+type lines struct {
+	src  io.Reader
+	line func()
+	left int
+}
+
+func (l *lines) Read(b []byte) (int, error) {
+	for {
+		if l.left <= 0 {
+			return 0, fmt.Errorf("an object of over %d bytes", mostObject)
+		}
+		n, err := l.src.Read(b[:min(len(b), l.left)])
+		if bytes.IndexByte(b[:n], '\n') >= 0 {
+			l.line()
+		}
+		if err == nil && n > 0 && len(bytes.Trim(b[:n], "\r\n")) == 0 {
+			continue // an empty line: kept, those of months would stand in the decoder's memory. No string has one in it
+		}
+		l.left -= n
+		return n, err
 	}
-	return errors.New("the watch ended")
 }
 
 // tell passes one object on. One that cannot be read makes the call a failed one, and the old list stays.
-func (c *Caller) tell(ctx context.Context, addr string, text []byte) error {
-	var u Update
-	err := json.Unmarshal(text, &u)
-	if err == nil {
-		err = u.check()
-	}
-	if err != nil {
+func (c *Caller) tell(ctx context.Context, addr string, u Update) error {
+	if err := u.check(); err != nil {
 		return fmt.Errorf("discovery's list: %w", err)
 	}
 	// Told with the lock held: what a call says that was replaced meanwhile must not come after its successor's word.
--- a/node/list/list_test.go
+++ b/node/list/list_test.go
@@ -1,9 +1,12 @@
 package list
 
 import (
+	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -116,19 +119,163 @@
 	}
 }
 
-// A watch that brings nothing, not even its empty lines, is broken: a machine that is cut off says nothing.
-func TestSilentWatchEnds(t *testing.T) {
+// short has all that is waited for end soon.
+var short = Waits{Dial: time.Second, Head: 150 * time.Millisecond, Silence: 150 * time.Millisecond}
+
+// raw is discovery on a bare connection: each call is served by a function, with what it asked for.
+func raw(t *testing.T, serve func(nc net.Conn, path string)) (*Caller, chan heard) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	c, all := follow(t, nil)
-	c.Addr, c.Silence = ln.Addr().String(), 100*time.Millisecond
+	var held []net.Conn
+	t.Cleanup(func() {
+		ln.Close()
+		for _, nc := range held {
+			nc.Close()
+		}
+	})
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			held = append(held, nc) // open until the end: only what is said ends a call
+			go func() {
+				if q, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+					serve(nc, q.URL.String())
+				}
+			}()
+		}
+	}()
+	all := make(chan heard, 100)
+	return &Caller{Addr: ln.Addr().String(), Waits: short,
+		Told: func(u Update) { all <- heard{u: u} }, Failed: func(err error) { all <- heard{err: err} }}, all
+}
+
+// A watch that brings nothing is broken, wherever it falls silent: a machine that is cut off says nothing. What it had told stands.
+func TestSilentWatchEnds(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const object = `{"revision":3,"complete":true,"members":[{"id":"s1"}]}` + "\n"
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	for name, c := range map[string]struct {
+		says  string
+		tells int
+	}{
+		"at once":              {"", 0},
+		"within the head":      {head[:20], 0},
+		"after the head":       {head, 0},
+		"within its first":     {head + chunk(object[:20]), 0},
+		"after its first":      {head + chunk(object), 1},
+		"after an empty line":  {head + chunk(object) + chunk("\n"), 1},
+		"within a later one":   {head + chunk(object) + chunk(object) + chunk(`{"revision":4,"mem`), 2},
+		"within a chunk's own": {head + chunk(object) + "4\r\n{", 1},
+	} {
+		caller, all := raw(t, func(nc net.Conn, path string) { nc.Write([]byte(c.says)) })
+		caller.Watch()
+		for range c.tells {
+			if h := next(t, all); h.u.Revision != 3 {
+				t.Errorf("%s: told %+v", name, h)
+			}
+		}
+		var slow net.Error
+		if h := next(t, all); h.err == nil || name != "within the head" && (!errors.As(h.err, &slow) || !slow.Timeout()) {
+			t.Errorf("%s: told %+v", name, h) // half a line of the head reads as one that is malformed
+		}
+		if caller.Watches() {
+			t.Errorf("%s: a watch is said to be out", name)
+		}
+	}
+}
+
+// A list is taken in whatever its form: on one line or indented, in one piece, in many or in chunks, with a length, without one
+// and with the connection left open behind it, with provisional answers ahead.
+func TestFormsOfALists(t *testing.T) {
+	const line = `{"revision":5,"complete":true,"members":[{"id":"s 1","phase":"in_service"},{"id":"s2"}]}`
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, []byte(line), "", "  "); err != nil {
+		t.Fatal(err)
+	}
+	for _, body := range []string{line + "\n", line, indented.String(), indented.String() + "\n\n", "\n\n" + strings.ReplaceAll(indented.String(), "\n", "\r\n")} {
+		chunks := ""
+		for i := 0; i < len(body); i += 7 {
+			piece := body[i:min(i+7, len(body))]
+			chunks += fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+		}
+		for _, answer := range []string{
+			fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
+			"HTTP/1.1 200 OK\r\n\r\n" + body,
+			"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body,
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+			"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" + body,
+		} {
+			for _, watch := range []bool{false, true} {
+				c, all := raw(t, func(nc net.Conn, path string) {
+					for i := range len(answer) {
+						nc.Write([]byte(answer[i : i+1]))
+					}
+				})
+				if watch {
+					c.Watch()
+				} else {
+					c.Ask()
+				}
+				if h := next(t, all); h.err != nil || h.u.Revision != 5 || len(h.u.Members) != 2 {
+					t.Errorf("a watch (%v) of %q: told %+v", watch, answer, h)
+				}
+			}
+		}
+	}
+}
+
+// Empty lines keep a watch open and are not kept themselves, and an object without an end is cut off.
+func TestLinesOfAWatch(t *testing.T) {
+	n := 0
+	l := &lines{src: strings.NewReader("\n\r\n"), left: 10, line: func() { n++ }}
+	if got, err := l.Read(make([]byte, 1)); got != 0 || err != io.EOF || n != 2 || l.left != 10 {
+		t.Errorf("%d bytes of empty lines, %v; %d lines, %d left", got, err, n, l.left)
+	}
+	l = &lines{src: strings.NewReader(strings.Repeat("x", 30)), left: 10, line: func() { n++ }}
+	if text, err := io.ReadAll(l); err == nil || len(text) != 10 {
+		t.Errorf("%d bytes of an object without an end, %v", len(text), err)
+	}
+}
+
+// A caller that turns to another discovery while a call to the old one is out has a watch out all the while: the old one's failure,
+// told late, is no reason to begin the new one anew.
+func TestFollowWhileACallIsOut(t *testing.T) {
+	called, on := make(chan string, 10), make(chan struct{})
+	defer close(on)
+	serve := func(nc net.Conn, path string) { called <- path; <-on }
+	c, all := raw(t, serve)
+	other, _ := raw(t, serve)
+	c.Waits = Waits{time.Minute, time.Minute, time.Minute}
 	c.Watch()
-	var slow net.Error
-	if h := next(t, all); !errors.As(h.err, &slow) || !slow.Timeout() {
-		t.Errorf("told %+v", h)
+	<-called
+	c.Follow(other.Addr)
+	if path := <-called; path != whole || !c.Watches() {
+		t.Errorf("asked for %s; a watch is out: %v", path, c.Watches())
+	}
+	select {
+	case h := <-all:
+		t.Errorf("told %+v of a call that was replaced", h)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
+// What calls may wait for adds up to less than the 6 s after which a change counts as known: a watch that falls silent, or a call that
+// discovery never saw, each with the longest pause that the module makes behind it, leave time for a whole call's head.
+func TestWaitsAddUp(t *testing.T) {
+	const known, firstPause, longestPause, answer = 6 * time.Second, time.Second, 1500 * time.Millisecond, 1500 * time.Millisecond
+	if sum := UsualSilence + firstPause + answer; sum > known {
+		t.Errorf("behind a watch that falls silent a change is known after %v", sum)
+	}
+	if sum := UsualHead + longestPause + answer; sum > known {
+		t.Errorf("behind a call that discovery never saw a change is known after %v", sum)
+	}
+	if UsualHead+UsualSilence > known || UsualDial > UsualHead || UsualSilence < 3*time.Second || UsualHead <= 2*time.Second {
+		t.Errorf("%v, %v, %v: a call alone takes too long, or what discovery may take is not waited for", UsualDial, UsualHead, UsualSilence)
 	}
 }
 
