A repeat of a deduplicated query is not sent once its server may no longer know it for one

At fault: decide.twice looked at now alone, and link.Send knew nothing of the window.

Changed: twice is once, the time until when another execution can't repeat an effect; a move carries it (Move.By), and a link does not write what comes to a connection later, takes back what still waits then, and cuts off what is still being written. The emulator does the same.

Tests: the module's plain model checks the time against the history; a link whose connection comes too late, and whose writer is there before the timer (each fails without its half).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -334,6 +334,7 @@
 	switch m.Action {
 	case fleet.Send:
 		s := n.servers[m.Server]
+		m.By = n.once(q, s)
 		// An alarm of an earlier hold must not look at this execution: it once cancelled where that is forbidden.
 		m.Exec, q.Wake = q.N, 0
 		q.Execs[q.N] = fleet.Exec{Server: s.id, Sent: n.now, Ahead: s.ahead()}
@@ -348,7 +349,7 @@
 			n.hold(q, n.now+n.patience(q, s))
 		}
 	case fleet.Reject, fleet.Abort:
-		if n.twice(q, nil) {
+		if n.now > n.once(q, nil) {
 			m = fleet.Move{Action: fleet.Abort}
 		}
 		q.Closed = true
@@ -359,23 +360,25 @@
 // maySend checks rules 1 to 4 for one more execution of q at s.
 func (n *Node) maySend(q *fleet.Query, s *server) bool {
 	return !q.Closed && !q.Streamed && q.N < n.lim.workloads[q.Workload].execs && n.now < q.Deadline &&
-		s.state == fleet.Ready && n.coldRoom(s, q) && !n.twice(q, s)
+		s.state == fleet.Ready && n.coldRoom(s, q) && n.now <= n.once(q, s)
 }
 
-// twice tells whether one more execution of q at s could repeat an effect; with no server, at any.
-func (n *Node) twice(q *fleet.Query, s *server) bool {
-	w := &n.lim.workloads[q.Workload]
+// once is until when one more execution of q at s can't repeat an effect; with no server, one at any.
+func (n *Node) once(q *fleet.Query, s *server) float64 {
+	w, by := &n.lim.workloads[q.Workload], math.Inf(1)
 	for i := range q.Execs[:q.N] {
 		e := &q.Execs[i]
 		was := n.servers[e.Server]
 		switch {
 		case w.effect == fleet.Idempotent || e.Result.NeverRan():
 		case w.effect == fleet.NonIdempotent || s == nil && w.scope != fleet.ScopeAll:
-			return true
-		case s != nil && (n.now+n.lim.slack > e.Sent+w.span || w.scope == fleet.ScopeZone &&
-			was.zone != s.zone || w.scope == fleet.ScopeCell && was.cell != s.cell):
-			return true
+			return math.Inf(-1)
+		case s != nil && (w.scope == fleet.ScopeZone && was.zone != s.zone ||
+			w.scope == fleet.ScopeCell && was.cell != s.cell):
+			return math.Inf(-1)
+		case s != nil:
+			by = min(by, e.Sent+w.span-n.lim.slack)
 		}
 	}
-	return false
+	return by
 }
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -126,6 +126,9 @@
 				load.Effect == fleet.Deduplicated && (!same || w.now > r.sent+load.DedupSpan)) {
 				w.fail("effect %d may happen twice", load.Effect)
 			}
+			if mayRun(r) && load.Effect == fleet.Deduplicated && m.By > r.sent+load.DedupSpan {
+				w.fail("it may be sent until %v, when a repeat is no longer known", m.By)
+			}
 		}
 		t.runs = append(t.runs, run{m.Server, w.now, min(w.now+max(m.Limit, 0), t.deadline), fleet.Pending})
 	case fleet.Reject, fleet.Abort:
--- a/emulate/line.go
+++ b/emulate/line.go
@@ -164,10 +164,17 @@
 }
 
 // send starts an execution.
-func (l *line) send(now float64, x *exchange.Exchange, no int, limit float64) *exec {
+func (l *line) send(now float64, x *exchange.Exchange, no int, limit, by float64) *exec {
 	w := l.p.w
 	e := &exec{line: l, x: x, try: x.Back.(*try), no: no, sent: now, until: now + limit}
 	w.at(l.p.when(e.until), (*expiry)(e))
+	if by < e.until {
+		w.at(l.p.when(by), call(func() {
+			if !e.done && e.reach == exchange.NotConnected {
+				l.later(e, fleet.Cancelled)
+			}
+		}))
+	}
 	switch l.desk.Send(now, e) {
 	case pool.NotOpen:
 		l.later(e, fleet.NotSent)
--- a/emulate/node.go
+++ b/emulate/node.go
@@ -284,8 +284,8 @@
 }
 
 // Send, Cancel, Withdraw, Whole, LetGo, Watch, Ask, Began and Over are the ways of the queries in hand.
-func (p *process) Send(now float64, to fleet.ServerID, x *exchange.Exchange, no int, limit float64) *exec {
-	return p.lines[to].send(now, x, no, limit)
+func (p *process) Send(now float64, to fleet.ServerID, x *exchange.Exchange, no int, limit, by float64) *exec {
+	return p.lines[to].send(now, x, no, limit, by)
 }
 
 // Cancel gives an execution up.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -195,6 +195,7 @@
 	Server ServerID
 	Exec   int
 	Limit  float64 // Send: time allowed to the execution
+	By     float64 // Send: it is not sent later, for it could repeat an effect then; 0 or +Inf: at any time
 	Wait   float64 // Reject: when the client may come back
 	Body   []byte  // Tell
 	LetGo  bool    // also close the idle connections to server Close
--- a/hands/hands.go
+++ b/hands/hands.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"mintspring/fleet"
@@ -23,7 +24,7 @@
 
 // Ways are how a table reaches servers and the list. E is an execution as the owner knows it.
 type Ways[E comparable] interface {
-	Send(now float64, to fleet.ServerID, x *exchange.Exchange, no int, limit float64) E
+	Send(now float64, to fleet.ServerID, x *exchange.Exchange, no int, limit, by float64) E // given up after limit ms; not sent after by
 	Cancel(now float64, at fleet.ServerID, e E)
 	Withdraw(now float64, at fleet.ServerID, e E)             // give e up unless its last byte has gone
 	Whole(now float64, at fleet.ServerID, e E, until float64) // the value of the query has come
@@ -222,7 +223,7 @@
 func (t *Table[E]) act(now float64, h *Hand[E], m fleet.Move) {
 	switch m.Action {
 	case fleet.Send:
-		h.execs[m.Exec] = t.ways.Send(now, m.Server, h.X, m.Exec, m.Limit)
+		h.execs[m.Exec] = t.ways.Send(now, m.Server, h.X, m.Exec, m.Limit, cmp.Or(m.By, math.Inf(1)))
 	case fleet.Cancel:
 		t.ways.Cancel(now, h.Q.Execs[m.Exec].Server, h.execs[m.Exec])
 	case fleet.Reject:
--- a/hands/hands_test.go
+++ b/hands/hands_test.go
@@ -32,7 +32,7 @@
 	watches int
 }
 
-func (y *yard) Send(_ float64, to fleet.ServerID, x *exchange.Exchange, no int, _ float64) *run {
+func (y *yard) Send(_ float64, to fleet.ServerID, x *exchange.Exchange, no int, _, _ float64) *run {
 	e := &run{x: x, no: no, to: to}
 	y.runs = append(y.runs, e)
 	return e
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -73,8 +73,8 @@
 			l.mu.Unlock()
 			return
 		}
-		if e.done || !l.desk.Leads(c) || err != nil {
-			// Taken back before its first byte went, or the peer was shut or has moved since.
+		if e.done || !l.desk.Leads(c) || err != nil || l.group.Clock.Now() > e.By {
+			// Taken back before its first byte went, or the peer was shut or has moved since, or it is too late.
 			l.mu.Unlock()
 			l.end(e, fleet.NotSent, errShut)
 			return
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -60,6 +60,7 @@
 	No    int
 	Sent  float64 // when it was handed over
 	Until float64 // it is given up then
+	By    float64 // its last byte goes by then or not at all; +Inf: at any time
 
 	pool.Turn
 	conn  *conn
@@ -74,7 +75,7 @@
 var (
 	errExpired   = errors.New("its time is up")
 	errCancelled = errors.New("it was cancelled")
-	errWithdrawn = errors.New("nobody waits for it any more")
+	errWithdrawn = errors.New("nobody waits for it, or its server would not know it for a repeat any more")
 	errShut      = errors.New("nothing new may go to this server")
 	errSockets   = errors.New("no descriptor is left")
 	errWaited    = errors.New("it waited too long for a connection")
@@ -223,13 +224,17 @@
 	}
 }
 
-// Send starts the execution number no of x, to be given up after limit ms.
-func (l *Link) Send(x *exchange.Exchange, no int, limit float64) *Execution {
+// Send starts the execution number no of x, to be given up after limit ms, and not to be sent any more after a time: a connection may
+// come up late, when the server no longer knows a repeat for one.
+func (l *Link) Send(x *exchange.Exchange, no int, limit, by float64) *Execution {
 	now := l.group.Clock.Now()
-	e := &Execution{X: x, No: no, Sent: now, Until: now + limit}
+	e := &Execution{X: x, No: no, Sent: now, Until: now + limit, By: by}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e.timer = time.AfterFunc(clock.Span(limit), func() { l.end(e, fleet.TimedOut, errExpired) })
+	if by < e.Until {
+		time.AfterFunc(clock.Span(max(0, by-now)), func() { l.Withdraw(e) })
+	}
 	l.placed(e, l.desk.Send(now, e))
 	return e
 }
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -94,7 +95,7 @@
 }
 
 func (r *rig) send(key string, limit float64) *Execution {
-	return r.link.Send(&exchange.Exchange{Key: []byte(key)}, 0, limit)
+	return r.link.Send(&exchange.Exchange{Key: []byte(key)}, 0, limit, math.Inf(1))
 }
 
 func (r *rig) end() Ending {
@@ -444,7 +445,7 @@
 	other := New(r.link.group, lines{}, "other", pool.Terms{Idle: 300})
 	other.Aim(r.ln.Addr().String(), true)
 	for _, l := range []*Link{other, r.link} {
-		l.Send(&exchange.Exchange{Key: []byte("q")}, 0, 1000)
+		l.Send(&exchange.Exchange{Key: []byte("q")}, 0, 1000, math.Inf(1))
 		r.wants("one on each", fleet.Completed)
 	}
 	for i, want := range []int{1, 0, 0} {
--- a/node/link/withdraw_test.go
+++ b/node/link/withdraw_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -56,7 +57,7 @@
 		n, _ := io.Copy(io.Discard, c)
 		all <- int(n) + 1
 	})
-	e := r.link.Send(&exchange.Exchange{Key: []byte("k"), Value: value}, 0, 4000)
+	e := r.link.Send(&exchange.Exchange{Key: []byte("k"), Value: value}, 0, 4000, math.Inf(1))
 	<-begun
 	r.link.Withdraw(e)
 	r.wants("withdrawn while it is written", fleet.Cancelled)
@@ -90,3 +91,39 @@
 		t.Errorf("%d connections for two executions, one after the other", n)
 	}
 }
+
+// What has to be sent by a time is not sent later, whether it still waits for a connection then or comes to one too late.
+func TestNotSentAfterItsTime(t *testing.T) {
+	got, answer := make(chan string, 10), make(chan struct{}, 10)
+	r := newRig(t, func(c net.Conn) {
+		for s := read(c); s != ""; s = read(c) {
+			got <- s
+			<-answer
+			c.Write([]byte("done\n"))
+		}
+	})
+	r.link = New(r.link.group, lines{}, "one", pool.Terms{Idle: 10_000, Most: 1, Nodes: 1})
+	r.link.Aim(r.ln.Addr().String(), true)
+	by := func(key string, in float64) {
+		r.link.Send(&exchange.Exchange{Key: []byte(key)}, 0, 4000, r.link.group.Clock.Now()+in)
+	}
+	by("first", 4000)
+	<-got
+	by("waits", 20)
+	r.wants("waits for a connection past its time", fleet.NotSent)
+	answer <- struct{}{}
+	r.wants("the one before it", fleet.Completed)
+	// Its connection's writer may come to it before the timer does, which is left out here.
+	now := r.link.group.Clock.Now()
+	late := &Execution{X: &exchange.Exchange{Key: []byte("late")}, Sent: now, Until: now + 4000, By: now - 1, timer: time.NewTimer(time.Hour)}
+	r.link.mu.Lock()
+	r.link.placed(late, r.link.desk.Send(now, late))
+	r.link.mu.Unlock()
+	r.wants("a connection is there, and its time is past", fleet.NotSent)
+	answer <- struct{}{}
+	by("in time", 4000)
+	r.wants("in time", fleet.Completed)
+	if s := <-got; s != "in time\n" {
+		t.Errorf("the server got %q", s)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -369,8 +369,8 @@
 // ways are how queries in hand reach servers and discovery. The loop calls them.
 type ways struct{ *Node }
 
-func (w ways) Send(_ float64, to fleet.ServerID, x *exchange.Exchange, no int, limit float64) *link.Execution {
-	return w.peers[to].link.Send(x, no, limit)
+func (w ways) Send(_ float64, to fleet.ServerID, x *exchange.Exchange, no int, limit, by float64) *link.Execution {
+	return w.peers[to].link.Send(x, no, limit, by)
 }
 func (w ways) Cancel(_ float64, at fleet.ServerID, e *link.Execution)   { w.peers[at].link.Cancel(e) }
 func (w ways) Withdraw(_ float64, at fleet.ServerID, e *link.Execution) { w.peers[at].link.Withdraw(e) }
