One owner of a client's connection closes it, over nothing unread; the end of a process is decided once

A client that always has commands out was read on until the process ended; what it had sent last was executed and never answered; a query that came 0.1 s before the end was given its client's whole time. A command of which half had come closed the connection after its patience, whatever was in hand before it. A connection was closed to make room for another over a query that had just come.

Changed: only the reader ends a connection that is quiet, for it alone knows that nothing of a query has been read: whoever wants it to go wakes it (depart, goes). What has come is served first. It ends in two steps: sending ends behind the last answer, and what crosses that is read and dropped (linger, bounded in time and bytes). Once the grace is over (lifecycle.Last) what was read is answered and nothing more is read. Queries that come while the process ends have their deadline before it does, and what comes after the rest was aborted is rejected unsent; Stop waits for connections, not only for queries. Before room is made the connection is looked into (node/sock, from what node/link had).

Tests: 600 clients that send as they are closed (resets on the code before), a pipeline at the end, half a command, one that never comes whole behind a query, queries unseen by their reader, clients that send until the process ends, and queries of the last moment; each fails without its part.

--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -37,6 +37,7 @@
 	Keep   Closing = iota
 	Behind         // closed right behind its next answer
 	Quiet          // closed as soon as nothing is in hand on it
+	Last           // nothing more is read on it, and it is closed behind the last answer
 )
 
 // Life is the state of one node. The zero value is starting.
@@ -46,6 +47,7 @@
 	standby   bool
 	since     float64 // of the standby
 	ending    bool
+	last      bool // and what is read now could not be answered any more
 	heir      bool // of a process that still serves
 	succeeded bool // another process has taken the node's place
 }
@@ -84,6 +86,13 @@
 	l.mu.Unlock()
 }
 
+// Finish says that the end is near: what has been read is answered, and nothing more is read.
+func (l *Life) Finish() {
+	l.mu.Lock()
+	l.ending, l.last = true, true
+	l.mu.Unlock()
+}
+
 // Succeeded says that a successor serves in the node's place, or, should it be lost, that none does any more.
 func (l *Life) Succeeded(by bool) {
 	l.mu.Lock()
@@ -170,6 +179,8 @@
 	defer l.mu.Unlock()
 	past := now - l.since
 	switch {
+	case l.last:
+		return Last
 	case l.ending || l.succeeded || l.standby && past >= quietFrom+chance*(quietUntil-quietFrom):
 		return Quiet
 	case l.standby && past >= newcomers+chance*(behindUntil-newcomers):
--- a/node/clients/clients.go
+++ b/node/clients/clients.go
@@ -169,7 +169,8 @@
 	s.mu.Lock()
 	var leaving []*conn
 	for c := range s.conns {
-		if is, since := c.quiet(); is && since <= now && s.Life.Closing(now, c.chance) == lifecycle.Quiet {
+		closing := s.Life.Closing(now, c.chance)
+		if is, since := c.quiet(); closing == lifecycle.Last || closing == lifecycle.Quiet && is && since <= now {
 			leaving = append(leaving, c)
 		}
 	}
--- /dev/null
+++ b/node/clients/closing_test.go
@@ -0,0 +1,234 @@
+package clients
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mintspring/lifecycle"
+	"mintspring/node/exchange"
+	"mintspring/node/sock"
+)
+
+// answering answers whatever the node takes, until the test is over, and counts it by id.
+func (r *rig) answering() (taken func(id string) bool) {
+	var mu sync.Mutex
+	ids, over := map[string]bool{}, make(chan struct{})
+	r.t.Cleanup(func() { close(over) })
+	go func() {
+		for {
+			select {
+			case x := <-r.taken:
+				mu.Lock()
+				ids[string(x.ID)] = true
+				mu.Unlock()
+				x.Answer(exchange.Answer{Value: []byte("v" + string(x.ID))})
+			case <-over:
+				return
+			}
+		}
+	}()
+	return func(id string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return ids[id]
+	}
+}
+
+// reads takes answers in until the connection ends, and tells how that was: nil in order, with a reset the error.
+func (c *client) reads() (answers []string, how error) {
+	for {
+		line, err := c.r.ReadString('\n')
+		if err == io.EOF && line == "" {
+			return answers, nil
+		}
+		if err != nil {
+			return answers, fmt.Errorf("%q and %w", line, err)
+		}
+		if strings.HasPrefix(line, "$") {
+			line, err = c.r.ReadString('\n')
+			if err != nil {
+				return answers, err
+			}
+		}
+		answers = append(answers, strings.TrimSpace(line))
+	}
+}
+
+// A query that comes in the very moment in which its connection is closed for being quiet is either taken and answered, or not read:
+// the client sees the end of the connection and no reset, and all that it was answered before. Closing from outside the reader, over
+// unread bytes, reset some.
+func TestQueriesThatCrossAClose(t *testing.T) {
+	for range 150 {
+		r := newRig(t, func(s *Server) { s.Life = &lifecycle.Life{}; s.Life.Listed() })
+		taken := r.answering()
+		cs := []*client{r.dial(), r.dial(), r.dial(), r.dial()}
+		for i, c := range cs {
+			io.WriteString(c, command("KV.GET", "k", fmt.Sprint("first", i), "c=read,d=400"))
+			c.wants(fmt.Sprintf("$%d\r\nvfirst%d\r\n", len("vfirst")+1, i))
+		}
+		var wg sync.WaitGroup
+		wg.Add(len(cs))
+		go func() {
+			r.server.Life.End()
+			r.server.Sweep()
+		}()
+		for i, c := range cs {
+			go func() {
+				defer wg.Done()
+				id := fmt.Sprint("second", i)
+				io.WriteString(c, command("KV.GET", "k", id, "c=read,d=400"))
+				got, how := c.reads()
+				if how != nil {
+					t.Errorf("the connection ended with %v", how)
+				}
+				if answered := len(got) == 1 && got[0] == "v"+id; answered != taken(id) || len(got) > 1 {
+					t.Errorf("taken: %v, answers: %q", taken(id), got)
+				}
+			}()
+		}
+		wg.Wait()
+		r.server.Shut()
+	}
+}
+
+// A client that always has commands out would be read for ever: once the end is near what was read is answered, nothing more is read,
+// and the connection ends in order.
+func TestPipelineEndsWhenTheEndIsNear(t *testing.T) {
+	r := newRig(t, func(s *Server) { s.Life = &lifecycle.Life{}; s.Life.Listed() })
+	taken := r.answering()
+	c := r.dial()
+	sent := make(chan int, 1)
+	go func() {
+		for i := 0; ; i++ {
+			if _, err := io.WriteString(c, command("KV.GET", "k", fmt.Sprint(i), "c=read,d=400")); err != nil || i == 200_000 {
+				sent <- i
+				return
+			}
+		}
+	}()
+	for !taken("50") {
+		time.Sleep(time.Millisecond)
+	}
+	r.server.Life.End()
+	r.server.Sweep()
+	r.server.Life.Finish()
+	r.server.Sweep()
+	n := 0
+	for ; ; n++ {
+		if line, err := c.r.ReadString('\n'); err != nil {
+			if err != io.EOF {
+				t.Errorf("the connection ended with %v", err)
+			}
+			break
+		} else if line[0] != '$' {
+			t.Fatalf("answer %q", line)
+		}
+		c.r.ReadString('\n')
+	}
+	if !taken(fmt.Sprint(n-1)) || taken(fmt.Sprint(n)) {
+		t.Errorf("%d were answered, and the one behind was taken: %v", n, taken(fmt.Sprint(n)))
+	}
+	c.Close()
+	<-sent
+}
+
+// A command of which half was read when the node is told to end is waited for, answered, and the connection closed behind it.
+func TestHalfACommandAtTheEnd(t *testing.T) {
+	for _, near := range []bool{false, true} {
+		r := newRig(t, func(s *Server) { s.Life = &lifecycle.Life{}; s.Life.Listed() })
+		r.answering()
+		c := r.dial()
+		text := command("KV.GET", "k", "1", "c=read,d=400")
+		io.WriteString(c, text[:20])
+		for begun := false; !begun; time.Sleep(time.Millisecond) {
+			r.server.mu.Lock()
+			for o := range r.server.conns {
+				o.mu.Lock()
+				begun = o.partial
+				o.mu.Unlock()
+			}
+			r.server.mu.Unlock()
+		}
+		r.server.Life.End()
+		if near {
+			r.server.Life.Finish()
+		}
+		r.server.Sweep()
+		io.WriteString(c, text[20:])
+		if got, how := c.reads(); how != nil || len(got) != 1 || got[0] != "v1" {
+			t.Errorf("near the end %v: answers %q, and %v", near, got, how)
+		}
+	}
+}
+
+// What stands before a command that never comes whole is answered before the connection is closed for that.
+func TestAnswersBeforeACommandThatDoesNotCome(t *testing.T) {
+	r := newRig(t, func(s *Server) { s.Patience = 30 })
+	c := r.dial()
+	io.WriteString(c, command("KV.GET", "k", "1", "c=read,d=400")+"*4\r\n$6\r\nKV")
+	x := r.next()
+	for r.server.counts.silent.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	x.Answer(exchange.Answer{Value: []byte("v")})
+	if got, how := c.reads(); how != nil || len(got) != 2 || got[0] != "v" || !strings.HasPrefix(got[1], "-ERR") {
+		t.Errorf("answers %q, and %v", got, how)
+	}
+}
+
+// unseen is a connection on which a byte has come that nobody reads, and its other end.
+func unseen(r *rig) (c *conn, theirs net.Conn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer ln.Close()
+	if theirs, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		r.t.Fatal(err)
+	}
+	ours, err := ln.Accept()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { theirs.Close(); ours.Close() })
+	r.server.Sockets.Take(true)
+	c = &conn{server: r.server, net: ours, asked: true}
+	c.cond.L = &c.mu
+	io.WriteString(theirs, "*")
+	for more := false; !more; more, _ = sock.Waiting(ours) {
+		time.Sleep(time.Millisecond)
+	}
+	return c, theirs
+}
+
+// A connection on which a query has come that its reader has not seen is not closed to make room for another.
+func TestNoRoomWhereAQueryHasCome(t *testing.T) {
+	c, theirs := unseen(newRig(t))
+	if c.makesRoom(Idle) {
+		t.Error("it was closed over a query")
+	}
+	io.ReadFull(c.net, make([]byte, 1))
+	if !c.makesRoom(Idle) {
+		t.Error("it was kept with nothing on it")
+	}
+	if _, err := bufio.NewReader(theirs).ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection ended with %v", err)
+	}
+}
+
+// Nor is one for being quiet while the node ends: what has come is served first.
+func TestQuietConnectionOnWhichAQueryHasCome(t *testing.T) {
+	r := newRig(t, func(s *Server) { s.Life = &lifecycle.Life{}; s.Life.Listed() })
+	c, _ := unseen(r)
+	r.server.Life.Finish()
+	if c.goes() || c.ended {
+		t.Error("it was closed over a query")
+	}
+}
--- a/node/clients/conn.go
+++ b/node/clients/conn.go
@@ -14,6 +14,7 @@
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/ringbuf"
+	"mintspring/node/sock"
 )
 
 const (
@@ -51,7 +52,7 @@
 	asked   bool    // a query has come
 	again   bool    // and another one
 	writing bool
-	going   bool // to another process, as soon as the reader can let go
+	going   bool // away, as soon as the reader finds that nothing of a query has been read
 	ended   bool // nothing more is read
 	out     bool // and the last answer is out
 	closed  bool
@@ -80,7 +81,7 @@
 		until = time.Time{}
 	}
 	for {
-		c.net.SetReadDeadline(until)
+		c.waits(until)
 		var err error
 		if skip > 0 {
 			var n int64
@@ -94,12 +95,18 @@
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				// Nothing was read, and where nothing is held either the connection can go as it stands.
 				if c.mayGo() {
-					if in.Len() == 0 && skip == 0 && c.bequeath() {
+					if in.Len() == 0 && skip == 0 && c.goes() {
 						return
 					}
 					continue
 				}
 				c.server.counts.silent.Add(1)
+				if c.owes() {
+					// What was read before the command that does not come has its answers first.
+					c.fail("a command that did not come within its time", true)
+					c.linger()
+					return
+				}
 			}
 			c.left(false)
 			return
@@ -139,6 +146,13 @@
 			args, taken = got[:0], true
 			in.Skip(len(b) - len(rest))
 		}
+		closing := c.server.closing(c)
+		if closing == lifecycle.Last && taken {
+			// Of a client that sends on and on the ring always holds the beginning of one more: that was not read.
+			c.reply("", true)
+			c.linger()
+			return
+		}
 		c.mu.Lock()
 		begun := c.partial
 		c.partial = in.Len() > 0 || skip > 0
@@ -154,7 +168,7 @@
 			return
 		}
 		in.Rest()
-		if c.server.closing(c) == lifecycle.Quiet {
+		if closing >= lifecycle.Quiet {
 			c.depart()
 		}
 		switch {
@@ -168,15 +182,30 @@
 	}
 }
 
-// linger reads on until the last answer is out and for a while after it: closing on unread bytes would reset
-// the connection, and the client would lose what it has not read yet.
+// linger reads on until the last answer is out, and after it for a while and so much that a client cannot have sent before it saw
+// the end: closing on unread bytes would reset the connection, and the client would lose what it has not read yet.
 func (c *conn) linger() {
-	for out, err := false, error(nil); !out && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)); {
+	span := clock.Span(c.server.Names().Stalled / 4)
+	end, dropped := time.Time{}, int64(0) // once the last answer is out, and of what has come since
+	for dropped < mostHeld {
 		c.mu.Lock()
-		out = c.out || c.closed
+		out := c.out || c.closed
 		c.mu.Unlock()
-		c.net.SetReadDeadline(time.Now().Add(clock.Span(c.server.Names().Stalled / 4)))
-		_, err = io.CopyN(io.Discard, c.net, exchange.MostValue)
+		now := time.Now()
+		if out && end.IsZero() {
+			end = now.Add(span)
+		}
+		if out && !now.Before(end) {
+			break
+		}
+		c.net.SetReadDeadline(now.Add(span))
+		n, err := io.CopyN(io.Discard, c.net, exchange.MostValue)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+		if out {
+			dropped += n
+		}
 	}
 	c.left(false)
 }
@@ -478,11 +507,14 @@
 	return Busy, 0
 }
 
-// makesRoom closes the connection if it still is of a kind.
+// makesRoom closes the connection if it still is of a kind. One on which a query has come that its reader has not seen yet is not.
 func (c *conn) makesRoom(k Kind) bool {
 	if now, _ := c.kind(); now != k {
 		return false
 	}
+	if more, _ := sock.Waiting(c.net); more && k != Unfinished {
+		return false
+	}
 	return c.left(k != Unfinished)
 }
 
@@ -539,22 +571,60 @@
 	return true
 }
 
-// depart has the connection leave this process if it stands between queries: it is closed, or, where another process
-// takes it, handed over by its reader, which alone knows that nothing of a query has been read.
+// depart has the connection leave this process, as the node's life has it: its reader closes it, or hands it over where another process
+// takes it. The reader alone knows that nothing of a query has been read, so that nobody else closes a connection for being quiet.
 func (c *conn) depart() {
-	if c.server.heir() == nil {
-		c.left(true)
-		return
-	}
 	c.mu.Lock()
-	if !c.closed {
+	if !c.closed && !c.ended {
 		c.going = true
-		// Should the reader set its own meanwhile, the next look at all connections comes soon.
-		c.net.SetReadDeadline(time.Unix(1, 0))
+		c.net.SetReadDeadline(past)
+	}
+	c.mu.Unlock()
+}
+
+// past is a time that is over: a read that is under way comes back, and so does the next one, without having read.
+var past = time.Unix(1, 0)
+
+// waits sets how long the next read may take. A call to leave is not overheard.
+func (c *conn) waits(until time.Time) {
+	c.mu.Lock()
+	if c.going {
+		until = past
 	}
+	c.net.SetReadDeadline(until)
 	c.mu.Unlock()
 }
 
+// goes has the connection leave if it may, and tells whether it did; the reader calls it, with nothing of a command read. What has come
+// and is not read yet is served before. Closing comes in two steps: the writer ends the sending behind the last answer, and bytes that
+// cross that end are read and dropped until the client has seen it (linger).
+func (c *conn) goes() bool {
+	closing := c.server.closing(c)
+	c.mu.Lock()
+	between := c.between()
+	may := !c.ended && (between || closing == lifecycle.Last)
+	c.mu.Unlock()
+	if !may || closing == lifecycle.Keep {
+		return false
+	}
+	if between && c.bequeath() {
+		return true
+	}
+	if more, _ := sock.Waiting(c.net); more && between {
+		return false
+	}
+	c.reply("", true)
+	c.linger()
+	return true
+}
+
+// owes tells whether a command that was read has no answer yet.
+func (c *conn) owes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.slots) > 0 || c.writing
+}
+
 // mayGo tells whether the reader was called to let go, once.
 func (c *conn) mayGo() bool {
 	c.mu.Lock()
--- a/node/events.go
+++ b/node/events.go
@@ -59,6 +59,13 @@
 
 func (e arrived) handle(n *Node, now float64) {
 	x := e.x
+	if n.endsAt > 0 {
+		x.Deadline = min(x.Deadline, n.endsAt) // it is over before the process is
+	}
+	if n.over {
+		n.hands.Answer(x, exchange.Answer{Kind: exchange.Rejected, Wait: n.front.Names().BusyWait})
+		return
+	}
 	waiting := 0
 	if n.sales != nil {
 		waiting = n.sales.claims
@@ -156,12 +163,20 @@
 	n.hands.Mind.Members(now, fleet.ListFailed, nil)
 }
 
+// ending: the process is to end by then.
+type ending struct{ by float64 }
+
+func (e ending) about() *exchange.Exchange { return nil }
+
+func (e ending) handle(n *Node, now float64) { n.endsAt = e.by }
+
 // leave: the node is to end once nothing is in hand, or now.
 type leave struct{ now bool }
 
 func (e leave) handle(n *Node, now float64) {
 	n.ending = true
 	if e.now {
+		n.over = true
 		n.hands.Abort(now, "the node is stopping")
 		if n.sales != nil {
 			n.sales.abort(now)
--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"mintspring/fleet"
 	"mintspring/node/clock"
 	"mintspring/node/exchange"
 	"mintspring/node/ringbuf"
+	"mintspring/node/sock"
 	"mintspring/pool"
 )
 
@@ -56,9 +56,13 @@
 		if own {
 			whole += len(e.X.Value) + len(l.wire.Behind())
 		}
-		stale, more := c.Used, false
-		if stale {
-			stale, more = c.stale()
+		// What comes on an idle connection is its end, or bytes that belong to no execution: more than was asked for. What is written
+		// now would be lost with the connection, or answered with what was meant for another.
+		stale, more := false, false
+		if c.Used {
+			var ended bool
+			more, ended = sock.Waiting(c.net)
+			stale = more || ended
 		}
 		l.mu.Lock()
 		if c.Closed {
@@ -291,24 +295,6 @@
 	}
 }
 
-// stale tells whether something has come on an idle connection: its end, or bytes that belong to no execution, which is more
-// than was asked for. The reader may not have been woken by them yet, and what is written now would be lost with the connection,
-// or answered with what was meant for another.
-func (c *conn) stale() (stale, more bool) {
-	tcp, ok := c.net.(*net.TCPConn)
-	if !ok {
-		return false, false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true, false
-	}
-	var b [1]byte
-	n := 0
-	raw.Control(func(fd uintptr) { n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) })
-	return err != syscall.EAGAIN && err != syscall.EINTR, n > 0
-}
-
 // again closes a connection on which nothing of its execution went out, and lets that take another. Called with the
 // lock held.
 func (l *Link) again(c *conn) {
--- a/node/node.go
+++ b/node/node.go
@@ -108,7 +108,9 @@
 	tasks             *tasks   // nil: it has no council
 	sales             *sales   // nil: it takes part in no book
 	recalled          float64  // of when what was taken in last is; 0: nothing was
+	endsAt            float64  // what comes by then has to be answered; 0: the node is not ending
 	ending            bool
+	over              bool // nothing that comes is executed any more
 	answered          bool
 	idle              chan struct{} // closed when the node is ending and all is answered
 	quit              chan struct{} // closed when the loop is to end
@@ -220,16 +222,24 @@
 func (n *Node) Stop(grace, bound time.Duration) {
 	start := time.Now()
 	n.life.End()
+	n.inbox.post(ending{n.clock.Now() + float64(bound/time.Millisecond)})
 	n.front.Sweep()
 	if _, heir, yes := n.other(); heir || !yes {
 		time.Sleep(grace) // else newcomers are a successor's already
 	}
 	n.front.Shut()
+	n.life.Finish()
 	n.front.Sweep()
 	n.inbox.post(leave{})
 	select {
 	case <-n.idle:
 	case <-time.After(time.Until(start.Add(bound))):
+	}
+	// A client may have begun a command that is whole only now; all are answered when all are closed.
+	for n.front.Open() > 0 && time.Since(start) < bound {
+		time.Sleep(time.Millisecond)
+	}
+	if n.front.Open() > 0 {
 		n.log.Warn("aborting what is still in hand")
 		n.inbox.post(leave{now: true})
 	}
