--- a/node/events.go
+++ b/node/events.go
@@ -60,11 +60,7 @@
 func (e arrived) handle(n *Node, now float64) {
 	x := e.x
 	if n.endsAt > 0 {
-		x.Deadline = min(x.Deadline, n.endsAt) // it is over before the process is
-	}
-	if n.over {
-		n.hands.Answer(x, exchange.Answer{Kind: exchange.Rejected, Wait: n.front.Names().BusyWait})
-		return
+		x.Deadline = min(x.Deadline, n.endsAt) // it is over before the process is; past that it is rejected unsent
 	}
 	waiting := 0
 	if n.sales != nil {
@@ -176,7 +172,6 @@
 func (e leave) handle(n *Node, now float64) {
 	n.ending = true
 	if e.now {
-		n.over = true
 		n.hands.Abort(now, "the node is stopping")
 		if n.sales != nil {
 			n.sales.abort(now)
--- a/node/node.go
+++ b/node/node.go
@@ -110,7 +110,6 @@
 	recalled          float64  // of when what was taken in last is; 0: nothing was
 	endsAt            float64  // what comes by then has to be answered; 0: the node is not ending
 	ending            bool
-	over              bool // nothing that comes is executed any more
 	answered          bool
 	idle              chan struct{} // closed when the node is ending and all is answered
 	quit              chan struct{} // closed when the loop is to end
