An answer of no told length is cut off where its query may go on, and not read for ever

Read line by line: while an answer without a length is collected its connection stays open when its execution is given up. Where the query then has another execution it is out twice, on a site that forbids second copies; and one that never ends, of which something always comes, held its connection and a descriptor until 4 MiB had come. Now only one whose query's time is over is read on, as before, and for no longer than a large value may stand still (link.end).

--- a/node/link/link.go
+++ b/node/link/link.go
@@ -369,6 +369,13 @@
 	return true
 }
 
+// shut closes a connection, if it still is open.
+func (l *Link) shut(c *conn) {
+	l.mu.Lock()
+	l.desk.Shut(c)
+	l.mu.Unlock()
+}
+
 // leave takes its execution off a connection.
 func (l *Link) leave(c *conn) {
 	c.cur = nil
@@ -398,10 +405,14 @@
 	}
 	if e.conn != nil {
 		l.leave(e.conn)
-		if e.conn.collecting {
-			e.conn.dropping.Store(true)
+		if c := e.conn; c.collecting && r == fleet.TimedOut {
+			// Its query is over, and the server still gives. One that never ends to is not listened to for ever.
+			c.dropping.Store(true)
+			if pause := l.group.Pause; pause > 0 {
+				time.AfterFunc(clock.Span(pause), func() { l.shut(c) })
+			}
 		} else {
-			l.desk.Shut(e.conn)
+			l.desk.Shut(c) // also while an answer comes: the query may have another execution, of which this one would be a second copy
 		}
 	}
 	l.desk.Gone(e)
--- a/node/link/stream_test.go
+++ b/node/link/stream_test.go
@@ -220,4 +220,41 @@
 	if n := r.link.group.Room.Held(); n != 0 {
 		t.Errorf("%d bytes of room are not given back", n)
 	}
+	// One whose query may go on elsewhere is cut off at once, for it would be out twice.
+	size <- 4_000_000
+	e := r.send("q", 5000)
+	for begun := false; !begun; time.Sleep(time.Millisecond) {
+		r.link.mu.Lock()
+		begun = e.conn != nil && e.conn.collecting
+		r.link.mu.Unlock()
+	}
+	r.link.Cancel(e)
+	r.wants("cancelled", fleet.Cancelled)
+	if err := <-cut; err == nil {
+		t.Error("a cancelled one was read to its end")
+	}
+}
+
+// A value of no told length that never ends is not read for ever once its execution is given up, though something always comes.
+func TestValueWithoutAnEnd(t *testing.T) {
+	ended := make(chan error, 1)
+	r := newRig(t, func(c net.Conn) {
+		read(c)
+		for {
+			if _, err := c.Write([]byte("v")); err != nil {
+				ended <- err
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	})
+	r.link.wire = unsized{}
+	r.link.group.Room, r.link.group.Pause = room.New(600_000), 100
+	r.send("q", 30)
+	r.wants("given up", fleet.TimedOut)
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("it is read for ever")
+	}
 }
