A client that sends much at once and goes is noticed while it waits for its answers

Read: with 64 commands in hand, or too many bytes, a connection's reader waited for an answer before it read on, and so did not see that the client had gone. What was in hand went on to servers and the origin, up to the first answer that met a closed connection.

Changed: no more commands are taken, as before, but up to 32 KiB are read ahead, in which the end shows; the writer wakes the reader when commands are taken again. How a read ended is told in one place (more, overdue).

Tests: 192 commands and a close (never noticed before), and 1,280 commands that all have their answers in order.

--- a/node/clients/closing_test.go
+++ b/node/clients/closing_test.go
@@ -279,3 +279,58 @@
 		t.Error("more were taken than may be")
 	}
 }
+
+// A client that sends much at once and goes is noticed though no more is taken from it: what it has in hand would be executed for nobody.
+func TestClientThatSendsMuchAndGoes(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	text := ""
+	for i := range 3 * mostAhead {
+		text += command("KV.GET", "k", fmt.Sprint(i), "c=read,d=400")
+	}
+	io.WriteString(c, text)
+	for range mostAhead {
+		r.next()
+	}
+	c.Close()
+	for range mostAhead {
+		select {
+		case <-r.left:
+		case <-time.After(5 * time.Second):
+			t.Fatal("its end was not noticed")
+		}
+	}
+	if n := len(r.taken); n > 0 {
+		t.Errorf("%d more were taken", n)
+	}
+}
+
+// One that sends more than is taken at once, also more than is read ahead, has all its answers in the end, in order.
+func TestClientThatSendsMuchAndWaits(t *testing.T) {
+	r := newRig(t)
+	const n = 20 * mostAhead
+	c := r.dial()
+	go func() {
+		text := ""
+		for i := range n {
+			text += command("KV.GET", "k", fmt.Sprint(i), "c=read,d=400,pad="+strings.Repeat("x", 100))
+		}
+		io.WriteString(c, text)
+	}()
+	for i := 0; i < n; i += mostAhead {
+		var xs []*exchange.Exchange
+		for range mostAhead {
+			xs = append(xs, r.next())
+		}
+		if len(r.taken) > 0 {
+			t.Errorf("%d are taken while %d wait", len(r.taken), mostAhead)
+		}
+		for _, x := range xs {
+			x.Answer(exchange.Answer{Value: x.ID})
+		}
+		for k := range mostAhead {
+			id := fmt.Sprint(i + k)
+			c.wants(fmt.Sprintf("$%d\r\n%s\r\n", len(id), id))
+		}
+	}
+}
--- a/node/clients/conn.go
+++ b/node/clients/conn.go
@@ -19,6 +19,7 @@
 
 const (
 	mostAhead = 64                      // commands of one client that may wait for their answers
+	mostRead  = 32 << 10                // bytes of those behind them that are read all the same, to notice its end
 	mostHeld  = 4 * exchange.MostValue  // bytes of these and of their answers
 	mostSkip  = 16 * exchange.MostValue // of a value that is too large; what has more to come is closed
 	pressing  = 1.5                     // times what may be held for all: a client that lets answers wait is closed
@@ -53,6 +54,7 @@
 	again   bool    // and another one
 	writing bool
 	wrote   float64 // when it began to write
+	paused  bool    // the reader takes no command until one has its answer
 	going   bool    // away, as soon as the reader finds that nothing of a query has been read
 	ended   bool    // nothing more is read
 	out     bool    // and the last answer is out
@@ -82,38 +84,28 @@
 		until = time.Time{}
 	}
 	for {
-		c.waits(until)
-		var err error
-		if skip > 0 {
-			var n int64
-			n, err = io.CopyN(io.Discard, c.net, int64(min(skip, exchange.MostValue)))
-			skip -= int(n)
-		} else {
-			_, err = in.ReadOnce(c.net)
-		}
-		at := c.server.Clock.Now()
-		if err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				// Nothing was read, and where nothing is held either the connection can go as it stands.
-				if c.mayGo() {
-					if in.Len() == 0 && skip == 0 && c.goes() {
-						return
-					}
-					continue
-				}
-				c.server.counts.silent.Add(1)
-				if c.owes() {
-					// What was read before the command that does not come has its answers first.
-					c.fail("a command that did not come within its time", true)
-					c.linger()
-					return
-				}
-			}
+		switch err := c.more(&in, &skip, until); {
+		case err == nil:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.left(false)
 			return
+		case c.mayGo():
+			// Nothing was read, and where nothing is held either the connection can go as it stands.
+			if in.Len() == 0 && skip == 0 && c.goes() {
+				return
+			}
+			continue
+		case !c.resumes():
+			c.overdue()
+			return
 		}
+		at := c.server.Clock.Now()
 		taken := false // a command was
+		stopped := false
 		for in.Len() > 0 {
+			if stopped = c.full(); stopped {
+				break
+			}
 			b := in.Peek()
 			if size := oversize(b); size < 0 || b[0] != '*' {
 				c.fail(errShape.Error(), true)
@@ -158,11 +150,13 @@
 		begun := c.partial
 		c.partial = in.Len() > 0 || skip > 0
 		c.since, c.heard = at, true
-		// A client that does not read its answers is not read from either.
-		for (len(c.slots) >= mostAhead || c.held > mostHeld) && !c.closed {
+		// A client that does not read its answers, or waits for many, has no more taken from it. It is read on for a while all the same:
+		// nothing else tells that it has gone, and until then what it has in hand is executed.
+		c.paused = stopped || c.isFull() // until the next look at what was read
+		for c.isFull() && in.Len() >= mostRead {
 			c.cond.Wait()
 		}
-		ended, partial, asked := c.ended, c.partial, c.asked
+		ended, partial, asked, paused := c.ended, c.partial, c.asked, c.paused
 		c.mu.Unlock()
 		if ended {
 			c.linger()
@@ -173,6 +167,8 @@
 			c.depart()
 		}
 		switch {
+		case paused:
+			until = time.Time{} // it has done its part
 		case partial && !taken && skip == 0 && (begun || !asked):
 			// As before: bytes that trickle in do not make the command any newer.
 		case partial || !asked:
@@ -183,6 +179,32 @@
 	}
 }
 
+// more reads once, or not at all where commands that were read before may be taken now. Of a refused command the rest is dropped.
+func (c *conn) more(in *ringbuf.Ring, skip *int, until time.Time) error {
+	if c.resumes() {
+		return nil
+	}
+	c.waits(until)
+	if *skip == 0 {
+		_, err := in.ReadOnce(c.net)
+		return err
+	}
+	n, err := io.CopyN(io.Discard, c.net, int64(min(*skip, exchange.MostValue)))
+	*skip -= int(n)
+	return err
+}
+
+// overdue ends a connection on which a command has not come in its time. What was read before that has its answers first.
+func (c *conn) overdue() {
+	c.server.counts.silent.Add(1)
+	if !c.owes() {
+		c.left(false)
+		return
+	}
+	c.fail("a command that did not come within its time", true)
+	c.linger()
+}
+
 // linger reads on until the last answer is out, and after it for a while and so much that a client cannot have sent before it saw
 // the end: closing on unread bytes would reset the connection, and the client would lose what it has not read yet.
 func (c *conn) linger() {
@@ -479,6 +501,7 @@
 			c.book(-weight(a))
 		}
 		c.since, c.writing, c.out, c.large = c.server.Clock.Now(), false, s.last, nil
+		c.relieved()
 		c.cond.Broadcast()
 		c.mu.Unlock()
 		if err != nil {
@@ -586,10 +609,36 @@
 // past is a time that is over: a read that is under way comes back, and so does the next one, without having read.
 var past = time.Unix(1, 0)
 
-// waits sets how long the next read may take. A call to leave is not overheard.
+// full tells whether no more commands are taken until one has its answer.
+func (c *conn) full() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isFull()
+}
+
+// isFull is full with the lock held.
+func (c *conn) isFull() bool { return (len(c.slots) >= mostAhead || c.held > mostHeld) && !c.closed }
+
+// resumes tells whether the reader was woken because commands are taken again.
+func (c *conn) resumes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	was := c.paused && !c.isFull()
+	c.paused = c.paused && !was
+	return was
+}
+
+// relieved wakes a reader that paused, once there is room. Called with the lock held.
+func (c *conn) relieved() {
+	if c.paused && !c.isFull() {
+		c.net.SetReadDeadline(past)
+	}
+}
+
+// waits sets how long the next read may take. A call to leave, or to go on, is not overheard.
 func (c *conn) waits(until time.Time) {
 	c.mu.Lock()
-	if c.going {
+	if c.going || c.paused && !c.isFull() {
 		until = past
 	}
 	c.net.SetReadDeadline(until)
