--- a/cmd/mintspring/main_test.go
+++ b/cmd/mintspring/main_test.go
@@ -140,6 +140,7 @@
 	hangup()
 	syscall.Kill(os.Getpid(), syscall.SIGTERM)
 	hangup()
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
 	select {
 	case err := <-ended:
 		if err != nil {
