A connection is kept for an answer that comes after its query's time

Ruled out as the cheaper mend: rejecting what is expected to be late. The estimate of a server that is never asked stays a guess, and where all clients are so short nobody would be served.

At fault: link.end closed the connection of each execution given up. At the query's own deadline there is no other execution that it could be out beside (PROTOCOL: a second copy is one while an earlier one is out on an open connection), so that its answer is waited for (half of the shortest SLO time), taken in and dropped. Where the query may go on, and where its last byte has not gone, the connection is cut as before.

Tests: a late answer keeps its connection, one given up before its query's time does not, and one that never comes is not waited for for ever. TestSurplusReachesNoQuery added to its group of copies while the test might wait for it, which the race detector found: it does so before the answer now.

--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -255,6 +255,8 @@
 		l.mu.Unlock()
 		if ended {
 			l.group.Done(e, Ending{At: at, Reply: reply})
+		} else if reply.Stream != nil {
+			reply.Stream.Close()
 		}
 	}
 }
--- a/node/link/link_test.go
+++ b/node/link/link_test.go
@@ -556,6 +556,7 @@
 		for s := read(c); s != ""; s = read(c) {
 			on.Store(strings.TrimSpace(s), c)
 			began := time.Now()
+			copies.Add(1) // before the answer, behind which the test may come to wait for all
 			c.Write([]byte(s))
 			behind := func(ms time.Duration, b string) {
 				copies.Add(1)
@@ -573,6 +574,7 @@
 			case 1:
 				behind(9, s)
 			}
+			copies.Done()
 		}
 	})
 	r.link.desk.Pool = pool.New(pool.Terms{Rest: rest, Patience: 30, Idle: 60}, 1, 0)
