With a successor there, clients are handed over to the end and not cut off at its beginning

Ruled out: the hand-over itself, unchanged. Now nothing more is read only from half of the bound on where a successor serves.

--- a/node/node.go
+++ b/node/node.go
@@ -224,10 +224,13 @@
 	n.inbox.post(ending{n.clock.Now() + float64(bound/time.Millisecond)})
 	n.front.Sweep()
 	if _, heir, yes := n.other(); heir || !yes {
-		time.Sleep(grace) // else newcomers are a successor's already
+		time.Sleep(grace)
+		n.life.Finish()
+	} else {
+		// Newcomers are a successor's already, and so are clients between two queries. Those that never stand there are ended in time.
+		defer time.AfterFunc(bound/2, n.life.Finish).Stop()
 	}
 	n.front.Shut()
-	n.life.Finish()
 	n.front.Sweep()
 	n.inbox.post(leave{})
 	select {
