The checker of leases decides: only calls that an order can need, and contradictions seen at once

Each ask without an answer may take effect at any later moment, and a long partition leaves dozens of them.

Changed: calls without an answer that no order can need are left out (needed): renewing and giving up change nothing that could be seen, for the model lets the council free the lease at any moment; an ask is needed only for a token that no answered ask can have brought, so many for each process as there are such tokens of its, the earliest first. Two answers that contradict each other are found without a search (contradict). A round that is not decided counts as wrong now, in the verdict and in what `mintrig leases` prints.

Tests: 3,000 drawn histories, in order and not, have the same verdict with all calls, with the needed ones, and with the look ahead; six partitions of 160 unanswered asks each are decided within the test's 5 s, in order and with a token that falls (both came to no end).

--- a/cmd/mintrig/leases.go
+++ b/cmd/mintrig/leases.go
@@ -79,7 +79,7 @@
 	if sort.Float64s(gaps); len(gaps) > 0 {
 		fmt.Printf("from %d deaths of a holder to the next step: p50 %.0f ms, p99 %.0f ms, longest %.0f ms\n", len(gaps), gaps[len(gaps)/2], gaps[len(gaps)*99/100], gaps[len(gaps)-1])
 	}
-	fmt.Printf("where processes stood still, %d steps began while one of a frozen process was open; the checker did not come to an end in %d rounds\n", once, unknown)
+	fmt.Printf("where processes stood still, %d steps began while one of a frozen process was open; the checker did not come to an end in %d rounds, which counts as wrong\n", once, unknown)
 	if busy > 0 {
 		fmt.Printf("in %d rounds without frosts the machine kept processes waiting, so that what went on at once is not judged there\n", busy)
 	}
--- a/rig/leases/leases.go
+++ b/rig/leases/leases.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -58,7 +57,7 @@
 	Grants       int
 	Calls        int
 	Linearizable bool
-	Unknown      bool    // the checker did not come to an end
+	Unknown      bool    // the checker did not come to an end, which proves nothing: such a round is wrong
 	Late         float64 // the longest that the machine kept the witness's own process waiting, ms
 	Alone        float64 // longest time without a step, ms
 	Kills        int
@@ -510,12 +509,8 @@
 		}
 	}
 	v.Grants = len(granted)
-	switch check(calls, 10*time.Second) {
-	case porcupine.Ok:
-		v.Linearizable = true
-	case porcupine.Unknown:
-		v.Linearizable, v.Unknown = true, true
-	}
+	result := check(calls, 10*time.Second)
+	v.Linearizable, v.Unknown = result == porcupine.Ok, result == porcupine.Unknown
 	return v
 }
 
@@ -540,82 +535,3 @@
 	}
 	return all
 }
-
-// held is the lease as the checker has it. Only one is used, so that a grant's token is the next.
-type held struct {
-	Held  bool
-	Who   lease.Who
-	Token lease.Token
-}
-
-// check judges a history: each call takes effect at one moment between its beginning and its end, one that has no answer at any moment from
-// its beginning on or never, and the council may free the lease whenever it likes.
-func check(calls []Call, patience time.Duration) porcupine.CheckResult {
-	var ops []porcupine.Operation
-	for i, c := range calls {
-		if c.To == 0 && c.Cmd.Kind == lease.Renew {
-			continue // whether it took effect or not nobody can see
-		}
-		end := c.To
-		if end == 0 {
-			end = math.MaxInt64
-		}
-		ops = append(ops, porcupine.Operation{ClientId: i, Input: c, Call: c.From, Output: c.Result, Return: end})
-	}
-	m := porcupine.NondeterministicModel{
-		Init: func() []any { return []any{held{}} },
-		Step: func(state, input, output any) (next []any) {
-			c, out := input.(Call), output.(lease.Result)
-			from := []held{state.(held)}
-			if s := state.(held); s.Held { // it may have been freed before
-				s.Held, s.Who = false, lease.Who{}
-				from = append(from, s)
-			}
-			for _, s := range from {
-				for _, to := range effects(s, c.Cmd) {
-					ok := to.ok
-					if c.To == 0 || out.OK == ok && out.Token == to.s.Token && out.Held == to.s.Held && (!out.Held || out.Holder == to.s.Who) {
-						if !slices.Contains(next, any(to.s)) {
-							next = append(next, to.s)
-						}
-					}
-				}
-			}
-			if c.To == 0 && !slices.Contains(next, state) {
-				next = append(next, state)
-			}
-			return next
-		},
-		Equal: func(a, b any) bool { return a == b },
-	}
-	result := porcupine.CheckOperationsTimeout(m.ToModel(), ops, patience)
-	return result
-}
-
-// effect is one that a command may have.
-type effect struct {
-	s  held
-	ok bool
-}
-
-// effects are those of a command in a state; an ask may be granted or have to wait in line.
-func effects(s held, c lease.Command) []effect {
-	mine := s.Held && s.Who == c.Who && s.Token == c.Token
-	switch c.Kind {
-	case lease.Ask:
-		switch {
-		case s.Held && s.Who == c.Who:
-			return []effect{{s, true}}
-		case s.Held:
-			return []effect{{s, false}}
-		}
-		return []effect{{held{true, c.Who, s.Token + 1}, true}, {s, false}}
-	case lease.Renew:
-		return []effect{{s, mine}}
-	case lease.GiveUp:
-		if mine {
-			return []effect{{held{Token: s.Token}, true}}
-		}
-	}
-	return []effect{{s, false}}
-}
--- a/rig/leases/leases_test.go
+++ b/rig/leases/leases_test.go
@@ -12,6 +12,8 @@
 	"github.com/anishathalye/porcupine"
 
 	"mintspring/peers/lease"
+
+	"pgregory.net/rapid"
 )
 
 const asPart = "as-part"
@@ -98,8 +100,88 @@
 		"an old answer":       {[]Call{ask(1, 1, 2, a, 1, true, a), ask(2, 3, 4, b, 2, true, b), ask(1, 5, 6, a, 1, false, a)}, porcupine.Illegal},
 		"one without an end":  {[]Call{ask(1, 1, 0, a, 0, false, a), ask(2, 3, 4, b, 2, true, b)}, porcupine.Ok},
 	} {
-		if got := check(c.calls, time.Second); got != c.want {
-			t.Errorf("%s: %v", name, got)
+		for _, by := range []func([]Call, time.Duration) porcupine.CheckResult{check, search} {
+			if got := by(c.calls, time.Second); got != c.want {
+				t.Errorf("%s: %v", name, got)
+			}
+		}
+	}
+}
+
+// drawn is a history of a lease: calls that take effect at a moment of their time or have no answer, some of which take effect all the same;
+// and now and then an answer that is not what was so.
+func drawn(t *rapid.T) (calls []Call) {
+	whos := []lease.Who{{Node: 1, Life: 1}, {Node: 2, Life: 1}, {Node: 3, Life: 2}}
+	s := held{}
+	now := int64(1)
+	for range rapid.IntRange(2, 9).Draw(t, "calls") {
+		now += int64(rapid.IntRange(1, 4).Draw(t, "later"))
+		who := rapid.SampledFrom(whos).Draw(t, "who")
+		c := Call{Client: int(who.Node), Cmd: lease.Command{Who: who, Token: s.Token,
+			Kind: rapid.SampledFrom([]lease.Kind{lease.Ask, lease.Ask, lease.Ask, lease.Renew, lease.GiveUp}).Draw(t, "kind")}}
+		c.From = max(1, now-int64(rapid.IntRange(0, 6).Draw(t, "before")))
+		if rapid.IntRange(0, 3).Draw(t, "freed") == 0 {
+			s.Held, s.Who = false, lease.Who{}
 		}
+		silent := rapid.IntRange(0, 2).Draw(t, "silent") == 0
+		if !silent || rapid.Bool().Draw(t, "in effect") {
+			e := rapid.SampledFrom(effects(s, c.Cmd)).Draw(t, "effect")
+			s = e.s
+			c.Result = lease.Result{OK: e.ok, Token: s.Token, Held: s.Held, Holder: s.Who}
+		}
+		if silent {
+			c.Result = lease.Result{}
+		} else {
+			c.To = now + int64(rapid.IntRange(0, 6).Draw(t, "behind"))
+			if rapid.IntRange(0, 9).Draw(t, "wrong") == 0 {
+				c.Result.Token += lease.Token(rapid.IntRange(0, 2).Draw(t, "by"))
+			}
+		}
+		calls = append(calls, c)
+	}
+	return calls
+}
+
+// What is left out changes no verdict, of histories that are in order and of such that are not.
+func TestNeededCallsDecide(t *testing.T) {
+	seen := map[porcupine.CheckResult]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		calls := drawn(t)
+		all, some := search(calls, 20*time.Second), search(needed(calls), 20*time.Second)
+		if all != some || all != check(calls, 20*time.Second) {
+			t.Fatalf("%v of all %d calls, %v of the %d needed, contradict %v: %+v", all, len(calls), some, len(needed(calls)), contradict(calls), calls)
+		}
+		seen[all]++
+	})
+	if seen[porcupine.Ok] == 0 || seen[porcupine.Illegal] == 0 {
+		t.Errorf("drew only %v", seen)
+	}
+}
+
+// A long partition, with dozens of calls that nobody answers, is decided at once. It came to no end.
+func TestManyCallsWithoutAnAnswer(t *testing.T) {
+	whos := []lease.Who{{Node: 1, Life: 1}, {Node: 2, Life: 1}, {Node: 3, Life: 1}, {Node: 4, Life: 1}}
+	var calls []Call
+	now := int64(0)
+	for round := range 6 {
+		holder := whos[round%4]
+		for range 40 {
+			for i, who := range whos {
+				now++
+				calls = append(calls, Call{Client: i, From: now, Cmd: lease.Command{Kind: lease.Ask, Who: who}})
+			}
+		}
+		for range 20 {
+			now += 2
+			calls = append(calls, Call{Client: round % 4, From: now, To: now + 1, Cmd: lease.Command{Kind: lease.Ask, Who: holder},
+				Result: lease.Result{OK: true, Held: true, Holder: holder, Token: lease.Token(2*round + 2)}})
+		}
+	}
+	if got := check(calls, 5*time.Second); got != porcupine.Ok {
+		t.Errorf("%v of %d calls, %d of them needed", got, len(calls), len(needed(calls)))
+	}
+	calls[len(calls)-1].Result.Token = 3
+	if got := check(calls, 5*time.Second); got != porcupine.Illegal {
+		t.Errorf("%v with a token that falls", got)
 	}
 }
