What the process before learnt last is merged by age, also for servers that its successor knows

The file did not say when each server last answered.

Tests: drawn ages on both sides, the time that is told, and a process that has heard of its servers and gets a younger word; the first and the last fail without the change. No experiment with real processes before and after was run for it yet.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -3,7 +3,7 @@
 // The adapter puts each query into the slab it shares with the node and asks through three calls: Where says
 // where to send this query (or not yet, or never), After says what to do after this outcome, and Wait says
 // how long to wait and which query to ask about then (none: Where(now, nil), for the node's own upkeep).
-// Facts are reported without an answer: Members, Probed, Heard, Begun, Left. The interface is in this file;
+// Facts are reported without an answer: Members, Probed, Begun, Left. The interface is in this file;
 // ring.go moves the points, health.go judges servers, admit.go meters the origin and cold servers, list.go
 // follows the list. All times are milliseconds on the caller's clock.
 package decide
@@ -257,9 +257,6 @@
 	n.now, q.Closed = now, true
 }
 
-// Heard takes a message of another node. None is in use yet: nothing may hang on their arrival.
-func (n *Node) Heard(now float64, from fleet.NodeID, body []byte) { n.now = now }
-
 // cancelLoser stops an execution that nobody waits for any more, where that frees work.
 func (n *Node) cancelLoser(q *fleet.Query) fleet.Move {
 	for i := range q.Execs[:q.N] {
--- a/decide/learnt.go
+++ b/decide/learnt.go
@@ -7,9 +7,8 @@
 	"mintspring/heat"
 )
 
-// recalled is the share of the time over which evidence fades that is left to what was recalled: long enough
-// for the first queries to avoid slow servers, and short, for one that is well now has to get its share
-// again.
+// recalled is the share of the time over which evidence fades that is left to what was recalled: enough for
+// the first queries to avoid slow servers, and short, so that one that is well now gets its share again.
 const recalled = 1.0 / 3
 
 // Learnt gives out what is worth keeping across a restart, in the space of what is handed in. It walks the
@@ -22,7 +21,7 @@
 			continue
 		}
 		v := fleet.ServerLearnt{ID: s.id, Trust: 1, Started: s.started, Shed: s.shed, Stride: s.stride,
-			Pace: s.pace, Ahead: s.ah, Bad: s.bad, Pause: s.pause, Hits: s.hits, Peak: s.peak}
+			Pace: s.pace, Ahead: s.ah, Bad: s.bad, Pause: s.pause, Hits: s.hits, Peak: s.peak, At: s.rtAt}
 		// What has faded already is given out as faded: it must not live again through a restart.
 		w := max(0, 1-(now-s.rtAt)/(horizon*n.lim.period))
 		v.RT = s.pace*(1+s.ah) + w*max(0, s.rt-s.pace*(1+s.ah))
@@ -47,17 +46,22 @@
 			continue
 		}
 		s := n.servers[v.ID]
-		if s == nil || s.state != fleet.Ready || s.started != v.Started || s.rtAt > 0 || s.warmth(n) < 1 {
-			continue // another process, or this node knows it by now, or a cold one, of which the file says nothing
+		if s == nil || s.state != fleet.Ready || s.started != v.Started || s.warmth(n) < 1 {
+			continue // another process, or a cold one, of which the file says nothing
 		}
-		mix(&s.shed, min(v.Shed, 0.75), v.Trust)
-		mix(&s.stride, min(max(v.Stride, 0.02), stride), v.Trust)
-		mix(&s.pace, min(v.Pace, s.pace), v.Trust) // a slow one's falls by a tenth an answer, and would rise late
-		mix(&s.rt, min(v.RT, 4*n.lim.sloMin), v.Trust)
-		mix(&s.hits, min(v.Hits, 1), v.Trust)
-		mix(&s.peak, max(v.Peak, 1), v.Trust)
-		mix(&s.bad, min(v.Bad, 0.9*failLimit), v.Trust)
-		s.ah, s.rtAt = v.Ahead, now-(1-recalled*min(v.Trust, 1))*horizon*n.lim.period
+		t := v.Trust
+		if s.rtAt > 0 { // this node has heard of it too: of the two the younger counts for more
+			t *= (now - s.rtAt) / max(1, now-s.rtAt+max(0, now-v.At))
+		}
+		mix(&s.shed, min(v.Shed, 0.75), t)
+		mix(&s.stride, min(max(v.Stride, 0.02), stride), t)
+		mix(&s.pace, min(v.Pace, s.pace), t) // a slow one's falls by a tenth an answer, and would rise late
+		mix(&s.rt, min(v.RT, 4*n.lim.sloMin), t)
+		mix(&s.hits, min(v.Hits, 1), t)
+		mix(&s.peak, max(v.Peak, 1), t)
+		mix(&s.bad, min(v.Bad, 0.9*failLimit), t)
+		mix(&s.ah, v.Ahead, t)
+		s.rtAt = max(s.rtAt, now-(1-recalled*min(v.Trust, 1))*horizon*n.lim.period)
 	}
 	if t := min(max(l.Trust, 0), 1); t > 0 {
 		for _, k := range l.Keys {
--- a/decide/learnt_test.go
+++ b/decide/learnt_test.go
@@ -198,3 +198,45 @@
 		t.Errorf("after a period of one query each 10 ms the rate is %v", m.Rate)
 	}
 }
+
+// What is recalled of a server that the node has heard of too is weighed by age: the younger of the two counts for more, whichever comes
+// first, and neither is lost. A process that took over once kept what it knew by its first answer, however much younger the word of the one before was.
+func TestRecallWeighsByAge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var slab fleet.Slab
+		n := New(1000, plainLimits(), &slab)
+		n.Members(1000, fleet.ListFull, listOf(3))
+		now := 50_000.0
+		own, theirs := rapid.Float64Range(1, 14_000).Draw(t, "age of its own"), rapid.Float64Range(0, 14_000).Draw(t, "age of what is recalled")
+		s := n.servers[1]
+		s.rt, s.ah, s.rtAt, s.hits = 100, 2, now-own, 0.2
+		n.Recall(now, &fleet.Learnt{Servers: []fleet.ServerLearnt{{ID: 1, Trust: 1, Pace: s.pace, RT: 20, Ahead: 1, Hits: 0.8, Peak: 1, At: now - theirs}}})
+		weight := own / (own + theirs)
+		for what, c := range map[string][2]float64{"answer time": {s.rt, 100 - 80*weight}, "ahead": {s.ah, 2 - weight}, "hits": {s.hits, 0.2 + 0.6*weight}} {
+			if math.Abs(c[0]-c[1]) > 1e-6 {
+				t.Fatalf("%s: %v, want %v (own %.0f ms old, theirs %.0f)", what, c[0], c[1], own, theirs)
+			}
+		}
+		if s.rtAt < now-own {
+			t.Fatalf("its own evidence has become older: %v", now-s.rtAt)
+		}
+	})
+}
+
+// What a node gives out says when each server last answered; of one that never did, nothing.
+func TestLearntTellsAges(t *testing.T) {
+	var slab fleet.Slab
+	n := New(1000, plainLimits(), &slab)
+	n.Members(1000, fleet.ListFull, listOf(3))
+	q := slab.Take()
+	q.Key, q.HasKey, q.Arrived, q.Deadline = 5, true, 2000, 2900
+	m := n.Where(2000, q)
+	n.After(2030, q, fleet.Outcome{Exec: m.Exec, Result: fleet.Completed, Took: 30, Over: true, Note: fleet.NoteHit, Report: fleet.NewReport()})
+	var l fleet.Learnt
+	n.Learnt(3000, &l)
+	for _, v := range l.Servers {
+		if want := map[bool]float64{true: 2030}[v.ID == m.Server]; v.At != want {
+			t.Errorf("server %d last answered at %v, want %v", v.ID, v.At, want)
+		}
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -213,6 +213,7 @@
 	RT, Ahead  float64 // recent answer time, and what was ahead then
 	Bad, Pause float64 // share of failures, and time between trials
 	Hits, Peak float64 // level of the hit share, and peak of the queue
+	At         float64 // when it last answered; 0: it has not
 }
 
 // KeyLearnt is a place among the counts of keys, with its share of all queries.
--- a/learnt/learnt.go
+++ b/learnt/learnt.go
@@ -16,7 +16,7 @@
 )
 
 // Version is that of the form. A reader refuses others: the next start learns anew, which is always safe.
-const Version = 1
+const Version = 2
 
 // Bounds of a file: what a reader is willing to hold.
 const (
@@ -157,7 +157,7 @@
 
 // numbers are the fields of a server in the order of the file.
 func numbers(v *fleet.ServerLearnt) []*float64 {
-	return []*float64{&v.Started, &v.Shed, &v.Stride, &v.Pace, &v.RT, &v.Ahead, &v.Bad, &v.Pause, &v.Hits, &v.Peak}
+	return []*float64{&v.Started, &v.Shed, &v.Stride, &v.Pace, &v.RT, &v.Ahead, &v.Bad, &v.Pause, &v.Hits, &v.Peak, &v.At}
 }
 
 func figures(v *fleet.Learnt) []*float64 {
--- a/learnt/learnt_test.go
+++ b/learnt/learnt_test.go
@@ -17,7 +17,7 @@
 			Keys: []fleet.KeyLearnt{{Place: 3, Count: 12.5}, {Place: 2047, Count: 2}}}}
 	for i := range servers {
 		s.Servers = append(s.Servers, Server{fmt.Sprint("s", i), fleet.ServerLearnt{Started: float64(i), Shed: 0.1, Stride: 0.2,
-			Pace: 12, RT: 30, Ahead: 1, Bad: 0.2, Pause: 500, Hits: 0.8, Peak: 4}})
+			Pace: 12, RT: 30, Ahead: 1, Bad: 0.2, Pause: 500, Hits: 0.8, Peak: 4, At: 990}})
 	}
 	return s
 }
--- a/node/memory.go
+++ b/node/memory.go
@@ -110,8 +110,8 @@
 
 // recall takes a state in, if it is younger than what was taken in before: a process that takes over has its
 // predecessor's message, the file of some time before that, and the one that the predecessor writes at its end. What has no
-// server of its own, such as counts of keys, is taken in once, for it would add up; of servers the module takes in those of
-// which it knows nothing yet.
+// server of its own, such as counts of keys, is taken in once, for it would add up; what it says of a server that this process has heard of
+// too counts the more, the younger it is (decide.Recall).
 func (n *Node) recall(now float64, mind rememberer, s *learnt.State, terms learnt.Terms) {
 	if s.At <= n.recalled {
 		return
--- a/node/memory_test.go
+++ b/node/memory_test.go
@@ -182,3 +182,30 @@
 	}
 	k.Stop(0, time.Second)
 }
+
+// A process that takes over and has heard of its servers takes in what the one before wrote last about them, as far as that is younger. It
+// once took in only servers of which it knew nothing yet, which after a moment of traffic is none.
+func TestLastWordOfTheProcessBefore(t *testing.T) {
+	w := newTown(t, 3, hit, fromOrigin)
+	k := w.keeper(t.TempDir())
+	w.addr = k.addr
+	for i := range 60 {
+		w.wants(w.ask("KV.GET", fmt.Sprint("key", i%20), fmt.Sprint("id", i), "c=read,d=500"), "hit")
+	}
+	took := func() (ms float64) {
+		for _, s := range k.knows(t).Servers {
+			if s.Name == "s0" {
+				ms = s.RT
+			}
+		}
+		return ms
+	}
+	own := took()
+	now := k.clock.Now()
+	k.inbox.post(late{k.memory, &learnt.State{At: now, Policy: k.memory.terms.Policy, Node: "n0", Zone: k.memory.terms.Zone,
+		Servers: []learnt.Server{{Name: "s0", ServerLearnt: fleet.ServerLearnt{RT: 700, Pace: 700, Peak: 1, At: now}}, {Name: "s1"}, {Name: "s2"}, {Name: "o"}}}})
+	if with := took(); own == 0 || with < own+100 {
+		t.Errorf("answers of s0 are held to take %.1f ms, and %.1f after a younger word of 700", own, with)
+	}
+	k.Stop(0, time.Second)
+}
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -212,10 +212,8 @@
 			n.mind.Probed(h.now, id, res, took, r)
 		}
 	case "INBOX":
-		from, body := l.whole("From"), l.bytes("Contents")
-		if n != nil && l.err == nil {
-			n.mind.Heard(h.now, fleet.NodeID(from), body)
-		}
+		l.whole("From") // of other nodes' words none is in use: nothing may hang on their arrival
+		l.bytes("Contents")
 	default:
 		return fmt.Errorf("message %q is not known", l.name)
 	}
