--- a/decide/list.go
+++ b/decide/list.go
@@ -7,7 +7,7 @@
 	"mintspring/fleet"
 )
 
-// mostPause is the longest pause between calls for the list: with what calls take it is under 6 s (list.Waits).
+// mostPause is the longest pause between calls for the list: with what calls take, it is under 6 s in all.
 const mostPause = 1500.0
 
 // upkeep does what is due for the node itself: it moves the ring and renews the subscription.
