--- a/node/link/conn.go
+++ b/node/link/conn.go
@@ -255,8 +255,6 @@
 		l.mu.Unlock()
 		if ended {
 			l.group.Done(e, Ending{At: at, Reply: reply})
-		} else if reply.Stream != nil {
-			reply.Stream.Close()
 		}
 	}
 }
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -92,7 +92,6 @@
 	Panicked       func(any)                // a panic in a connection's code, which closes that connection
 	ConnectTimeout float64
 	Stall          float64        // an answer that has begun may stand still for so long, ms; 0: for ever
-	Late           float64        // for so long behind the time of a query its answer is waited for, to keep the connection, ms; 0: not at all
 	Room           *room.Room     // for values that have to be collected
 	Pause          float64        // the same for a large value, which nobody can ask for again; 0: for ever
 	Doubled        func(*Link)    // a peer was seen to answer twice, late; nil: nobody wants to know
@@ -370,16 +369,11 @@
 	return true
 }
 
-// shut closes a connection if the answer to an execution is still waited for on it; without one in any case.
-func (l *Link) shut(c *conn, late *Execution) {
+// shut closes a connection, if it still is open.
+func (l *Link) shut(c *conn) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if late != nil && c.cur != late {
-		return
-	}
-	l.leave(c)
 	l.desk.Shut(c)
-	l.desk.Serve(l.group.Clock.Now()) // there is room for another
+	l.mu.Unlock()
 }
 
 // leave takes its execution off a connection.
@@ -409,22 +403,17 @@
 	if e.X.Body != nil && e.reach >= exchange.PartlyWritten {
 		e.X.Body.Drop(cause)
 	}
-	// Where the query may have another execution the connection is cut, also while an answer comes: this one would be out beside that.
-	switch c, over := e.conn, r == fleet.TimedOut && l.group.Clock.Now() >= e.X.Deadline-1; {
-	case c == nil:
-	case over && c.collecting:
-		// The server still gives. One that never ends to is not listened to for ever.
-		l.leave(c)
-		c.dropping.Store(true)
-		if pause := l.group.Pause; pause > 0 {
-			time.AfterFunc(clock.Span(pause), func() { l.shut(c, nil) })
+	if e.conn != nil {
+		l.leave(e.conn)
+		if c := e.conn; c.collecting && r == fleet.TimedOut {
+			// Its query is over, and the server still gives. One that never ends to is not listened to for ever.
+			c.dropping.Store(true)
+			if pause := l.group.Pause; pause > 0 {
+				time.AfterFunc(clock.Span(pause), func() { l.shut(c) })
+			}
+		} else {
+			l.desk.Shut(c) // also while an answer comes: the query may have another execution, of which this one would be a second copy
 		}
-	case over && e.sent && l.group.Late > 0:
-		// Its answer may be near, and another connection would cost the server more: it is taken in and dropped.
-		time.AfterFunc(clock.Span(l.group.Late), func() { l.shut(c, e) })
-	default:
-		l.leave(c)
-		l.desk.Shut(c)
 	}
 	l.desk.Gone(e)
 	if e.conn != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -130,7 +130,7 @@
 	n.sockets = sockets
 	soonest, longest := b.Site.Spans()
 	n.group = &link.Group{Clock: n.clock, Sockets: sockets, Done: n.done, Panicked: n.panicked,
-		ConnectTimeout: ConnectTimeout(&b.Site), Stall: soonest / 4, Late: soonest / 2, Pause: longest,
+		ConnectTimeout: ConnectTimeout(&b.Site), Stall: soonest / 4, Pause: longest,
 		Room:   room.New(int64(b.MemoryMB) << 20 / roomShare),
 		Chance: n.chance}
 	n.front = &clients.Server{Node: n, Life: &n.life, Chance: n.chance, Clock: n.clock, Sockets: sockets,
