--- a/rig/closed.go
+++ b/rig/closed.go
@@ -56,10 +56,12 @@
 	seed := uint64(start.UnixNano())
 	one := func(c *client, rng *rand.Rand, h *hdrhistogram.Histogram, due float64) *client {
 		if c == nil {
-			if c, err = dial(p.Addr); err != nil {
+			fresh, err := dial(p.Addr) // an error of its own: the clients share nothing
+			if err != nil {
 				atomic.AddInt64(&out.Broken, 1)
 				return nil
 			}
+			c = fresh
 		}
 		key := fmt.Sprintf("key-%d", rng.IntN(max(1, p.Keys)))
 		o := order{Key: key, ID: fmt.Sprintf("%08x%08x", uint32(seed), ids.Add(1)),
