Failing tests: requests lost at the end of a stop and behind a stalled upload

The reader drops what it reads while the last replies are pending, and a large write that stalls closes its connection over the requests before it.

--- a/internal/node/clients/closing_test.go
+++ b/internal/node/clients/closing_test.go
@@ -256,3 +256,33 @@
 		t.Error("it was closed over a request")
 	}
 }
+
+// At the end of a stop every command that was read has its answer, also those beyond the number that a client may have in flight: they
+// were read ahead, so that its disconnect would be noticed.
+func TestCommandsReadAheadAreAnsweredAtStop(t *testing.T) {
+	r := newHarness(t)
+	const commands = 4 * maxPipelined
+	c := r.dial()
+	for i := range commands {
+		c.send(command("KV.GET", "k", fmt.Sprint(i), testExtra))
+	}
+	var taken []*exchange.Exchange
+	for range maxPipelined {
+		taken = append(taken, r.nextRequest())
+	}
+	r.server.Lifecycle.BeginStop()
+	r.server.Lifecycle.FinishStop()
+	r.server.Sweep()
+	time.Sleep(20 * time.Millisecond) // the reader has seen the end of the stop
+	for _, x := range taken {
+		x.Respond(exchange.Response{Value: []byte("v")})
+	}
+	go func() {
+		for x := range r.taken {
+			x.Respond(exchange.Response{Value: []byte("w")})
+		}
+	}()
+	if got, err := c.readReplies(); err != nil || len(got) != commands {
+		t.Errorf("%d of %d commands have a reply, %v", len(got), commands, err)
+	}
+}
--- a/internal/node/clients/upload_test.go
+++ b/internal/node/clients/upload_test.go
@@ -193,3 +193,30 @@
 		return nil
 	}
 }
+
+// A large write that stalls ends its connection, and the requests before it have their answers first.
+func TestRepliesBeforeStalledUpload(t *testing.T) {
+	for _, memory := range []int64{1_000_000, 1} { // it is buffered, or passed on as it arrives
+		r := newHarness(t, func(s *Server) { s.CommandTimeout, s.Memory = 60, memlimit.New(memory) })
+		c := r.dial()
+		write := command("KV.SET", "k", "2", "c=put,d=400,k=m", strings.Repeat("v", 100_000))
+		c.send(command("KV.GET", "k", "1", "c=read,d=400") + write[:50_000])
+		x := r.nextRequest()
+		if memory == 1 {
+			stalled := r.nextRequest()
+			go func() {
+				for {
+					if _, err := stalled.Body.Read(make([]byte, 1<<16)); err != nil {
+						stalled.Respond(exchange.Response{Kind: exchange.Aborted, Reason: err.Error()})
+						return
+					}
+				}
+			}()
+		}
+		time.Sleep(3 * 60 * time.Millisecond)
+		x.Respond(exchange.Response{Value: []byte("v")})
+		if got, err := c.readReplies(); err != nil || len(got) < 2 || got[0] != "v" || !strings.HasPrefix(got[1], "-ERR") {
+			t.Errorf("memory for %d bytes: replies %q, %v", memory, got, err)
+		}
+	}
+}
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -201,3 +202,36 @@
 		t.Errorf("it took %v to stop", took)
 	}
 }
+
+// A request that arrives in the last phase of a stop, behind one that is still in flight on its connection, has its answer: it has been
+// taken, and the connection ends only after it. Its bytes used to be read and dropped.
+func TestRequestBehindOneInFlightIsAnsweredAtStop(t *testing.T) {
+	release, begun := make(chan struct{}), make(chan struct{}, 10)
+	tc := newTestCluster(t, 1, serveHit, func(http.ResponseWriter, *http.Request) { begun <- struct{}{}; <-release })
+	c := tc.dial()
+	_, err := c.Write(command("KV.SET", "k", "1", "c=pay,d=2000", "v"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	const grace = 50 * time.Millisecond
+	go tc.node.Stop(grace, 2*time.Second)
+	for i := range 3 {
+		time.Sleep(2 * grace)
+		if _, err := c.Write(command("KV.GET", "k", fmt.Sprint("late", i), "c=read,d=2000")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(grace)
+	close(release)
+	if err := c.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(c)
+	if err != nil {
+		t.Errorf("the connection ends with %v", err)
+	}
+	if replies := strings.Count(string(text), "\r\n-BUSY"); replies != 3 {
+		t.Errorf("%d of 3 late requests were rejected: %q", replies, text)
+	}
+}
