Reject what is read at the end of a stop, and answer what precedes a stalled upload

A large write that stalled closed its connection over the requests before it (readLargeWrite, passBody). Change: from the last phase of a stop on, requests read behind those in flight are rejected, unforwarded, and the connection ends when all it read is answered. A stalled upload ends like any command that times out.

--- a/internal/node/clients/closing.go
+++ b/internal/node/clients/closing.go
@@ -93,19 +93,22 @@
 // tryDepart ends the connection or hands it over if that may be, and reports whether it did. The reader calls it with no part of
 // a command read. Bytes that have arrived but are not read yet are served before. Closing takes two steps: the writer ends
 // sending after the last reply, and bytes that the client sends until it sees that end are read and dropped (linger).
+//
+// Near the end of a stop, requests that arrive behind those in flight are rejected: to drop them would lose them, and to leave
+// them unread would hide a disconnect.
 func (c *conn) tryDepart() bool {
 	closing := c.closingStage()
 	c.mu.Lock()
-	between := c.state.betweenRequests()
-	may := c.state.phase == phaseOpen && (between || closing == lifecycle.StopReading)
+	between, open := c.state.betweenRequests(), c.state.phase == phaseOpen
 	c.mu.Unlock()
-	if !may || closing == lifecycle.KeepOpen {
+	c.rejecting = c.rejecting || closing == lifecycle.StopReading && !between
+	if !open || !between || closing == lifecycle.KeepOpen {
 		return false
 	}
-	if between && c.handOver() {
+	if c.handOver() {
 		return true
 	}
-	if unread, _ := sockstate.Peek(c.net); unread && between {
+	if unread, _ := sockstate.Peek(c.net); unread {
 		return false
 	}
 	c.reply("", true)
--- a/internal/node/clients/conn.go
+++ b/internal/node/clients/conn.go
@@ -30,6 +30,7 @@
 	net        net.Conn
 	jitter     float64 // from [0,1), spreads the ends of connections that are closed together
 	acceptedAt float64
+	rejecting  bool // the node is about to end, and requests are rejected unforwarded; owned by the reader
 
 	mu    sync.Mutex // guards state
 	cond  sync.Cond  // state has changed
@@ -57,10 +58,9 @@
 	if reserved == nil {
 		size += int64(len(request.Key) + len(request.ID) + len(request.Extra) + len(request.Value))
 	}
-	if c.server.overMemory(size, 1) {
-		// Rejected before anything was sent: other requests hold all the memory that there is.
-		response := exchange.Response{Kind: exchange.Rejected, RetryAfter: c.server.Config().RetryAfter}
-		c.reply(string(appendReply(nil, &response)), false)
+	if c.rejecting || c.server.overMemory(size, 1) {
+		// Rejected before anything was sent: the node is about to end, or other requests hold all the memory that there is.
+		c.reply(c.server.rejection(), false)
 		return false
 	}
 	if !c.server.claimID(request) {
@@ -206,6 +206,13 @@
 	return c.state.hasPending()
 }
 
+// hasUnanswered reports whether a request that was read has no response yet.
+func (c *conn) hasUnanswered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.hasUnanswered()
+}
+
 // atLimit reports whether no more commands are taken until one is replied to.
 func (c *conn) atLimit() bool {
 	c.mu.Lock()
--- a/internal/node/clients/dispatch.go
+++ b/internal/node/clients/dispatch.go
@@ -81,6 +81,12 @@
 	return s.MaxBuffered > 0 && float64(s.buffered.Load()+n) > multiple*float64(s.MaxBuffered)
 }
 
+// rejection is the reply to a request that is rejected before the node has seen it.
+func (s *Server) rejection() string {
+	response := exchange.Response{Kind: exchange.Rejected, RetryAfter: s.Config().RetryAfter}
+	return string(appendReply(nil, &response))
+}
+
 func errorReply(message string) string {
 	return string(redcon.AppendError(nil, "ERR "+sanitize(message)))
 }
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -119,6 +119,8 @@
 	case size < 0 || b[0] != '*':
 		c.replyError(malformedMessage, true)
 		return takeStopped
+	case size > 0 && c.rejecting:
+		return r.skipCommand(size, c.server.rejection())
 	case size > 0 && c.server.Memory != nil && isLargeWrite(b, size):
 		var open bool
 		if r.skip, open = r.readLargeWrite(size); !open {
@@ -145,13 +147,19 @@
 	return takeAccepted
 }
 
-// refuse replies to a command of a size that may not be taken, and skips it. One that is far too large ends the connection.
+// refuse replies to a command of a size that may not be taken, and skips it.
 func (r *commandReader) refuse(size int) takeResult {
+	r.conn.server.counters.malformed.Add(1)
+	return r.skipCommand(size, errorReply(tooLargeMessage))
+}
+
+// skipCommand replies to a command of a size and skips it. One that is far too large ends the connection.
+func (r *commandReader) skipCommand(size int, reply string) takeResult {
 	n := min(size, r.in.Len())
 	r.skip = size - n
 	r.in.Discard(n)
 	tooMuch := r.skip > maxDiscard
-	r.conn.replyError(tooLargeMessage, tooMuch)
+	r.conn.reply(reply, tooMuch)
 	if tooMuch {
 		return takeStopped
 	}
@@ -163,10 +171,13 @@
 	c := r.conn
 	closing := c.closingStage()
 	if closing == lifecycle.StopReading && taken {
-		// If the client keeps sending, the ring always holds the beginning of one more command: that counts as not read.
-		c.reply("", true)
-		c.linger()
-		return false
+		c.rejecting = true
+		if !limited && !c.hasUnanswered() {
+			// If the client keeps sending, the ring always holds the beginning of one more command: that counts as not read.
+			c.reply("", true)
+			c.linger()
+			return false
+		}
 	}
 	next := c.recordRead(&r.in, at, r.skip > 0, limited)
 	if next.ended {
--- a/internal/node/clients/state.go
+++ b/internal/node/clients/state.go
@@ -1,6 +1,10 @@
 package clients
 
-import "mintspring/internal/node/exchange"
+import (
+	"slices"
+
+	"mintspring/internal/node/exchange"
+)
 
 // phase is how far a connection has come. It only grows.
 type phase uint8
@@ -82,6 +86,13 @@
 // hasPending reports whether a command that was read has not been replied to.
 func (s *sharedState) hasPending() bool { return len(s.replies) > 0 || s.writer == writerWriting }
 
+// hasUnanswered reports whether a request that was read has no response yet.
+func (s *sharedState) hasUnanswered() bool {
+	return slices.ContainsFunc(s.replies, func(r pendingReply) bool {
+		return r.request != nil && r.request.Response() == nil
+	})
+}
+
 // finishing reports whether nothing is in flight but a reply, other than a large value, whose writing began less than so many
 // ms ago.
 func (s *sharedState) finishing(now, within float64) bool {
--- a/internal/node/clients/upload.go
+++ b/internal/node/clients/upload.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -35,7 +36,7 @@
 	n := copy(b, r.in.Peek())
 	r.in.Discard(n)
 	if err := c.readFull(b[n:]); err != nil {
-		c.close()
+		c.uploadFailed(err)
 		return 0, false
 	}
 	complete, args, _, _, err := redcon.ReadNextCommand(b, nil)
@@ -83,6 +84,16 @@
 	}
 }
 
+// uploadFailed ends a connection on which the rest of a large write does not come. Requests before it are answered first, if
+// the client is still there.
+func (c *conn) uploadFailed(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.commandTimedOut()
+		return
+	}
+	c.close()
+}
+
 // streamLargeWrite passes a write on at its head, and its value as it arrives and as its server reads it. The server runs it
 // when it has the last byte, and the client's time limit begins with that. The last byte is passed on only with the end of the
 // command behind it.
@@ -129,7 +140,8 @@
 		}
 		r.in.Grow(exchange.StreamWindow)
 		if _, err := c.readUpload(deadline, func() (int, error) { return r.in.ReadOnce(c.net) }); err != nil {
-			c.close()
+			request.Body.CloseWriter(errTruncatedBody) // its attempt, and so its reply, may wait for the rest
+			c.uploadFailed(err)
 			return 0, false
 		}
 	}
