Failing tests: stops with short deadlines, and signalled during the start

Cause: MaxRequestTimeout returns the write timeout, which is a second at least; and the bound of a stop is counted from when the signal is handled, not from its arrival.

--- a/cmd/mintspring/nodeprocess_test.go
+++ b/cmd/mintspring/nodeprocess_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -99,13 +100,14 @@
 	discovery  string
 	operator   string // path of the operator's file; empty: none
 	guarantees string // JSON fields beside the usual ones
+	timeoutMs  int    // of requests
 	received   [2]atomic.Int64
 	executions sync.Map // by request id, *atomic.Int64
 }
 
 func newTestNode(t *testing.T) *testNode {
 	t.Helper()
-	n := &testNode{t: t, dir: t.TempDir()}
+	n := &testNode{t: t, dir: t.TempDir(), timeoutMs: 1200}
 	ln := n.listen()
 	n.addr = ln.Addr().String()
 	var err error
@@ -172,18 +174,29 @@
 }
 
 func (n *testNode) start() *nodeProcess {
+	n.t.Helper()
+	return n.startAt(n.reserveAddr())
+}
+
+// reserveAddr returns an address that nobody else is given during the test.
+func (n *testNode) reserveAddr() string {
 	n.t.Helper()
 	port, err := reservedport.Reserve()
 	if err != nil {
 		n.t.Fatal(err)
 	}
 	n.t.Cleanup(func() { closeAll(port) })
-	adminAddr := port.Addr()
+	return port.Addr()
+}
+
+// startAt starts a process with its admin port at an address.
+func (n *testNode) startAt(adminAddr string) *nodeProcess {
+	n.t.Helper()
 	text := strings.NewReplacer(
 		"127.0.0.1:1\"", n.addr+`","admin":"`+adminAddr+`"`,
 		"127.0.0.1:2", n.discovery,
 		`"known":{"revision":41,"complete":true,"members":[{"id":"s"}]},`, "",
-		`"SloTime":1000,"StatementTimeout":2000}]`, `"Effect":"pure","SloTime":400000,"StatementTimeout":1200000,"Importance":1}],
+		`"SloTime":1000,"StatementTimeout":2000}]`, `"Effect":"pure","SloTime":`+strconv.Itoa(n.timeoutMs/3)+`000,"StatementTimeout":`+strconv.Itoa(n.timeoutMs)+`000,"Importance":1}],
 		"PolicyLimits":{"MaxExecutions":4,"ConnectTimeout":250000},"Quantum":5000,"Guarantees":{"StopSendingWithin":500000`+n.guarantees+`}`,
 	).Replace(validConfig)
 	file := filepath.Join(n.t.TempDir(), "config.json")
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -235,3 +235,12 @@
 		t.Errorf("%d of 3 late requests were rejected: %q", replies, text)
 	}
 }
+
+// The bound of a stop is that of the longest deadline of the deployment, however short that is: the platform kills the process 0.7 s
+// after that has passed.
+func TestLongestRequestTimeout(t *testing.T) {
+	tc := newTestCluster(t, 1, serveHit, echoOrigin)
+	if ms := tc.node.MaxRequestTimeout(); ms != 600 {
+		t.Errorf("%.0f ms, and the longest timeout in the settings is 600 ms", ms)
+	}
+}
