Count a stop from its signal, bound it by the true longest deadline, read hangups during it

Cause: the longest deadline was read from the write timeout, which has a floor of a second; the signal's time was that of its handling; Run did not read SIGHUP while Node.Stop ran. Change: Config.LongestTimeout; signals are stamped on arrival; hangups are handled during a stop; once nothing in flight is left on a connection, what was read ahead is rejected and nothing more is read.

--- a/cmd/mintspring/run.go
+++ b/cmd/mintspring/run.go
@@ -2,31 +2,19 @@
 
 import (
 	"fmt"
-	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"mintspring/internal/clock"
 	"mintspring/internal/config/operatorfile"
 	"mintspring/internal/config/platform"
 	"mintspring/internal/node"
 	"mintspring/internal/node/admin"
 )
 
-// Times of a stop. Clients may send requests for 0.4 s more, and the platform kills the process 0.7 s after the longest
-// deadline of a request, 3 s at most, has passed.
-const (
-	stopGrace          = 500 * time.Millisecond
-	stopMargin         = 600 * time.Millisecond
-	maxRequestDeadline = 3 * time.Second
-)
-
 // gcPercent is the garbage collector's target: the heap is small, and one core serves requests and collects.
 const gcPercent = 400
 
@@ -38,9 +26,7 @@
 // Run runs the node until the process is signalled to stop.
 func (r *runCmd) Run() error {
 	// Signals are caught from the first moment on: a hangup that is not caught ends the process.
-	hangups, stops := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signals := catchSignals()
 	config, err := platform.Load(r.getenv)
 	if err != nil {
 		return err
@@ -72,15 +58,22 @@
 	served := make(chan error, 1)
 	go func() { served <- n.Serve(clients) }()
 	active := activeConfig{config, operator}
+	var stopped <-chan struct{} // nil: the node serves
 	for {
 		select {
 		case err := <-served:
-			return err
-		case <-hangups:
+			if stopped == nil {
+				return err
+			}
+			served = nil // the stop has closed the listener
+		case <-signals.hangups:
 			active = active.reload(r.fileFlags, n, log)
-		case s := <-stops:
-			log.WithField("signal", s.String()).Info("stopping")
-			n.Stop(stopGrace, stopMargin+min(maxRequestDeadline, clock.Duration(n.MaxRequestTimeout())))
+		case s := <-signals.stops:
+			if stopped == nil {
+				log.WithField("signal", s.signal.String()).Info("stopping")
+				stopped = s.begin(n)
+			}
+		case <-stopped:
 			log.Info("stopped")
 			return nil
 		}
--- a/internal/node/clients/config.go
+++ b/internal/node/clients/config.go
@@ -11,11 +11,12 @@
 // Config is what one generation of the settings says about requests: the names that clients use, and limits. It is not
 // changed once in use.
 type Config struct {
-	Classes      map[string]*Class
-	Tenants      map[string]fleet.TenantID
-	ReturnMargin float64 // ms of a client's time limit that are kept for the reply's way back
-	WriteTimeout float64 // ms after which a client that reads nothing is closed: the longest deadline
-	RetryAfter   float64 // ms sent to a client whose request is rejected before the node has seen it; 0: not sent
+	Classes        map[string]*Class
+	Tenants        map[string]fleet.TenantID
+	ReturnMargin   float64 // ms of a client's time limit that are kept for the reply's way back
+	LongestTimeout float64 // ms, of all classes
+	WriteTimeout   float64 // ms after which a client that reads nothing is closed: the longest timeout, or minWriteTimeout
+	RetryAfter     float64 // ms sent to a client whose request is rejected before the node has seen it; 0: not sent
 }
 
 // Class is a request class as clients name it.
@@ -28,14 +29,15 @@
 func NewConfig(d settings.Deployment, id func(name string) (fleet.ClassID, bool)) *Config {
 	c := &Config{
 		Classes: map[string]*Class{}, Tenants: map[string]fleet.TenantID{},
-		ReturnMargin: d.Limits.Quantum, WriteTimeout: minWriteTimeout,
+		ReturnMargin: d.Limits.Quantum,
 	}
 	for i, name := range d.RequestClasses {
 		if classID, known := id(name); known {
 			c.Classes[name] = &Class{classID, d.Limits.Classes[i]}
-			c.WriteTimeout = max(c.WriteTimeout, d.Limits.Classes[i].Timeout)
+			c.LongestTimeout = max(c.LongestTimeout, d.Limits.Classes[i].Timeout)
 		}
 	}
+	c.WriteTimeout = max(c.LongestTimeout, minWriteTimeout)
 	if d.Limits.RetryAfter {
 		c.RetryAfter = d.Limits.MaxRetryAfter
 	}
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -172,10 +172,8 @@
 	closing := c.closingStage()
 	if closing == lifecycle.StopReading && taken {
 		c.rejecting = true
-		if !limited && !c.hasUnanswered() {
-			// If the client keeps sending, the ring always holds the beginning of one more command: that counts as not read.
-			c.reply("", true)
-			c.linger()
+		if !c.hasUnanswered() {
+			r.finish(at)
 			return false
 		}
 	}
@@ -201,6 +199,26 @@
 	return true
 }
 
+// finish rejects the commands that were read ahead, reads no more, and ends the connection. If the client keeps sending, the ring
+// always holds the beginning of one more command: that counts as not read.
+func (r *commandReader) finish(at float64) {
+	for result := takeLimited; result == takeLimited; {
+		r.conn.awaitReplies()
+		_, result = r.takeCommands(at)
+	}
+	r.conn.reply("", true)
+	r.conn.linger()
+}
+
+// awaitReplies waits until commands may be taken.
+func (c *conn) awaitReplies() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.state.atLimit() {
+		c.cond.Wait()
+	}
+}
+
 // readProgress is the state of a connection after a read.
 type readProgress struct {
 	ended, paused             bool
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -207,7 +207,7 @@
 func (n *Node) SetDiscovery(addr string) { n.discovery.SwitchTo(addr) }
 
 // MaxRequestTimeout is the longest timeout of any request class, in ms.
-func (n *Node) MaxRequestTimeout() float64 { return n.frontend.Config().WriteTimeout }
+func (n *Node) MaxRequestTimeout() float64 { return n.frontend.Config().LongestTimeout }
 
 // random draws from [0,1). The draws follow from the seed alone.
 func (n *Node) random() float64 { return fleet.Unit(n.seed + n.randomDraws.Add(1)) }
