Failing test: a hold-up of 0.15 s as the listener closes

Cause: the listener is closed as soon as the process runs again, over connections that the kernel established meanwhile.

--- a/cmd/mintspring/stop_test.go
+++ b/cmd/mintspring/stop_test.go
@@ -101,3 +101,36 @@
 	}
 	return nil
 }
+
+// TestStopAnswersBacklogAfterHoldUp: the process is held up for 0.15 s across the moment at which it stops accepting. Requests on
+// connections that were established meanwhile have their answers: the node's machine has accepted them.
+func TestStopAnswersBacklogAfterHoldUp(t *testing.T) {
+	n := newTestNode(t)
+	p := n.start()
+	p.waitForReply("status", "OK")
+	const clients, holdUp = 20, 150 * time.Millisecond
+	answered := make(chan error, clients)
+	start := time.Now()
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(stopGrace - 2*holdUp/3)
+	if err := p.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	for i := range clients {
+		go func() { answered <- n.requestOnce(fmt.Sprint("held", i)) }()
+	}
+	time.Sleep(holdUp)
+	if err := p.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	for range clients {
+		if err := <-answered; err != nil {
+			t.Errorf("%v after SIGTERM: %v", time.Since(start), err)
+		}
+	}
+	if err := <-p.exited; err != nil {
+		t.Error(err)
+	}
+}
