Accept the backlog before the clients' listener is closed

Cause: clients.Server.Close closed the listener while connections waited in its backlog, which resets them; the protocol counts a request as taken once its last byte is on a connection that the machine has accepted. Change: Close lets Serve accept until the backlog was empty for 20 ms, 100 ms at most. After a successor serves nothing is accepted.

--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -53,12 +53,15 @@
 
 	mu        sync.Mutex // guards the fields below
 	conns     map[*conn]struct{}
-	canAccept sync.Cond    // accepting has resumed, or the server is closed
-	handover  HandoverFunc // nil: there is no process to hand connections to
-	closed    bool
+	canAccept sync.Cond                     // accepting has resumed, or the server is closed
+	handover  HandoverFunc                  // nil: there is no process to hand connections to
+	closed    bool                          // nothing is accepted but the backlog
+	abandoned bool                          // nor that
 	inFlight  map[string]*exchange.Exchange // requests by the client's id
 	listener  net.Listener
 	reuse     reuseStats
+
+	serveEnded <-chan struct{} // closed when Serve has returned; nil before it is called
 }
 
 type counters struct {
@@ -97,10 +100,19 @@
 // acceptRetryDelay is the pause after a failed accept.
 const acceptRetryDelay = 5 * time.Millisecond
 
+// Close accepts connections that the kernel has established already until there was none for backlogQuiet, and for maxBacklogTime
+// at most.
+const (
+	backlogQuiet   = 20 * time.Millisecond
+	maxBacklogTime = 100 * time.Millisecond
+)
+
 // Serve accepts connections until the server or its listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
+	ended := make(chan struct{})
+	defer close(ended)
 	s.mu.Lock()
-	s.listener = listener
+	s.listener, s.serveEnded = listener, ended
 	s.mu.Unlock()
 	for s.waitAccept() {
 		netConn, err := listener.Accept()
@@ -108,7 +120,10 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			// Another process accepts from now on.
+			// Another process accepts from now on, or the server is closed and its backlog is empty.
+			if s.isClosed() {
+				return nil
+			}
 		case err != nil:
 			s.LogError("cannot accept a client", err)
 			time.Sleep(acceptRetryDelay)
@@ -122,7 +137,7 @@
 	return nil
 }
 
-// waitAccept waits while another process accepts, and reports false once the server is closed.
+// waitAccept waits while another process accepts, and reports false once nothing more is to be accepted here.
 func (s *Server) waitAccept() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,7 +145,16 @@
 	for !s.closed && !s.Lifecycle.AcceptsConnections() {
 		s.canAccept.Wait()
 	}
-	return !s.closed
+	if s.closed {
+		s.setAcceptDeadline(time.Now().Add(backlogQuiet))
+	}
+	return s.Lifecycle.AcceptsConnections() && !s.abandoned
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
 }
 
 // serveConn serves a connection whose descriptor is counted.
@@ -195,9 +219,14 @@
 	s.canAccept.Broadcast()
 }
 
+// deadlineListener is a listener whose Accept can be ended without closing it.
+type deadlineListener interface {
+	SetDeadline(deadline time.Time) error
+}
+
 // setAcceptDeadline is called with the mutex held.
 func (s *Server) setAcceptDeadline(deadline time.Time) {
-	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok {
+	if l, ok := s.listener.(deadlineListener); ok {
 		_ = l.SetDeadline(deadline) // fails only on a closed listener, and then accepting ends anyway
 	}
 }
@@ -227,13 +256,27 @@
 	return conns
 }
 
-// Close stops accepting. Connections are not closed.
+// Close stops accepting, once the connections are accepted that were established before: a request on them counts as taken, and a
+// listener that is closed resets them. Connections are not closed.
 func (s *Server) Close() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	ended := s.serveEnded
+	_, drains := s.listener.(deadlineListener)
+	drains = drains && !s.closed
 	s.closed = true
+	s.setAcceptDeadline(time.Now().Add(backlogQuiet))
+	s.canAccept.Broadcast()
+	s.mu.Unlock()
+	if drains {
+		select {
+		case <-ended:
+		case <-time.After(maxBacklogTime):
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.abandoned = true
 	if s.listener != nil {
 		_ = s.listener.Close() // it is not used any more
 	}
-	s.canAccept.Broadcast()
 }
