Place servers' starts by when the list showed them; successors continue the predecessor's clock

Cause: listChanged.handle gave decide the list's up_since_ms as it stands. A start that is seen while the list is followed is at most as old as the last confirmation of the list without it; nothing else about it survives a stepped clock. During a hot restart times of standby, exclusions and slow start were by the predecessor's clock and compared with the successor's, which began with the wall clock; stored exclusions alike. Change: package serverstart (decisions, no I/O) places each start; discovery says when the list was last confirmed (objects, empty lines); the state for a successor carries the clock and the starts, and the successor's clock continues it; stored exclusions are rebased. The plan of a rolling restart compares listed starts with one another. Golden state: the new one beside the old one, which is still read. Limit: a server that was in slow start already when a process began with a wrong clock, and stands unchanged in its known list, cannot be told from a warm one.

--- a/cmd/mintspring/idempotency.go
+++ b/cmd/mintspring/idempotency.go
@@ -103,7 +103,7 @@
 
 // newIncarnation returns the number of a data directory that is made now.
 func newIncarnation() idempotency.StorageIncarnation {
-	return cluster.NewIncarnation(float64(time.Now().UnixMilli()), 0.5)
+	return cluster.NewIncarnation(float64(time.Now().UnixMilli()), 0.5) //nolint:forbidigo // one that is too small is replaced when it is noticed
 }
 
 type idempotencyVerifyCmd struct {
--- a/cmd/mintspring/run.go
+++ b/cmd/mintspring/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mintspring/internal/clock"
 	"mintspring/internal/config/operatorfile"
 	"mintspring/internal/config/platform"
 	"mintspring/internal/node"
@@ -46,6 +47,9 @@
 	dir, handover := joinPredecessor(config, log)
 	nodeConfig := config.NodeConfig()
 	nodeConfig.Operator = operator
+	if handover != nil && handover.State.Clock > 0 {
+		nodeConfig.Clock = clock.At(handover.State.Clock)
+	}
 	n := node.New(nodeConfig, log)
 	n.StartHandover(dir, handover)
 	if config.Admin != "" {
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -13,9 +13,12 @@
 // New starts a clock.
 func New() *Clock {
 	now := time.Now()
-	return &Clock{start: now, startMs: float64(now.UnixMicro()) / 1000}
+	return &Clock{start: now, startMs: float64(now.UnixMicro()) / 1000} //nolint:forbidigo // read once; from here on the monotonic clock counts
 }
 
+// At starts a clock at a time in Unix milliseconds: the clock of another process goes on.
+func At(ms float64) *Clock { return &Clock{start: time.Now(), startMs: ms} }
+
 // Now is the time in Unix milliseconds.
 func (c *Clock) Now() float64 {
 	return c.startMs + float64(time.Since(c.start))/float64(time.Millisecond)
--- a/internal/cluster/rollingrestart/plan.go
+++ b/internal/cluster/rollingrestart/plan.go
@@ -35,8 +35,9 @@
 
 // ServerStatus is what the endpoint list says of a server.
 type ServerStatus struct {
-	Listed    bool    // in service
-	StartedAt float64 // of its process; 0: long ago
+	Listed      bool    // in service
+	ListedStart float64 // of its process, as the endpoint list gives it; 0: long ago
+	StartedAt   float64 // the same by this node's clock
 }
 
 // NewPlan returns a plan to restart servers, of which at most maxUnavailable are excluded or warming up at once.
@@ -118,7 +119,7 @@
 		switch {
 		case !s.Listed:
 			continue
-		case !r.Restarted && s.StartedAt > r.PreviousStart:
+		case !r.Restarted && s.ListedStart > 0 && s.ListedStart != r.PreviousStart:
 			r.Restarted = true
 			return r.Server + " restarted and readmitted", true
 		case r.Restarted && now-s.StartedAt >= warmupMillis:
@@ -140,7 +141,7 @@
 		p.Skipped = append(p.Skipped, server)
 		return server + " not listed, skipped"
 	}
-	p.InProgress = append(p.InProgress, Restart{Server: server, PreviousStart: s.StartedAt})
+	p.InProgress = append(p.InProgress, Restart{Server: server, PreviousStart: s.ListedStart})
 	return server + " excluded, ready to be restarted"
 }
 
--- a/internal/cluster/rollingrestart/plan_test.go
+++ b/internal/cluster/rollingrestart/plan_test.go
@@ -29,7 +29,7 @@
 func (f *fleetModel) restartSome(t *rapid.T, excluded []string) {
 	for _, name := range excluded {
 		if rapid.IntRange(0, 2).Draw(t, "restarted") == 0 {
-			f.servers[name] = ServerStatus{Listed: true, StartedAt: f.now}
+			f.servers[name] = ServerStatus{Listed: true, ListedStart: f.now, StartedAt: f.now}
 		}
 	}
 }
@@ -117,7 +117,7 @@
 		t.Fatal(err)
 	}
 	startedAt := func(at float64) func(string) ServerStatus {
-		return func(string) ServerStatus { return ServerStatus{Listed: true, StartedAt: at} }
+		return func(string) ServerStatus { return ServerStatus{Listed: true, ListedStart: at, StartedAt: at} }
 	}
 	p.Advance(10, warmup, startedAt(5))
 	p.Paused = true
@@ -155,14 +155,14 @@
 		}
 		p.Advance(start, warmup, fleet.status)
 		if restarted {
-			fleet.servers["a"] = ServerStatus{Listed: true, StartedAt: start}
+			fleet.servers["a"] = ServerStatus{Listed: true, ListedStart: start, StartedAt: start}
 			p.Advance(start+1, warmup, fleet.status)
 		}
 		fleet.servers["a"] = ServerStatus{}
 		if step, due := p.Advance(longAfter, warmup, fleet.status); due || slices.Contains(p.Excluded(), "b") {
 			t.Errorf("restarted: %v: %q while a is missing: %s", restarted, step, p)
 		}
-		fleet.servers["a"] = ServerStatus{Listed: true, StartedAt: longAfter}
+		fleet.servers["a"] = ServerStatus{Listed: true, ListedStart: longAfter, StartedAt: longAfter}
 		for range 4 {
 			p.Advance(longAfter+warmup, warmup, fleet.status)
 		}
--- a/internal/controlplane/client/client.go
+++ b/internal/controlplane/client/client.go
@@ -199,7 +199,7 @@
 	defer ticker.Stop()
 	previous := ""
 	for i := 0; ; i++ {
-		name := strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(i)
+		name := strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(i) //nolint:forbidigo // a name, not a time
 		c.mu.Lock()
 		c.cache.RecordLeaseRequest(c.nowMs(), name)
 		lost := time.Since(c.leasedAt) > leaseTimeout
--- a/internal/controlplane/server/tls.go
+++ b/internal/controlplane/server/tls.go
@@ -88,7 +88,7 @@
 	var fingerprints fileFingerprints
 	for i, name := range []string{r.config.CertFile, r.config.KeyFile, r.config.ClientCAFile} {
 		if info, err := os.Stat(name); err == nil {
-			fingerprints[i] = fmt.Sprint(info.ModTime().UnixNano(), info.Size())
+			fingerprints[i] = fmt.Sprint(info.ModTime().UnixNano(), info.Size()) //nolint:forbidigo // only compared for equality
 		}
 	}
 	return fingerprints
--- a/internal/node/clients/closing.go
+++ b/internal/node/clients/closing.go
@@ -14,7 +14,7 @@
 )
 
 // longAgo is a deadline that has passed: a read in progress returns, and so does the next one, without having read.
-var longAgo = time.Unix(1, 0)
+var longAgo = time.Unix(1, 0) //nolint:forbidigo // before any time of the wall clock
 
 // lingerDivisor divides the write timeout into the time for which the reader lingers.
 const lingerDivisor = 4
--- a/internal/node/clients/closing_test.go
+++ b/internal/node/clients/closing_test.go
@@ -184,24 +184,7 @@
 	r.server.Sweep()
 	r.server.Lifecycle.FinishStop()
 	r.server.Sweep()
-	n, rejected := 0, 0
-	for ; ; n++ {
-		line, err := c.r.ReadString('\n')
-		if err != nil {
-			if err != io.EOF || line != "" {
-				t.Errorf("the connection ended with %q and %v", line, err)
-			}
-			break
-		}
-		if line == "-BUSY 70\r\n" {
-			rejected, n = rejected+1, n-1
-			continue
-		}
-		if line[0] != '$' || rejected > 0 {
-			t.Fatalf("answer %q behind %d rejected", line, rejected)
-		}
-		c.skipLine()
-	}
+	n := c.readValuesThenRejections()
 	if !taken(fmt.Sprint(n-1)) || taken(fmt.Sprint(n)) {
 		t.Errorf("%d were answered, and the one behind was taken: %v", n, taken(fmt.Sprint(n)))
 	}
@@ -209,6 +192,28 @@
 	<-sent
 }
 
+// readValuesThenRejections reads until the connection ends: values, and behind them only rejections. It returns the number of values.
+func (c *client) readValuesThenRejections() (values int) {
+	c.t.Helper()
+	for rejected := false; ; {
+		line, err := c.r.ReadString('\n')
+		switch {
+		case err != nil:
+			if err != io.EOF || line != "" {
+				c.t.Errorf("the connection ended with %q and %v", line, err)
+			}
+			return values
+		case line == "-BUSY 70\r\n":
+			rejected = true
+		case line[0] == '$' && !rejected:
+			c.skipLine()
+			values++
+		default:
+			c.t.Fatalf("answer %q behind %d values, rejected before: %v", line, values, rejected)
+		}
+	}
+}
+
 // At shutdown the rest of a command that has begun is awaited, the command replied to, and the connection closed after it.
 func TestPartialCommandAtShutdown(t *testing.T) {
 	for _, near := range []bool{false, true} {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"mintspring/internal/clock"
 	"mintspring/internal/config/operatorfile"
 	"mintspring/internal/config/settings"
 	"mintspring/internal/fleet"
@@ -19,6 +20,7 @@
 	Discovery    string           // address of the discovery service
 	CachedList   discovery.Update // endpoint list known at the start
 	Deployment   settings.Deployment
+	Clock        *clock.Clock       // nil: one that begins with the wall clock. A successor continues its predecessor's
 	MemoryMB     int                // memory limit of the process; 0: none
 	Descriptors  int                // limit on file descriptors; 0: none that matters
 	AdminEnabled bool               // the admin port is open
--- a/internal/node/discovery/client.go
+++ b/internal/node/discovery/client.go
@@ -43,6 +43,7 @@
 	mu            sync.Mutex         // guards the fields below
 	watching      bool               // a watch is running that was not replaced
 	revision      int64              // the last one received
+	confirmedAt   time.Time          // when the list was last known to be complete; zero: it never was
 	needsFullList bool               // revision is of another service, so a full list is due before the next watch
 	cancelWatch   context.CancelFunc // nil, or ends the current watch
 }
@@ -54,6 +55,33 @@
 	c.revision = revision
 }
 
+// ConfirmList records that the list which is known now is complete, as it is where another process has followed it until now.
+func (c *Client) ConfirmList() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.confirmList()
+}
+
+// confirmList is called with mu held. It returns how long ago the list was confirmed before; negative: it never was.
+func (c *Client) confirmList() (before time.Duration) {
+	now := time.Now()
+	before = -1
+	if !c.confirmedAt.IsZero() {
+		before = now.Sub(c.confirmedAt)
+	}
+	c.confirmedAt = now
+	return before
+}
+
+// heartbeat records an empty line, which says that nothing has changed. What comes on a call that was replaced says nothing.
+func (c *Client) heartbeat(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ctx.Err() == nil && !c.confirmedAt.IsZero() {
+		c.confirmList()
+	}
+}
+
 // Revision returns the last revision received.
 func (c *Client) Revision() int64 {
 	c.mu.Lock()
@@ -177,6 +205,7 @@
 	} else {
 		c.revision = max(c.revision, u.Revision)
 	}
+	u.ConfirmedAgo = c.confirmList()
 	c.OnUpdate(u)
 	return nil
 }
--- a/internal/node/discovery/entry.go
+++ b/internal/node/discovery/entry.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"time"
 
 	"mintspring/internal/config/settings"
 	"mintspring/internal/fleet"
@@ -60,6 +61,9 @@
 	Revision int64             `json:"revision"`
 	Complete bool              `json:"complete"` // Members is the complete list, not only what has changed
 	Members  []json.RawMessage `json:"members"`  // entries, to be read with Merge
+
+	// ConfirmedAgo is how long before the update the list was last known to be complete without it; negative: it never was.
+	ConfirmedAgo time.Duration `json:"-"`
 }
 
 // errNoID is returned for an entry that names no endpoint.
--- a/internal/node/discovery/stream.go
+++ b/internal/node/discovery/stream.go
@@ -48,7 +48,7 @@
 		if c.OnActivity != nil {
 			c.OnActivity()
 		}
-	}}
+	}, onHeartbeat: func() { c.heartbeat(ctx) }}
 	// An object ends with its last brace, whether it stands on one line or is indented, and whether or not the response ends
 	// with it.
 	for objects := json.NewDecoder(body); ; {
@@ -90,11 +90,13 @@
 	return resp, nil
 }
 
-// lineReader calls onLine for each read with the end of a line in it, and bounds the bytes of one object.
+// lineReader calls onLine for each read with the end of a line in it, onHeartbeat for each with nothing else in it, and bounds the
+// bytes of one object.
 type lineReader struct {
-	source    io.Reader
-	onLine    func()
-	remaining int // bytes that the current object may still have
+	source      io.Reader
+	onLine      func()
+	onHeartbeat func()
+	remaining   int // bytes that the current object may still have
 }
 
 // Read skips empty lines: those of a watch of months would pile up in the decoder's memory. No JSON string holds one.
@@ -108,6 +110,7 @@
 			l.onLine()
 		}
 		if err == nil && n > 0 && len(bytes.Trim(b[:n], "\r\n")) == 0 {
+			l.onHeartbeat()
 			continue
 		}
 		l.remaining -= n
--- a/internal/node/discovery/stream_test.go
+++ b/internal/node/discovery/stream_test.go
@@ -105,12 +105,16 @@
 
 // TestLineReader: empty lines are skipped and reported, and an object without an end is cut off.
 func TestLineReader(t *testing.T) {
-	lines := 0
-	l := &lineReader{source: strings.NewReader("\n\r\n"), remaining: 10, onLine: func() { lines++ }}
+	lines, heartbeats := 0, 0
+	onLine, onHeartbeat := func() { lines++ }, func() { heartbeats++ }
+	l := &lineReader{source: strings.NewReader("\n\r\n"), remaining: 10, onLine: onLine, onHeartbeat: onHeartbeat}
 	if got, err := l.Read(make([]byte, 1)); got != 0 || !errors.Is(err, io.EOF) || lines != 2 || l.remaining != 10 {
 		t.Errorf("%d bytes of empty lines, %v; %d lines, %d remaining", got, err, lines, l.remaining)
 	}
-	l = &lineReader{source: strings.NewReader(strings.Repeat("x", 30)), remaining: 10, onLine: func() { lines++ }}
+	if heartbeats != 3 { // the bytes were read one by one
+		t.Errorf("%d heartbeats", heartbeats)
+	}
+	l = &lineReader{source: strings.NewReader(strings.Repeat("x", 30)), remaining: 10, onLine: onLine, onHeartbeat: onHeartbeat}
 	if text, err := io.ReadAll(l); err == nil || len(text) != 10 {
 		t.Errorf("%d bytes of an object without an end, %v", len(text), err)
 	}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -8,25 +8,29 @@
 	"mintspring/internal/node/connpool"
 	"mintspring/internal/node/discovery"
 	"mintspring/internal/node/origin"
+	"mintspring/internal/node/serverstart"
 	"mintspring/internal/node/upstream"
 )
 
 // server is one server of the endpoint list, with the connections to it.
 type server struct {
 	entry    discovery.Entry // merged from all updates
+	started  float64         // of its process, by the node's clock; 0: long ago
 	endpoint *upstream.Endpoint
 }
 
 // listChanged: the discovery service has sent entries of the endpoint list.
 type listChanged struct {
-	mode    fleet.ListMode
-	entries []json.RawMessage
+	mode        fleet.ListMode
+	entries     []json.RawMessage
+	confirmedAt float64 // when the list was last known to be complete without these entries
 }
 
 func (e listChanged) handle(n *Node, now float64) {
 	endpoints := make([]fleet.Endpoint, 0, len(e.entries))
+	confirmedAt := n.startsConfirmedAt(now, e)
 	for _, text := range e.entries {
-		endpoint, err := n.applyEntry(now, text)
+		endpoint, err := n.applyEntry(now, text, confirmedAt)
 		if err != nil {
 			n.log.WithError(err).Warn("cannot parse an endpoint list entry")
 			continue
@@ -67,8 +71,18 @@
 	n.inflight.Policy.UpdateEndpoints(now, fleet.ListFailed, nil)
 }
 
+// startsConfirmedAt returns the time before which no start can have been that the list changes bring. The first list of a process
+// that knew another one at its start brings starts since then, at any time: one so long ago that its server would be warm is not
+// believed, for the clocks may be apart.
+func (n *Node) startsConfirmedAt(now float64, e listChanged) float64 {
+	if e.mode == fleet.ListFull && e.confirmedAt == serverstart.Never() && len(n.servers) > 0 {
+		return now - n.deployment.Limits.WarmUpTime
+	}
+	return e.confirmedAt
+}
+
 // applyEntry merges an entry of the endpoint list into what is known of its server, and points the connections at it.
-func (n *Node) applyEntry(now float64, text json.RawMessage) (fleet.Endpoint, error) {
+func (n *Node) applyEntry(now float64, text json.RawMessage, confirmedAt float64) (fleet.Endpoint, error) {
 	entry, err := discovery.Merge(discovery.Entry{}, text)
 	if err != nil {
 		return fleet.Endpoint{}, err
@@ -80,6 +94,7 @@
 		return fleet.Endpoint{}, err
 	}
 	n.servers[id].entry = entry
+	n.servers[id].started = n.serverStarts.Observe(now, entry.ID, entry.UpSince, confirmedAt)
 	return n.effectiveEndpoint(now, id), nil
 }
 
@@ -87,6 +102,7 @@
 func (n *Node) addServer(id fleet.ServerID, entry *discovery.Entry, replaced string) {
 	if replaced != "" {
 		n.exclusions.Forget(replaced)
+		n.serverStarts.Forget(replaced)
 		n.servers[id].endpoint.Remove()
 	} else {
 		n.servers = append(n.servers, nil)
@@ -110,7 +126,7 @@
 func (n *Node) effectiveEndpoint(now float64, id fleet.ServerID) fleet.Endpoint {
 	s := n.servers[id]
 	endpoint := s.entry.Member(id, &n.deployment)
-	endpoint.Started = n.exclusions.StartedAt(s.entry.ID, endpoint.Started)
+	endpoint.Started = n.exclusions.StartedAt(s.entry.ID, s.started)
 	if s.entry.Flavor != discovery.OriginFlavor {
 		endpoint.State = n.exclusions.EffectiveState(s.entry.ID, endpoint.State)
 		if n.maintenance != nil {
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -69,7 +69,7 @@
 			fleet.Endpoint{ID: 3, Name: "d", Zone: -1, State: fleet.Draining},
 		},
 	} {
-		if got, err := n.applyEntry(0, []byte(c.text)); err != nil || got != c.want {
+		if got, err := n.applyEntry(1700000010000, []byte(c.text), 0); err != nil || got != c.want {
 			t.Errorf("%s: %+v, %v", c.text, got, err)
 		}
 	}
@@ -86,7 +86,7 @@
 		for _, e := range entries {
 			raw = append(raw, json.RawMessage(e))
 		}
-		listChanged{mode, raw}.handle(n, now)
+		listChanged{mode: mode, entries: raw}.handle(n, now)
 	}
 	for i := range 300 {
 		update(fleet.ListDelta, entry(fmt.Sprint("s", i), fmt.Sprint("127.0.0.1:", 1000+i%3), "box"))
@@ -126,7 +126,7 @@
 	var first float64
 	for i := range 2000 {
 		gone := fmt.Sprintf(`{"id":"s%d","phase":"terminated"}`, i-3)
-		listChanged{fleet.ListDelta, []json.RawMessage{
+		listChanged{mode: fleet.ListDelta, entries: []json.RawMessage{
 			json.RawMessage(gone),
 			json.RawMessage(entry(fmt.Sprint("s", i), "127.0.0.1:1", "box")),
 		}}.handle(n, now)
--- a/internal/node/exclusion/exclusion.go
+++ b/internal/node/exclusion/exclusion.go
@@ -155,5 +155,17 @@
 	maps.Copy(s.readmitted, state.Readmitted)
 }
 
+// RebaseStored adapts a stored state to the clock of a process that starts at a time. Its times are of another process's clock, from
+// which the wall clock may have been stepped since: a start listed before now says nothing of an excluded server, and none has been
+// readmitted later than now.
+func (state *State) RebaseStored(now float64) {
+	for id := range state.Excluded {
+		state.Excluded[id] = now
+	}
+	for id, interval := range state.Readmitted {
+		state.Readmitted[id] = Interval{From: min(interval.From, now), To: min(interval.To, now)}
+	}
+}
+
 // ExcludedIDs returns the ids of the excluded servers, sorted.
 func (s *Set) ExcludedIDs() []string { return slices.Sorted(maps.Keys(s.excluded)) }
--- a/internal/node/exclusion/exclusion_test.go
+++ b/internal/node/exclusion/exclusion_test.go
@@ -40,6 +40,30 @@
 	})
 }
 
+// A stored state is of another process's clock: what it says of times is taken on the safe side, whichever way that clock was off.
+func TestRebaseStored(t *testing.T) {
+	const now, hour = 1e12, 3.6e6
+	for _, offset := range []float64{-hour, 0, hour} {
+		state := State{
+			Excluded:   map[string]float64{"out": now + offset - 10},
+			Readmitted: map[string]Interval{"back": {From: now + offset - 20, To: now + offset - 10}},
+		}
+		state.RebaseStored(now)
+		s := New()
+		s.MarkListed("out")
+		s.Import(state)
+		if _, err := s.Readmit("out", now+5); err != nil {
+			t.Fatal(err)
+		}
+		if at := s.StartedAt("out", now-5); at != now+5 {
+			t.Errorf("offset %.0f: an excluded server has started at %.0f, want at its readmission", offset, at-now)
+		}
+		if at := s.StartedAt("back", 0); at > now {
+			t.Errorf("offset %.0f: a readmitted server has started %.0f ms from now", offset, at-now)
+		}
+	}
+}
+
 func drawID(t *rapid.T) string {
 	return rapid.SampledFrom([]string{"a", "b", "c", "A", ""}).Draw(t, "id")
 }
--- a/internal/node/golden_test.go
+++ b/internal/node/golden_test.go
@@ -47,7 +47,7 @@
 			return decide.New(goldenNow, limits, slab)
 		},
 	}, log)
-	listChanged{fleet.ListFull, []json.RawMessage{
+	listChanged{mode: fleet.ListFull, entries: []json.RawMessage{
 		json.RawMessage(entry("s0", "127.0.0.1:7000", "box")),
 		json.RawMessage(`{"id":"s1","host_port":"127.0.0.1:7001","locality":"a","flavor":"box","cell":3,"phase":"in_service","size":2.5,"up_since_ms":1600000000000}`),
 		json.RawMessage(entry("o", "127.0.0.1:7002", "origin")),
@@ -68,26 +68,39 @@
 	return n
 }
 
-// The state that a process sends to its successor has the golden bytes, and a successor restores it.
+// The state that a process sends to its successor has the golden bytes, and a successor restores it; also that of a build which sent no
+// clock (state_transfer_without_clock.json).
 func TestGoldenStateTransfer(t *testing.T) {
 	n := goldenNode(t)
 	n.life.EnterStandby(goldenNow + 5)
 	given := n.stateTransfer(goldenNow + 10)
-	b, err := json.Marshal(given)
-	if err != nil {
-		t.Fatal(err)
+	withoutClock := given
+	withoutClock.Clock, withoutClock.ServerStarts = 0, nil
+	for _, c := range []struct {
+		file  string
+		state hotrestart.State
+	}{{"state_transfer.json", given}, {"state_transfer_without_clock.json", withoutClock}} {
+		b, err := json.Marshal(c.state)
+		if err != nil {
+			t.Fatal(err)
+		}
+		checkGolden(t, c.file, b)
+		var read hotrestart.State
+		if err := json.Unmarshal(goldentest.Read(t, c.file), &read); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(read, c.state) {
+			t.Errorf("%s: the state that was read differs from the one that was written", c.file)
+		}
+		expectTransferRestored(t, &read)
 	}
-	checkGolden(t, "state_transfer.json", b)
+}
 
-	var s hotrestart.State
-	if err := json.Unmarshal(goldentest.Read(t, "state_transfer.json"), &s); err != nil {
-		t.Fatal(err)
-	}
-	if !reflect.DeepEqual(s, given) {
-		t.Error("the state that was read differs from the one that was written")
-	}
+// expectTransferRestored expects a successor to restore the state of a golden node.
+func expectTransferRestored(t *testing.T, s *hotrestart.State) {
+	t.Helper()
 	successor := goldenNode(t)
-	successor.restoreTransfer(goldenNow+20, &s)
+	successor.restoreTransfer(goldenNow+20, s)
 	if got := successor.exclusions.ExcludedIDs(); !reflect.DeepEqual(got, []string{"s0"}) {
 		t.Errorf("excluded: %v", got)
 	}
@@ -103,6 +116,9 @@
 	}) {
 		t.Errorf("%+v", e)
 	}
+	if at := successor.servers[successor.serverTable.IDs["s1"]].started; at != 1600000000000 {
+		t.Errorf("s1 has started at %v", at)
+	}
 }
 
 // The policy hash stands in every snapshot file that was ever written.
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -120,6 +120,7 @@
 	if err != nil {
 		n.log.WithError(err).Warn("cannot load the saved exclusions; no cache server is excluded by them")
 	}
+	excluded.RebaseStored(n.clock.Now())
 	n.exclusions.Import(excluded)
 	n.reapplyExclusions(n.clock.Now())
 	n.listenForSuccessor()
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -46,7 +46,7 @@
 	channel, _ := predecessor.node.handover.other()
 	channel.Close()
 	recorder.WaitFor(t, "predecessor disconnected")
-	n.inbox.post(listChanged{fleet.ListFull, servers.Members})
+	n.inbox.post(listChanged{mode: fleet.ListFull, entries: servers.Members})
 	recorder.WaitFor(t, "took over from the predecessor")
 
 	const grace = 400 * time.Millisecond
--- a/internal/node/hotrestart/protocol.go
+++ b/internal/node/hotrestart/protocol.go
@@ -13,6 +13,7 @@
 
 	"mintspring/internal/node/discovery"
 	"mintspring/internal/node/exclusion"
+	"mintspring/internal/node/serverstart"
 )
 
 // ProtocolVersion is the version of the messages. Processes of other versions go on by themselves, each within its limits.
@@ -59,6 +60,11 @@
 	ColdWorkRate  float64          `json:"ColdRate"`  // work sent to all cache servers, per ms; the limit for warming servers follows from it
 	StandbySince  float64          `json:"Standby"`   // Unix ms; 0: the node is not on standby
 	Descriptors   int              `json:"Held"`      // how many the predecessor holds
+
+	// Clock is the time of the predecessor's clock, by which all times in the state are; 0: a build that does not send it. The successor
+	// continues that clock, for the wall clock may have been stepped since the predecessor started.
+	Clock        float64             `json:"Clock,omitempty"`
+	ServerStarts []serverstart.Start `json:"Starts,omitempty"` // of servers, by that clock
 }
 
 // Command is an operator's command that changed something.
--- a/internal/node/maintenance.go
+++ b/internal/node/maintenance.go
@@ -278,7 +278,8 @@
 	}
 	entry := &t.node.servers[id].entry
 	return rollingrestart.ServerStatus{
-		Listed:    entry.Phase == discovery.PhaseInService && t.node.serverTable.State(id) != fleet.Gone,
-		StartedAt: entry.UpSince,
+		Listed:      entry.Phase == discovery.PhaseInService && t.node.serverTable.State(id) != fleet.Gone,
+		ListedStart: entry.UpSince,
+		StartedAt:   t.node.servers[id].started,
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"cmp"
 	"net"
 	"runtime/debug"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -21,6 +23,7 @@
 	"mintspring/internal/node/lifecycle"
 	"mintspring/internal/node/memlimit"
 	"mintspring/internal/node/requestclass"
+	"mintspring/internal/node/serverstart"
 	"mintspring/internal/node/servertable"
 	"mintspring/internal/node/upstream"
 )
@@ -53,6 +56,7 @@
 	classes               requestclass.Table
 	serverTable           *servertable.Table
 	servers               []*server // by slot of the server table
+	serverStarts          serverstart.Tracker
 	cachePool, originPool connpool.Config
 	traffic               trafficCounters
 	nextSweepAt           float64
@@ -75,7 +79,7 @@
 		adminEnabled: config.AdminEnabled,
 		memoryMB:     config.MemoryMB,
 		deployment:   config.Deployment,
-		clock:        clock.New(),
+		clock:        cmp.Or(config.Clock, clock.New()),
 		exclusions:   exclusion.New(),
 		inbox:        newInbox(),
 		shutdown:     newShutdown(),
@@ -98,7 +102,7 @@
 	n.inflight.Policy = newPolicy(now, &config, &n.inflight.Slab)
 	n.startOptionalParts(&config)
 	n.discovery.SetRevision(config.CachedList.Revision)
-	listChanged{fleet.ListCached, config.CachedList.Members}.handle(n, now)
+	listChanged{fleet.ListCached, config.CachedList.Members, serverstart.Never()}.handle(n, now)
 	return n
 }
 
@@ -166,7 +170,11 @@
 			if u.Complete {
 				mode = fleet.ListFull
 			}
-			n.inbox.post(listChanged{mode, u.Members})
+			confirmedAt := serverstart.Never()
+			if u.ConfirmedAgo >= 0 {
+				confirmedAt = n.clock.Now() - float64(u.ConfirmedAgo)/float64(time.Millisecond)
+			}
+			n.inbox.post(listChanged{mode, u.Members, confirmedAt})
 		},
 		OnError: func(err error) { n.inbox.post(listFailed{err}) },
 	}
--- a/internal/node/serverclock_test.go
+++ b/internal/node/serverclock_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"mintspring/internal/fleet"
 	"mintspring/internal/node/discovery"
+	"mintspring/internal/node/serverstart"
 )
 
 // restartedEntry is the entry of a cache server whose process has started at a time by its own clock.
@@ -23,8 +25,9 @@
 	tc.onLoop(func(now float64) {
 		var exported fleet.Snapshot
 		tc.node.inflight.Policy.(snapshotPolicy).Export(now, &exported)
+		slot, known := tc.node.serverTable.IDs[id]
 		for _, s := range exported.Servers {
-			if s.ID == tc.node.serverTable.IDs[id] && s.Started > 0 {
+			if known && s.ID == slot && s.Started > 0 {
 				started = s.Started
 			}
 		}
@@ -67,8 +70,14 @@
 		known.Members = append(known.Members, []byte(restartedEntry("s1", "127.0.0.1:1", old)))
 		config.CachedList = known
 	})
-	tc.listUpdates <- fmt.Sprintf(`{"revision":2,"complete":true,"members":[%s,%s,%s]}`, restartedEntry("s0", tc.cacheAddrs[0], old),
-		restartedEntry("s1", tc.cacheAddrs[1], old), entry("o", tc.originAddr, "origin"))
+	firstList := listChanged{mode: fleet.ListFull, confirmedAt: serverstart.Never(), entries: []json.RawMessage{
+		[]byte(restartedEntry("s0", tc.cacheAddrs[0], old)), []byte(restartedEntry("s1", tc.cacheAddrs[1], old)),
+		[]byte(entry("o", tc.originAddr, "origin")),
+	}}
+	for listed := false; !listed; { // that of the cluster comes first
+		tc.onLoop(func(float64) { _, listed = tc.node.serverTable.IDs["s0"] })
+	}
+	tc.onLoop(func(now float64) { firstList.handle(tc.node, now) })
 	if age := tc.awaitStart("s0"); age > 5000 {
 		t.Errorf("the new one has started %.0f ms ago", age)
 	}
--- /dev/null
+++ b/internal/node/serverstart/serverstart_test.go
@@ -0,0 +1,58 @@
+package serverstart
+
+import (
+	"reflect"
+	"testing"
+)
+
+const (
+	hour = 3_600_000.0
+	now  = 1_000_000_000.0
+)
+
+// A start that is seen to be new is placed by when it was seen, whatever the clock of the machine that names it.
+func TestObserve(t *testing.T) {
+	for _, test := range []struct {
+		name                string
+		listed, confirmedAt float64
+		want                float64
+	}{
+		{"long ago", 0, now - 1000, 0},
+		{"clocks agree", now - 1500, now - 1000, now - 1500},
+		{"the earliest plausible time", now - 1000 - maxListDelay, now - 1000, now - 1000 - maxListDelay},
+		{"just before that", now - 1001 - maxListDelay, now - 1000, now},
+		{"the node's clock is an hour ahead", now - hour, now - 1000, now},
+		{"the node's clock is 40 s ahead", now - 40_000, now - 1000, now},
+		{"the node's clock is an hour behind", now + hour, now - 1000, now},
+		{"the node's clock is a moment behind", now + 1, now - 1000, now},
+		{"discovery was down for a minute", now - 50_000, now - 60_000, now - 50_000},
+		{"the first list", now - hour, Never(), now - hour},
+		{"the first list, clock behind", now + hour, Never(), now},
+	} {
+		var tracker Tracker
+		if got := tracker.Observe(now, "s", test.listed, test.confirmedAt); got != test.want {
+			t.Errorf("%s: started at %.0f, want %.0f", test.name, got-now, test.want-now)
+		}
+	}
+}
+
+// A start keeps its place, also in a process that takes over, until the server starts anew.
+func TestStartsAreStable(t *testing.T) {
+	var tracker Tracker
+	first := tracker.Observe(now, "s", now+hour, now)
+	if later := tracker.Observe(now+9000, "s", now+hour, now+8000); later != first {
+		t.Errorf("it moved by %.0f ms", later-first)
+	}
+	var successor Tracker
+	successor.Import(tracker.Export())
+	if !reflect.DeepEqual(successor, tracker) {
+		t.Errorf("taken over %v, want %v", successor, tracker)
+	}
+	if again := successor.Observe(now+20_000, "s", now+hour+20_000, now+19_000); again != now+20_000 {
+		t.Errorf("the next start is at %.0f", again-now)
+	}
+	successor.Forget("s")
+	if len(successor.Export()) != 0 {
+		t.Error("it is not forgotten")
+	}
+}
--- a/internal/node/snapshotevents.go
+++ b/internal/node/snapshotevents.go
@@ -48,7 +48,7 @@
 	for id, s := range n.servers {
 		servers = append(servers, snapshot.CurrentServer{
 			Name:      s.entry.ID,
-			StartedAt: s.entry.UpSince,
+			StartedAt: s.started,
 			Ready:     n.serverTable.State(fleet.ServerID(id)) == fleet.Ready,
 		})
 	}
--- a/internal/node/transfer.go
+++ b/internal/node/transfer.go
@@ -9,6 +9,7 @@
 	"mintspring/internal/fleet"
 	"mintspring/internal/node/discovery"
 	"mintspring/internal/node/hotrestart"
+	"mintspring/internal/node/serverstart"
 	"mintspring/internal/state/snapshot"
 )
 
@@ -20,6 +21,8 @@
 		Exclusions:    n.exclusions.Export(true),
 		Descriptors:   n.descriptors.Held(),
 		StandbySince:  n.life.StandbySince(),
+		Clock:         now,
+		ServerStarts:  n.serverStarts.Export(),
 		Endpoints:     discovery.Update{Complete: true, Revision: revision, Members: n.listEntries()},
 	}
 	if policy, ok := n.inflight.Policy.(snapshotPolicy); ok {
@@ -50,6 +53,7 @@
 // restoreTransfer takes over the state of the predecessor.
 func (n *Node) restoreTransfer(now float64, state *hotrestart.State) {
 	n.exclusions.Import(state.Exclusions)
+	n.serverStarts.Import(state.ServerStarts)
 	if state.StandbySince > 0 {
 		n.life.EnterStandby(state.StandbySince)
 	}
@@ -57,7 +61,8 @@
 		n.discovery.SetRevision(state.Endpoints.Revision)
 	}
 	// The predecessor has followed the discovery service until now, so that its list is as good as one from there.
-	listChanged{fleet.ListCached, state.Endpoints.Members}.handle(n, now)
+	listChanged{fleet.ListCached, state.Endpoints.Members, serverstart.Never()}.handle(n, now)
+	n.discovery.ConfirmList()
 	policy, ok := n.inflight.Policy.(snapshotPolicy)
 	if !ok || len(state.Snapshot) == 0 {
 		return
