--- a/internal/testbed/experiment/actions.go
+++ b/internal/testbed/experiment/actions.go
@@ -90,6 +90,10 @@
 		system.Discovery().ResetRevision()
 		return nil
 	}},
+	"server_clocks": {inverse: "server_clocks", onSystem: func(_ *Experiment, system System, s *Step) error {
+		system.Discovery().SetClockOffset(s.Value)
+		return nil
+	}},
 	"discovery_moves": {onSystem: func(_ *Experiment, system System, _ *Step) error { return system.RelocateDiscovery() }},
 }
 
--- a/internal/testbed/experiment/system.go
+++ b/internal/testbed/experiment/system.go
@@ -57,4 +57,5 @@
 	SetUnavailable(unavailable bool)
 	SetStalled(stalled bool)
 	ResetRevision()
+	SetClockOffset(ms float64) // of servers' clocks against the nodes': starts are listed so much later
 }
--- a/internal/testbed/fakes/discovery.go
+++ b/internal/testbed/fakes/discovery.go
@@ -44,6 +44,7 @@
 	endpoints     servermodel.EndpointList
 	unavailable   bool
 	stalled       bool
+	clockOffset   float64        // of servers' clocks, in ms
 	listeners     []net.Listener // by node
 	httpServers   []*http.Server // by node
 	notifications []Notification
@@ -99,7 +100,8 @@
 	d.fleet.mu.Unlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.endpoints.Publish(NowMs(), servermodel.EndpointUpdate{Server: s.ID(), Name: name, Phase: phase, Started: started})
+	update := servermodel.EndpointUpdate{Server: s.ID(), Name: name, Phase: phase, Started: started, ClockOffset: d.clockOffset}
+	d.endpoints.Publish(NowMs(), update)
 	d.notifyWatchers()
 }
 
@@ -133,6 +135,13 @@
 	d.mu.Unlock()
 }
 
+// SetClockOffset sets how far the clocks of servers are ahead of the nodes', in ms: starts that are listed from now on are so much later.
+func (d *Discovery) SetClockOffset(ms float64) {
+	d.mu.Lock()
+	d.clockOffset = ms
+	d.mu.Unlock()
+}
+
 // ResetRevision makes the revision start again from the beginning, as after a loss of the service's state.
 func (d *Discovery) ResetRevision() {
 	d.mu.Lock()
--- a/internal/testbed/fakes/discoveryhttp.go
+++ b/internal/testbed/fakes/discoveryhttp.go
@@ -178,6 +178,6 @@
 	}
 	return memberJSON{
 		ID: u.Name, HostPort: s.Addr(node), Locality: s.Zone, Flavor: flavor, Cell: s.Cell, Phase: u.Phase, Size: s.Size,
-		UpSince: math.Floor(u.Started),
+		UpSince: u.ListedStart(),
 	}
 }
--- a/internal/testbed/servermodel/endpointlist.go
+++ b/internal/testbed/servermodel/endpointlist.go
@@ -17,6 +17,8 @@
 	Name      string // the id under which the server is listed
 	Phase     string
 	Started   float64 // 0: long ago
+
+	ClockOffset float64 // by which the clock that Started is listed by was ahead, in ms
 }
 
 // EndpointList is discovery's endpoint list, as a log of its changes in the order of their revisions. The zero value is empty.
@@ -85,3 +87,11 @@
 	}
 	return changes, complete, upTo, due
 }
+
+// ListedStart is Started by the clock of the server's machine, as lists give it.
+func (u *EndpointUpdate) ListedStart() float64 {
+	if u.Started <= 0 {
+		return 0
+	}
+	return math.Floor(u.Started + u.ClockOffset)
+}
--- a/internal/testbed/simulator/discovery.go
+++ b/internal/testbed/simulator/discovery.go
@@ -19,7 +19,8 @@
 	endpoints    servermodel.EndpointList
 	unavailable  bool
 	stalled      bool
-	stallNumber  int // grows with each stall
+	clockOffset  float64 // of servers' clocks, in ms
+	stallNumber  int     // grows with each stall
 	watches      []*watch
 	stalledPolls []*watch // polls that came during a stall
 	callCount    int
@@ -144,7 +145,7 @@
 	}
 	return discovery.Entry{
 		ID: u.Name, HostPort: s.addr, Locality: s.Zone, Flavor: flavor, Cell: int32(s.Cell), Phase: u.Phase, Size: s.Size,
-		UpSince: math.Floor(u.Started),
+		UpSince: u.ListedStart(),
 	}
 }
 
@@ -159,6 +160,7 @@
 		p.revision, mode = upTo, fleet.ListFull
 	}
 	p.applyEndpoints(mode, entries)
+	p.confirmedAt = p.localNow()
 	p.runDueWork()
 }
 
@@ -179,6 +181,7 @@
 
 // publish changes the list.
 func (d *discoveryService) publish(u servermodel.EndpointUpdate) {
+	u.ClockOffset = d.clockOffset
 	d.endpoints.Publish(d.sim.nowMs(), u)
 	d.notifyWatchers()
 }
--- a/internal/testbed/simulator/process.go
+++ b/internal/testbed/simulator/process.go
@@ -13,7 +13,9 @@
 	"mintspring/internal/node/exchange"
 	"mintspring/internal/node/fdlimit"
 	"mintspring/internal/node/inflight"
+	"mintspring/internal/node/serverstart"
 	"mintspring/internal/node/servertable"
+	"mintspring/internal/testbed/fakes"
 )
 
 const (
@@ -44,6 +46,9 @@
 	clientAttempts map[*clientAttempt]bool // what its clients wait for
 	idleClients    int                     // clients' connections on which nothing is in flight
 
+	starts      serverstart.Tracker
+	confirmedAt float64 // when the endpoint list was last known to be complete, by the node's clock
+
 	watch    *watch // of the endpoint list; nil before the first
 	revision int64  // of the endpoint list
 	serving  bool   // it has had a list with a server that is ready
@@ -61,7 +66,7 @@
 	p := &process{
 		sim: n.sim, node: n, servers: servertable.New(node.SlotRetention(&n.deployment)), wakeAt: notScheduled,
 		clientAttempts: map[*clientAttempt]bool{}, descriptors: fdlimit.New(n.sim.experiment.Nodes.Sockets, 0),
-		cpu: processor{sim: n.sim, requestCost: n.sim.experiment.Nodes.RequestCost.Duration()},
+		confirmedAt: serverstart.Never(), cpu: processor{sim: n.sim, requestCost: n.sim.experiment.Nodes.RequestCost.Duration()},
 	}
 	p.cachePool, p.originPool = node.PoolConfigs(&n.deployment, n.operatorFile)
 	shortestObjectiveMs, _ := n.deployment.TimeBounds()
@@ -177,6 +182,7 @@
 		p.links[id] = p.newServerLink(e)
 	}
 	endpoint := e.Member(id, &p.node.deployment)
+	endpoint.Started = p.starts.Observe(now, e.ID, e.UpSince, p.startsConfirmedAt(now))
 	p.links[id].pool.Policy.ServerStarted(endpoint.Started)
 	if p.member != nil && e.Flavor != discovery.OriginFlavor && endpoint.State != fleet.Gone {
 		p.member.participant.AddServer(now, id, e.ID, e.UpSince)
@@ -186,6 +192,14 @@
 	return endpoint
 }
 
+// startsConfirmedAt returns when the list was last known to be complete: an open watch says so with every heartbeat.
+func (p *process) startsConfirmedAt(now float64) float64 {
+	if p.confirmedAt != serverstart.Never() && p.watch != nil && p.watch.isOpen() && !p.sim.discovery.stalled {
+		return max(p.confirmedAt, now-float64(fakes.Heartbeat/time.Millisecond))
+	}
+	return p.confirmedAt
+}
+
 // newServerLink returns the link to a server that the process has not seen yet.
 func (p *process) newServerLink(e discovery.Entry) *serverLink {
 	config := p.cachePool
--- a/internal/testbed/simulator/system.go
+++ b/internal/testbed/simulator/system.go
@@ -95,6 +95,9 @@
 // SetStalled implements experiment.DiscoveryControl.
 func (c discoveryControl) SetStalled(stalled bool) { c.discovery.setStalled(stalled) }
 
+// SetClockOffset implements experiment.DiscoveryControl.
+func (c discoveryControl) SetClockOffset(ms float64) { c.discovery.clockOffset = ms }
+
 // ResetRevision implements experiment.DiscoveryControl.
 func (c discoveryControl) ResetRevision() {
 	c.discovery.endpoints.ResetRevision(c.discovery.sim.nowMs())
