Connects that this machine fails say nothing of a server; failed prewarming pauses

Cause: upstream.Endpoint.connect returned fleet.ConnectFailed for every error; connpool.Pool.DialFailed dispatched, and with connections to be kept open that dialed again at once, without end. Change: errnos of this machine (descriptors, buffers, memory, ports, routes, its firewall) fail the attempt as not sent, which counts against no server and teaches the pool no limit; prewarming pauses 50 ms after a failed dial, doubling to 1 s.

--- a/internal/node/connpool/dialrate.go
+++ b/internal/node/connpool/dialrate.go
@@ -29,6 +29,9 @@
 	if n > 0 {
 		p.waitSinceDial = 0
 	}
+	if p.prewarms() && now < p.prewarmPausedUntil {
+		return n, p.prewarmPausedUntil
+	}
 	return n, math.Inf(1)
 }
 
@@ -39,7 +42,9 @@
 		// Cooling connections are ready before a new one would be, at no cost to the server.
 		want = max(0, want-s.CoolingDown)
 	}
-	want = max(want, p.target(now, s)-s.Open-s.Dialing)
+	if now >= p.prewarmPausedUntil {
+		want = max(want, p.target(now, s)-s.Open-s.Dialing)
+	}
 	return min(want, p.limit()-s.Open-s.Dialing)
 }
 
--- a/internal/node/connpool/policy.go
+++ b/internal/node/connpool/policy.go
@@ -55,6 +55,9 @@
 	demandAt float64
 	demand   float64 // smoothed dials per second
 
+	prewarmPause       float64 // ms, after the last failed dial; 0: none has failed since one succeeded
+	prewarmPausedUntil float64 // until then no connections are opened that no attempt waits for
+
 	slotEnd        float64 // end of the last slot in which this node dialed
 	waitSinceDial  float64 // ms waited for cooling connections since the last dial
 	learnedLimit   int     // connections that the server seems to accept; 0: unknown
@@ -116,6 +119,18 @@
 // prewarms reports whether connections are opened that no attempt waits for.
 func (p *Policy) prewarms() bool { return p.config.Prewarm || p.config.MinConns > 0 }
 
+// Bounds, in ms, of the pause after a failed dial.
+const (
+	minPrewarmPause = 50
+	maxPrewarmPause = 1000
+)
+
+// pausePrewarming records that a dial failed: the next one that no attempt waits for would fail as well, and at once.
+func (p *Policy) pausePrewarming(now float64) {
+	p.prewarmPause = min(max(2*p.prewarmPause, minPrewarmPause), maxPrewarmPause)
+	p.prewarmPausedUntil = now + p.prewarmPause
+}
+
 // target returns how many connections should be open before an attempt needs one.
 func (p *Policy) target(now float64, s State) int {
 	want := p.config.MinConns
--- a/internal/node/connpool/pool.go
+++ b/internal/node/connpool/pool.go
@@ -172,16 +172,18 @@
 // DialSucceeded takes over a connection that has been opened.
 func (p *Pool[C, A]) DialSucceeded(now float64, conn C) {
 	p.Dialing--
+	p.Policy.prewarmPause = 0
 	p.counters.Opened.Add(1)
 	conn.PoolConn().OpenedAt = now
 	p.Release(now, conn)
 }
 
-// DialFailed records that a dial begun at a time has failed; attempted is false where the node itself had no descriptor
-// for it. It returns the attempts that fail with it: the one that has waited longest, or all if no connection is left that could
+// DialFailed records that a dial begun at a time has failed; attempted is false where the reason was this machine's, such as a want of
+// descriptors. It returns the attempts that fail with it: the one that has waited longest, or all if no connection is left that could
 // serve them.
 func (p *Pool[C, A]) DialFailed(now, began float64, attempted bool) (failed []A) {
 	p.Dialing--
+	p.Policy.pausePrewarming(now)
 	if attempted {
 		p.Policy.recordDialFailure(now, p.openConns(), p.lastResponseAt >= began)
 	}
--- a/internal/node/upstream/endpoint.go
+++ b/internal/node/upstream/endpoint.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"net"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"mintspring/internal/clock"
@@ -195,5 +198,20 @@
 	if netConn, err = dialer.DialContext(ctx, "tcp", addr); err != nil {
 		e.group.Sockets.Release(fdlimit.Server)
 	}
+	if isLocalDialFailure(err) {
+		return nil, fleet.NotSent, err
+	}
 	return netConn, fleet.ConnectFailed, err
 }
+
+// localDialErrnos are the errors of socket(2), bind(2) and connect(2) that this machine itself is the reason of: no descriptor, buffer,
+// memory, port or route, or a rule of its own firewall.
+var localDialErrnos = [...]error{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN, syscall.EADDRNOTAVAIL, syscall.EADDRINUSE,
+	syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EACCES, syscall.EPERM, syscall.EINTR,
+}
+
+// isLocalDialFailure reports whether a dial failed for a reason that says nothing of the server: all servers may be hit by it at once.
+func isLocalDialFailure(err error) bool {
+	return slices.ContainsFunc(localDialErrnos[:], func(errno error) bool { return errors.Is(err, errno) })
+}
--- a/internal/node/upstream/group.go
+++ b/internal/node/upstream/group.go
@@ -24,8 +24,8 @@
 
 	Dialer             net.Dialer // opens connections; the zero value will do
 	ConnectTimeout     float64    // ms
-	StallTimeout       float64 // ms that a begun response may pause; 0: for ever
-	StreamStallTimeout float64 // ms that a large value may pause, which cannot be requested again; 0: for ever
+	StallTimeout       float64    // ms that a begun response may pause; 0: for ever
+	StreamStallTimeout float64    // ms that a large value may pause, which cannot be requested again; 0: for ever
 
 	counters connpool.Counters
 
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -86,6 +86,5 @@
 	errWaitTimeout   = errors.New("the attempt waited too long for a connection")
 	errQueueFull     = errors.New("too many attempts wait for a connection")
 	errSuspected     = errors.New("the server sends duplicate responses, and the next one may be for another request")
-	errLocalDial     = errors.New("this machine cannot connect for now")
 	errEarlyResponse = errors.New("the server responded before the request was sent completely")
 )
