--- a/cmd/mintspring-bench/main.go
+++ b/cmd/mintspring-bench/main.go
@@ -22,6 +22,7 @@
 	Request      requestCmd      `cmd:"" help:"Send one request to a node."`
 	Load         loadCmd         `cmd:"" help:"Put a load on one node, without fake servers."`
 	Run          runCmd          `cmd:"" help:"Run experiments with real processes and evaluate their expectations."`
+	Soak         soakCmd         `cmd:"" help:"Run generated faults and series of signals on real processes, and check the rules."`
 	Search       searchCmd       `cmd:"" help:"Generate experiments, simulate them, and shrink the worst."`
 	Sweep        sweepCmd        `cmd:"" help:"Raise the load of a simulated fleet past saturation and lower it again."`
 	Simulate     simulateCmd     `cmd:"" help:"Run experiments on a virtual clock, at any size."`
--- a/cmd/mintspring-bench/run.go
+++ b/cmd/mintspring-bench/run.go
@@ -10,6 +10,7 @@
 	"mintspring/internal/testbed/baseline"
 	"mintspring/internal/testbed/experiment"
 	"mintspring/internal/testbed/processrunner"
+	"mintspring/internal/testbed/syscalltrace"
 )
 
 // runCmd plays experiments with real processes.
@@ -21,6 +22,7 @@
 	Against       []string `help:"Also play it with random, hash, or another build's program." placeholder:"NAME"`
 	Program       string   `help:"The node's program; the one beside this otherwise."`
 	TraceSyscalls string   `help:"Trace the node's system calls, and fail those that the platform blocks, or end the node." enum:",deny,kill" default:""`
+	FailSyscalls  string   `help:"Fail the node's system calls by a plan, such as calls=connect,errno=ENOBUFS,share=0.5,from=4s,for=1s,every=3s." placeholder:"PLAN"`
 }
 
 // competitor is a program that experiments are played with.
@@ -66,6 +68,12 @@
 	if c.TraceSyscalls != "" {
 		judged.command = []string{self, "trace-syscalls", c.TraceSyscalls, program}
 	}
+	if c.FailSyscalls != "" {
+		if _, err := syscalltrace.ParseFaultPlan(c.FailSyscalls); err != nil {
+			return nil, err
+		}
+		judged.command = []string{self, "trace-syscalls", faultsMode + c.FailSyscalls, program}
+	}
 	all := []competitor{judged}
 	for _, name := range c.Against {
 		if name == baseline.Random || name == baseline.Hash {
--- a/cmd/mintspring-bench/syscalltrace.go
+++ b/cmd/mintspring-bench/syscalltrace.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"mintspring/internal/testbed/syscalltrace"
 )
@@ -24,6 +25,9 @@
 	return err
 }
 
+// faultsMode begins the mode of a traced program whose system calls fail by a plan.
+const faultsMode = "faults:"
+
 // syscallTraceCmd runs a node's program in place of itself: a mode, the program and its arguments.
 type syscallTraceCmd struct {
 	Args []string `arg:"" passthrough:""`
@@ -34,5 +38,12 @@
 	if len(c.Args) < 2 {
 		return errTraceUsage
 	}
+	if text, found := strings.CutPrefix(c.Args[0], faultsMode); found {
+		plan, err := syscalltrace.ParseFaultPlan(text)
+		if err != nil {
+			return err
+		}
+		return syscalltrace.RunWithFaults(c.Args[1:], plan)
+	}
 	return syscalltrace.Run(c.Args[1:], syscalltrace.Mode(c.Args[0]))
 }
--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"path/filepath"
 	"slices"
+	"time"
 
 	"mintspring/internal/config/operatorfile"
 	"mintspring/internal/config/tomlfile"
@@ -146,8 +147,10 @@
 	HonourRetryAfter    bool              `toml:"honour_waits"`
 	AttemptTimeoutShare float64           `toml:"try_share"` // an attempt is given up after this share of the request's timeout
 	FlagRetries         bool              `toml:"mark_retries"`
-	RetryAlways         bool              `toml:"insist"` // deduplicated requests are retried whatever came back, also after their window
-	WarmCaches          bool              `toml:"warm"`   // each cache holds the most popular keys at the start
+	RetryAlways         bool              `toml:"insist"`     // deduplicated requests are retried whatever came back, also after their window
+	PersistentClients   int               `toml:"persistent"` // beside the rate, for each node: clients that go on using one connection while it is open
+	LeaveShare          float64           `toml:"leave"`      // share of the persistent clients' requests whose client closes its connection early
+	WarmCaches          bool              `toml:"warm"`       // each cache holds the most popular keys at the start
 }
 
 // What clients do with a connection after a response.
@@ -277,6 +280,14 @@
 	return x.Classes[class].Timeout.Milliseconds() * x.Load.AttemptTimeoutShare
 }
 
+// LongestTimeout returns the longest timeout of any class of requests.
+func (x *Experiment) LongestTimeout() (longest time.Duration) {
+	for i := range x.Classes {
+		longest = max(longest, x.Classes[i].Timeout.Duration())
+	}
+	return longest
+}
+
 // OperatorFile returns where the operator's file of the nodes is, "" for none.
 func (x *Experiment) OperatorFile() string {
 	if x.Nodes.OperatorFile == "" || filepath.IsAbs(x.Nodes.OperatorFile) {
--- a/internal/testbed/experiment/system.go
+++ b/internal/testbed/experiment/system.go
@@ -46,6 +46,9 @@
 	Start() // once it has ended
 	Reload() error
 	SetFrozen(frozen bool)
+	Hold(duration time.Duration) error                   // it stands still, and counts as running
+	ReloadTruncated() error                              // of a configuration that is cut short
+	Crowd(connections int, duration time.Duration) error // clients connect and say nothing
 	SetStandby(standby bool) error
 	HotRestart() error
 	ReplaceMachine() // it loses its disk, and another one begins under its name
--- a/internal/testbed/experiment/validate.go
+++ b/internal/testbed/experiment/validate.go
@@ -104,6 +104,8 @@
 		return x.FieldErrorf("load.keys", "must be above 0")
 	case x.Load.Connections != keepConnections && x.Load.Connections != dropConnections:
 		return x.FieldErrorf("load.connections", "%q is neither %s nor %s", x.Load.Connections, keepConnections, dropConnections)
+	case x.Load.PersistentClients < 0 || !isShare(x.Load.LeaveShare):
+		return x.FieldErrorf("load", "persistent is a number of clients, leave a share")
 	case x.Load.AttemptTimeoutShare <= 0 || x.Load.AttemptTimeoutShare > 1:
 		return x.FieldErrorf("load.try_share", "%v is not a share above 0", x.Load.AttemptTimeoutShare)
 	}
@@ -208,8 +210,8 @@
 	switch {
 	case s.Duration > 0 && a.inverse == "":
 		return x.FieldErrorf(field+".for", "%s cannot be undone", s.Action)
-	case s.Delay < 0 || s.Delay > 0 && s.Action != "late_surplus" && s.Action != "injure_peers":
-		return x.FieldErrorf(field+".late", "it is for late_surplus and injure_peers, and not below 0")
+	case s.Delay < 0 || s.Delay > 0 && !slices.Contains([]string{"late_surplus", "injure_peers", "hold_node", "crowd_node"}, s.Action):
+		return x.FieldErrorf(field+".late", "it is for late_surplus, injure_peers, hold_node and crowd_node, and not below 0")
 	case !isShare(s.LossRate) || !isShare(s.CorruptRate) || !isShare(s.TruncateRate):
 		return x.FieldErrorf(field, "lose, spoil and short are shares")
 	case s.Duplicates < 0 || s.Duplicates > maxDuplicates || s.BytesPerSecond < 0:
--- /dev/null
+++ b/internal/testbed/faultsearch/soak.go
@@ -0,0 +1,164 @@
+package faultsearch
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"mintspring/internal/config/tomlfile"
+	"mintspring/internal/testbed/experiment"
+)
+
+// soakStream separates the random numbers of soak runs from others under the same seed.
+const soakStream = 37
+
+// Sizes and times of a soak run. It is played with real processes, several at a time.
+const (
+	soakSettle     = 1500 * time.Millisecond
+	soakLength     = 9 * time.Second
+	soakFirstFault = 300 * time.Millisecond
+	soakLastFault  = 5500 * time.Millisecond
+	soakHoldUp     = 150 * time.Millisecond // the longest that the protocol's page allows for
+	soakKeys       = 200
+	soakValueBytes = 80
+	soakHorizon    = 4 * time.Second // what a stop, and the start after it, take together at most
+)
+
+// signalPauses are the times between two signals of a series.
+var signalPauses = []time.Duration{0, time.Millisecond, 5 * time.Millisecond, 50 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond}
+
+// soakServerFaults and soakSystemFaults are the faults beside which nodes are signalled.
+var (
+	soakServerFaults = []string{"kill", "replace", "drain", "halt", "reset", "refuse", "cut", "errors", "resets", "half_answers", "spoilt", "lost_answers"}
+	soakSystemFaults = []string{"discovery_down", "discovery_silent", "discovery_late", "discovery_moves", "discovery_anew", "server_clocks"}
+)
+
+// GenerateSoak returns the soak run of a seed: a small fleet whose nodes are stopped and started, signalled in series and held up, while
+// servers and the discovery service have faults, and clients go on using their connections until these end. Nothing but its rules is
+// expected of it.
+func GenerateSoak(seed uint64) (*experiment.Experiment, error) {
+	s := sampler{rand.New(rand.NewPCG(seed, soakStream))}
+	x := &experiment.Experiment{
+		Name: fmt.Sprint("soak-", seed), About: "A soak run.", Seed: seed,
+		Settle: tomlfile.Duration(soakSettle), Length: tomlfile.Duration(soakLength),
+	}
+	s.soakFleet(x)
+	for node := range x.Nodes.Count {
+		s.soakStops(x, node)
+	}
+	for range 2 + s.IntN(4) {
+		x.Steps = append(x.Steps, s.soakServerFault(x))
+	}
+	for range s.IntN(3) {
+		x.Steps = append(x.Steps, s.soakSystemFault())
+	}
+	slices.SortStableFunc(x.Steps, func(a, b experiment.Step) int { return cmp.Compare(a.Time, b.Time) })
+	return normalize(x)
+}
+
+// soakFleet draws the fleet, the classes of requests and the load.
+func (s sampler) soakFleet(x *experiment.Experiment) {
+	x.Fleet.Zones = []string{"a", "b"}[:1+s.IntN(2)]
+	group := experiment.ServerGroup{Count: 3 + s.IntN(4)}
+	group.Cores, group.CacheObjects, group.MaxConnections = 4, soakKeys/2, 200
+	group.WarmWithin = tomlfile.Duration(6 * time.Second)
+	x.Fleet.Groups = []experiment.ServerGroup{group}
+	x.Fleet.Origin.Cores = 8
+	x.Fleet.DiscoveryDelay = ms(20 + 400*s.Float64())
+	x.Nodes.Count = 2 + s.IntN(2)
+	x.Nodes.Sockets = 256
+	x.Rules.Hedging = s.IntN(2) == 0
+	x.Rules.DrainGrace = ms(300 + 400*s.Float64())
+	x.Load.Rate, x.Load.Keys, x.Load.ValueBytes, x.Load.Retries = 60+s.Float64()*120, soakKeys, soakValueBytes, s.IntN(3)
+	x.Load.WarmCaches = true
+	x.Load.PersistentClients = 4 + s.IntN(12)
+	x.Load.LeaveShare = roundToMilli(0.15 * s.Float64())
+	x.Classes = s.soakClasses()
+}
+
+// soakClasses draws classes of each effect. Deadlines are short in two runs of three.
+func (s sampler) soakClasses() []experiment.ClassConfig {
+	longest := []float64{350, 800, 2500}[s.IntN(3)]
+	class := func(name string, share float64, effect string, write bool) experiment.ClassConfig {
+		timeout := longest * (0.6 + 0.4*s.Float64())
+		return experiment.ClassConfig{
+			Name: name, Share: share, Effect: effect, Write: write, PriorityWeight: 1 + float64(s.IntN(3)),
+			LatencyObjective: ms(timeout / 3), Timeout: ms(timeout), CacheWork: ms(2 + 4*s.Float64()), OriginWork: ms(4 + 10*s.Float64()),
+			CostSpread: costSpread,
+		}
+	}
+	note := class("note", 0.15, "deduplicated", s.IntN(2) == 0)
+	note.DedupWindow = ms(500 + 3000*s.Float64())
+	return []experiment.ClassConfig{
+		class("read", 0.6, "idempotent", false), note, class("sale", 0.15, "non-idempotent", s.IntN(2) == 0),
+		class("touch", 0.1, "idempotent", true),
+	}
+}
+
+// soakStops draws, for one node, a stop among a series of signals, hold-ups within it, and perhaps a crowd of connections.
+func (s sampler) soakStops(x *experiment.Experiment, node int) {
+	at := soakFirstFault + time.Duration(s.Int64N(int64(soakLastFault-soakFirstFault)))
+	add := func(action string, at time.Duration, value float64, late time.Duration) {
+		x.Steps = append(x.Steps, experiment.Step{
+			Time: tomlfile.Duration(at).Round(time.Millisecond), Action: action, Node: &node, Value: value, Delay: tomlfile.Duration(late),
+		})
+	}
+	for range s.IntN(3) { // before the stop, within milliseconds of it or long before
+		add([]string{"hangup_node", "spoil_node"}[s.IntN(2)], max(soakFirstFault, at-signalPauses[s.IntN(len(signalPauses))]), 0, 0)
+	}
+	if s.IntN(4) == 0 {
+		add("crowd_node", max(soakFirstFault, at-300*time.Millisecond), 300, soakHorizon)
+	}
+	if s.IntN(5) == 0 { // killed outright, and back
+		add("kill_node", at, 0, 0)
+		add("start_node", at+50*time.Millisecond, 0, 0)
+		return
+	}
+	add("stop_node", at, 0, 0)
+	for range s.IntN(3) {
+		add("hangup_node", at+signalPauses[s.IntN(len(signalPauses))], 0, 0)
+	}
+	for range s.IntN(3) {
+		add("hold_node", at+time.Duration(s.Int64N(int64(time.Second))), 0, soakHoldUp)
+	}
+	add("start_node", at+time.Millisecond, 0, 0) // once it has ended
+}
+
+// soakServerFault draws a fault of caches.
+func (s sampler) soakServerFault(x *experiment.Experiment) experiment.Step {
+	step := experiment.Step{
+		Action: soakServerFaults[s.IntN(len(soakServerFaults))],
+		Time:   tomlfile.Duration(soakFirstFault + time.Duration(s.Int64N(int64(soakLastFault-soakFirstFault)))).Round(time.Millisecond),
+		Server: fmt.Sprint("box-", s.IntN(x.CacheCount())), Duration: ms(300 + 2700*s.Float64()),
+	}
+	if s.IntN(2) == 0 {
+		step.Server, step.Share = "", roundToMilli(0.2+0.3*s.Float64())
+	}
+	switch step.Action {
+	case "errors", "resets", "half_answers", "spoilt", "lost_answers":
+		step.Value = roundToMilli(0.05 + 0.4*s.Float64())
+	case "replace", "reset":
+		step.Duration = 0
+	}
+	return step
+}
+
+// soakSystemFault draws a fault of the discovery service or of clocks.
+func (s sampler) soakSystemFault() experiment.Step {
+	step := experiment.Step{
+		Action:   soakSystemFaults[s.IntN(len(soakSystemFaults))],
+		Time:     tomlfile.Duration(soakFirstFault + time.Duration(s.Int64N(int64(soakLastFault-soakFirstFault)))).Round(time.Millisecond),
+		Duration: ms(500 + 2500*s.Float64()),
+	}
+	switch step.Action {
+	case "discovery_late":
+		step.Value = 300 + 2000*s.Float64()
+	case "server_clocks":
+		step.Value, step.Duration = []float64{3.6e6, -3.6e6, 40_000, -40_000}[s.IntN(4)], 0
+	case "discovery_moves", "discovery_anew":
+		step.Duration = 0
+	}
+	return step
+}
--- /dev/null
+++ b/internal/testbed/faultsearch/soak_test.go
@@ -0,0 +1,43 @@
+package faultsearch
+
+import (
+	"reflect"
+	"testing"
+
+	"mintspring/internal/testbed/experiment"
+)
+
+// Each seed gives a run that can be played with real processes, the same each time; together they have every kind of fault, each series
+// of signals, short deadlines and each effect.
+func TestGenerateSoak(t *testing.T) {
+	actions, shortDeadlines := map[string]int{}, 0
+	for seed := uint64(1); seed <= 200; seed++ {
+		x, err := GenerateSoak(seed)
+		if err == nil {
+			err = x.ValidateRealTime()
+		}
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		again, err := GenerateSoak(seed)
+		if err != nil || !reflect.DeepEqual(x.Steps, again.Steps) {
+			t.Fatalf("seed %d gives another run the second time, %v", seed, err)
+		}
+		for _, step := range x.Steps {
+			actions[step.Action]++
+		}
+		if x.LongestTimeout() < experiment.ClientGraceMs*1e6*2 {
+			shortDeadlines++
+		}
+	}
+	for _, all := range [][]string{soakServerFaults, soakSystemFaults, {"stop_node", "kill_node", "hangup_node", "spoil_node", "hold_node", "crowd_node"}} {
+		for _, action := range all {
+			if actions[action] == 0 {
+				t.Errorf("no run has %s", action)
+			}
+		}
+	}
+	if shortDeadlines < 30 {
+		t.Errorf("%d of 200 runs have short deadlines", shortDeadlines)
+	}
+}
--- a/internal/testbed/invariants/checker.go
+++ b/internal/testbed/invariants/checker.go
@@ -89,6 +89,7 @@
 func (c *Checker) AttemptEnded(attempt ClientAttempt, executions []*servermodel.Execution) {
 	slices.SortStableFunc(executions, func(a, b *servermodel.Execution) int { return cmp.Compare(a.FirstByte, b.FirstByte) })
 	c.checkResponse(&attempt, executions)
+	c.checkTold(&attempt, executions)
 	c.checkSentAfterAnswer(&attempt, executions)
 	c.checkEffects(&attempt, executions)
 }
@@ -96,10 +97,47 @@
 // wasDown reports whether the node of an attempt did not run all the while.
 func (c *Checker) wasDown(attempt *ClientAttempt) bool {
 	return slices.ContainsFunc(c.downtimes, func(d Downtime) bool {
-		return d.Node == attempt.Node && d.From <= attempt.Deadline && d.To >= attempt.Sent-c.slack
+		if d.Node != attempt.Node || d.From > attempt.Deadline || d.To < attempt.Sent-c.slack {
+			return false
+		}
+		return !d.Stopped // what a node had taken before it ended, it owed
+	})
+}
+
+// crossedEnd reports whether an attempt crossed the end of its connection, so that its client sends it again on another one.
+func (c *Checker) crossedEnd(attempt *ClientAttempt) bool {
+	if attempt.EndedInOrder && !c.wasStopping(attempt.Node, attempt.ConnEndedAt) {
+		return false
+	}
+	return attempt.ConnEndedAt > 0 && attempt.ConnEndedAt-attempt.Sent <= crossingLimit+c.slack
+}
+
+// wasStopping reports whether a node had been told to end at a time, and was not back.
+func (c *Checker) wasStopping(node servermodel.NodeID, at float64) bool {
+	return slices.ContainsFunc(c.downtimes, func(d Downtime) bool {
+		return d.Node == node && d.Stopped && d.StopAt <= at && at <= d.To
 	})
 }
 
+// endOfConnection says how the connection of an attempt without a response ended.
+func (a *ClientAttempt) endOfConnection() string {
+	if a.ConnEndedAt == 0 {
+		return fmt.Sprintf(": sent to node %d at %.0f, deadline after %.0f ms", a.Node, a.Sent, a.Deadline-a.Sent)
+	}
+	return fmt.Sprintf(": node %d ended its connection %.0f ms after it was sent at %.0f, %.0f ms before its deadline, new and in order: %v",
+		a.Node, a.ConnEndedAt-a.Sent, a.Sent, a.Deadline-a.ConnEndedAt, a.EndedInOrder)
+}
+
+// checkTold checks that no server was told that there is more time than the client has left.
+func (c *Checker) checkTold(attempt *ClientAttempt, executions []*servermodel.Execution) {
+	for _, x := range executions {
+		if x.Node == attempt.Node && x.Deadline > 0 && x.Deadline > attempt.Deadline+toldLimit+c.slack {
+			c.report(ruleAnswer, "request %s was sent with %.0f ms more than its client had left", attempt.ID, x.Deadline-attempt.Deadline)
+			return
+		}
+	}
+}
+
 // checkResponse checks the first half of rule 1: one right response in time.
 func (c *Checker) checkResponse(attempt *ClientAttempt, executions []*servermodel.Execution) {
 	lateness := attempt.AnsweredAt - attempt.Deadline
@@ -110,8 +148,10 @@
 		}
 	case attempt.DuplicateResponse:
 		c.report(ruleAnswer, "request %s was answered twice", attempt.ID)
+	case attempt.LeftAt > 0:
+	case attempt.Outcome == Unanswered && c.crossedEnd(attempt):
 	case attempt.Outcome == Unanswered && !c.wasDown(attempt):
-		c.report(ruleAnswer, "request %s was never answered", attempt.ID)
+		c.report(ruleAnswer, "request %s was never answered%s", attempt.ID, attempt.endOfConnection())
 	case attempt.Outcome != Unanswered && lateness > c.slack+attempt.ExtraSlack && !c.wasDown(attempt):
 		c.report(ruleAnswer, "request %s was answered %.0f ms late", attempt.ID, lateness)
 	}
@@ -135,6 +175,9 @@
 			return // a process that stood still reads what came meanwhile when it goes on, and does not know when that was sent
 		}
 		end = attempt.Deadline
+		if attempt.LeftAt > 0 {
+			end = min(end, attempt.LeftAt+departureLimit)
+		}
 	}
 	for _, x := range executions {
 		if x.Node == attempt.Node && x.FirstByte > end+c.slack {
--- a/internal/testbed/invariants/invariants.go
+++ b/internal/testbed/invariants/invariants.go
@@ -55,6 +55,9 @@
 	Outcome           Outcome
 	DuplicateResponse bool    // a second response came
 	WrongKey          bool    // the response had the value of another key
+	LeftAt            float64 // when its client closed the connection without a response; 0: it did not
+	ConnEndedAt       float64 // when the node ended the connection without a response; 0: it did not
+	EndedInOrder      bool    // ... and that connection was new and not reset: unless the node was ending, it had read what had come
 	ExtraSlack        float64 // beside that of all attempts, where the machine itself stood still
 }
 
@@ -62,6 +65,8 @@
 type Downtime struct {
 	Node     servermodel.NodeID
 	From, To float64
+	Stopped  bool    // it was told to end, and owes a response to what it had taken
+	StopAt   float64 // when it was told so
 }
 
 // Collapse is a collapse of a server under overload.
@@ -89,6 +94,13 @@
 	Slack         float64 // added to every limit
 }
 
+// Limits of the protocol, in ms, each of which the slack is added to.
+const (
+	crossingLimit  = 100 // a request that crosses the end of its connection was not taken
+	departureLimit = 100 // what is sent to servers later than this after a client has left is sent for nobody
+	toldLimit      = 150 // by which the time told to a server may exceed what is left to the client
+)
+
 // Rules of violations.
 const (
 	ruleCrash    = 0 // not one of the four: a node crashed
--- a/internal/testbed/invariants/invariants_test.go
+++ b/internal/testbed/invariants/invariants_test.go
@@ -58,10 +58,42 @@
 // downEvidence is an attempt that was not answered, while a node was down.
 func downEvidence(node servermodel.NodeID) Evidence {
 	e := attemptEvidence(attempt(Idempotent, withOutcome(Unanswered)))
-	e.Downtimes = []Downtime{{node, 500, 900}}
+	e.Downtimes = []Downtime{{Node: node, From: 500, To: 900}}
 	return e
 }
 
+// endedAttempt is an attempt whose connection a node ended without a response, some time after it was sent.
+func endedAttempt(after float64, change func(*ClientAttempt)) Evidence {
+	return attemptEvidence(attempt(Idempotent, withOutcome(Unanswered), func(a *ClientAttempt) {
+		a.ConnEndedAt = a.Sent + after
+		if change != nil {
+			change(a)
+		}
+	}))
+}
+
+// stoppedEvidence is an attempt that was not answered by a node that was told to end.
+func stoppedEvidence() Evidence {
+	e := downEvidence(0)
+	e.Downtimes[0].Stopped = true
+	return e
+}
+
+// toldEvidence is an attempt of which a server was told that there is so much more time than its client had left, in ms.
+func toldEvidence(excess float64) Evidence {
+	e := attemptEvidence(attempt(Idempotent))
+	e.Executions = append(e.Executions, &servermodel.Execution{Request: servermodel.Request{
+		RequestID: e.Attempts[0].ID, FirstByte: e.Attempts[0].Sent, Deadline: e.Attempts[0].Deadline + excess,
+	}, Outcome: servermodel.Served})
+	return e
+}
+
+// leftEvidence is an attempt whose client left 200 ms after it was sent, and an execution so many ms after that.
+func leftEvidence(after float64) Evidence {
+	return attemptEvidence(attempt(Idempotent, withOutcome(Unanswered), func(a *ClientAttempt) { a.LeftAt = a.Sent + 200 }),
+		execution("q", 1+200+after, servermodel.Pending, false))
+}
+
 // Each violation is found, and what only looks like one is not reported.
 func TestEachRule(t *testing.T) {
 	duplicated := func(a *ClientAttempt) { a.DuplicateResponse = true }
@@ -100,6 +132,14 @@
 		"crash":                   {Evidence{Crashes: []string{"node 1: signal"}}, "rule 0: a node crashed"},
 		"node killed meanwhile":   {downEvidence(0), ""},
 		"another node was killed": {downEvidence(1), "rule 1"},
+		"node told to end":        {stoppedEvidence(), "rule 1: request q was never answered"},
+		"crossed the end":         {endedAttempt(crossingLimit+40, nil), ""},
+		"read before the end":     {endedAttempt(crossingLimit+60, nil), "rule 1: request q was never answered"},
+		"read and closed, new":    {endedAttempt(1, func(a *ClientAttempt) { a.EndedInOrder = true }), "rule 1: request q was never answered"},
+		"told a little more":      {toldEvidence(toldLimit + 40), ""},
+		"told too much":           {toldEvidence(toldLimit + 60), "rule 1: request q was sent with 210 ms more"},
+		"its client has left":     {leftEvidence(departureLimit + 40), ""},
+		"sent after it has left":  {leftEvidence(departureLimit + 60), "rule 1: request q was sent to a server"},
 	} {
 		violations := CheckAll(c.evidence).Violations()
 		switch {
--- a/internal/testbed/processrunner/loadgenerator.go
+++ b/internal/testbed/processrunner/loadgenerator.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"math/rand/v2"
 	"os"
 	"strings"
 	"sync"
@@ -65,6 +66,20 @@
 	l.running.Wait()
 }
 
+// startPersistentClients starts, for each node, clients that go on using one connection as long as it stays open. They end at a time.
+func (l *loadGenerator) startPersistentClients(seed uint64, until time.Time) {
+	for node, addr := range l.clients.addrs {
+		for i := range l.experiment.Load.PersistentClients {
+			p := &persistentClient{
+				load: l, node: servermodel.NodeID(node), addr: addr,
+				traffic: experiment.NewTrafficGenerator(l.experiment, seed+persistentSeeds+uint64(node<<persistentNodeBits+i)),
+				random:  rand.New(rand.NewPCG(seed, uint64(node<<persistentNodeBits+i))),
+			}
+			l.running.Go(func() { p.run(until) })
+		}
+	}
+}
+
 // runRequest sends a request and, where its class allows that, its retries.
 func (l *loadGenerator) runRequest(r *experiment.GeneratedRequest) {
 	for {
@@ -137,6 +152,7 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return x.response, false
 		}
+		attempt.ConnEndedAt = x.answeredMs
 		// A node that was killed may have carried the request on; one that is up has closed between two requests.
 		if c.reused && isFirst && isAlive(l.clients.addrs[node]) {
 			return x.response, true
--- a/internal/testbed/processrunner/nodeprocess.go
+++ b/internal/testbed/processrunner/nodeprocess.go
@@ -126,6 +126,7 @@
 	p.expectedUp = false
 	downtime := n.beginDowntimeLocked()
 	if sig == syscall.SIGTERM {
+		n.downtimes[downtime].Stopped, n.downtimes[downtime].StopAt = true, fakes.NowMs()
 		n.downtimes[downtime].From = n.downtimes[downtime].To // what it has taken has to be answered still
 	}
 	n.mu.Unlock()
@@ -135,7 +136,7 @@
 		return
 	}
 	p.signal(sig)
-	if !p.waitExited(stopTimeout) {
+	if !p.waitExited(n.killAfter) {
 		p.signal(syscall.SIGKILL)
 		<-p.exited
 	}
--- a/internal/testbed/processrunner/noderunner.go
+++ b/internal/testbed/processrunner/noderunner.go
@@ -22,8 +22,12 @@
 const (
 	// startTimeout is how long a node may take until it serves.
 	startTimeout = 10 * time.Second
-	// stopTimeout is how long a process may take to end once it got SIGTERM.
-	stopTimeout = 5 * time.Second
+	// killMargin is how long after the longest deadline of a request, counted from SIGTERM, the platform kills a process, and
+	// maxKillDeadline bounds that deadline.
+	killMargin      = 700 * time.Millisecond
+	maxKillDeadline = 3 * time.Second
+	// truncatedConfigTime is how long a configuration stays cut short.
+	truncatedConfigTime = 100 * time.Millisecond
 	// hotRestartTimeout is how long a successor may take until it says that it serves.
 	hotRestartTimeout = 6 * time.Second
 	// pollInterval is the time between two looks at a node that is waited for.
@@ -39,14 +43,16 @@
 	program      nodeProgram
 	logFile      *os.File
 	config       *nodeConfig
-	operatorFile string   // "" for none
-	env          []string // added to its environment
-	listenSocket *os.File // shared by all processes of the node; nil: each one listens for itself
+	killAfter    time.Duration // from SIGTERM to SIGKILL
+	operatorFile string        // "" for none
+	env          []string      // added to its environment
+	listenSocket *os.File      // shared by all processes of the node; nil: each one listens for itself
 
 	mu        sync.Mutex   // guards the fields below
 	current   *nodeProcess // the one that runs, or ran last; nil before the first
 	downtimes []invariants.Downtime
 	crashes   []string
+	holdUps   []holdUp
 }
 
 // reserveAddress reserves an address for the node until it is released: between two of its processes, and before the first, no
@@ -197,7 +203,7 @@
 	predecessor.expectedUp = false
 	n.mu.Unlock()
 	predecessor.signal(syscall.SIGTERM)
-	if !predecessor.waitExited(stopTimeout) {
+	if !predecessor.waitExited(n.killAfter) {
 		predecessor.signal(syscall.SIGKILL)
 		return fmt.Errorf("node %d does not end once its successor serves", n.index)
 	}
@@ -239,6 +245,61 @@
 	n.endDowntimeLocked()
 }
 
+// hold stops the process for a moment. It counts as running all the while, as one does that the system does not schedule.
+func (n *nodeRunner) hold(duration time.Duration) {
+	n.mu.Lock()
+	p := n.current
+	n.mu.Unlock()
+	if p == nil || p.cmd == nil {
+		return
+	}
+	from := fakes.NowMs()
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(duration)
+	p.signal(syscall.SIGCONT)
+	n.mu.Lock()
+	n.holdUps = append(n.holdUps, holdUp{from, fakes.NowMs()})
+	n.mu.Unlock()
+}
+
+// holdUp is a time, in Unix ms, in which a node's process stood still and counted as running.
+type holdUp struct{ from, to float64 }
+
+// heldUpBetween returns for how many ms of a span the node stood still.
+func (n *nodeRunner) heldUpBetween(from, to float64) (ms float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range n.holdUps {
+		ms += max(0, min(to, h.to)-max(from, h.from))
+	}
+	return ms
+}
+
+// reloadTruncated makes the process read a configuration that is cut short, and then puts the right one back.
+func (n *nodeRunner) reloadTruncated() {
+	text, err := os.ReadFile(n.configFile())
+	if err != nil || os.WriteFile(n.configFile(), text[:len(text)/2], 0o644) != nil {
+		return
+	}
+	n.reload()
+	time.Sleep(truncatedConfigTime)
+	_ = os.WriteFile(n.configFile(), text, 0o644) // a node that starts without it shows by its crash
+}
+
+// crowd opens connections on which nothing is sent, and closes them after some time.
+func crowd(addr string, connections int, duration time.Duration) {
+	var all []*client
+	for range connections {
+		if c, err := dial(addr); err == nil {
+			all = append(all, c)
+		}
+	}
+	time.Sleep(duration)
+	for _, c := range all {
+		c.close()
+	}
+}
+
 // reload makes the process read its configuration again.
 func (n *nodeRunner) reload() {
 	n.mu.Lock()
--- a/internal/testbed/processrunner/nodeset.go
+++ b/internal/testbed/processrunner/nodeset.go
@@ -40,7 +40,10 @@
 		}
 	}
 	for i := range x.Nodes.Count {
-		n := &nodeRunner{index: i, dir: dir, program: program, operatorFile: x.OperatorFile()}
+		n := &nodeRunner{
+			index: i, dir: dir, program: program, operatorFile: x.OperatorFile(),
+			killAfter: min(x.LongestTimeout(), maxKillDeadline) + killMargin,
+		}
 		set.all = append(set.all, n)
 		if err := set.prepare(n, x, seed); err != nil {
 			return set, err
--- a/internal/testbed/processrunner/run.go
+++ b/internal/testbed/processrunner/run.go
@@ -105,6 +105,7 @@
 	var others sync.WaitGroup
 	others.Go(func() { sampleUntil(ctx, run, fleet, nodes) })
 	others.Go(func() { scenarioErr = scenario.play(ctx, from) })
+	load.startPersistentClients(seed, to)
 	loadDone := make(chan struct{})
 	go func() { // ends with the load, also when the run is given up
 		defer close(loadDone)
@@ -152,7 +153,7 @@
 func checkInvariants(r *experiment.Run, fleet *fakes.Fleet, nodes *nodeSet, attempts []invariants.ClientAttempt) {
 	for i := range attempts {
 		if a := &attempts[i]; a.AnsweredAt > a.Deadline {
-			a.ExtraSlack = experiment.WorstLateness(r.Requests, a.Deadline, a.AnsweredAt)
+			a.ExtraSlack = experiment.WorstLateness(r.Requests, a.Deadline, a.AnsweredAt) + nodes.all[a.Node].heldUpBetween(a.Sent, a.AnsweredAt)
 		}
 	}
 	evidence := invariants.Evidence{
--- a/internal/testbed/processrunner/scenario.go
+++ b/internal/testbed/processrunner/scenario.go
@@ -120,6 +120,24 @@
 // SetFrozen implements NodeControl.
 func (c nodeControl) SetFrozen(frozen bool) { c.node.setFrozen(frozen) }
 
+// Hold implements NodeControl.
+func (c nodeControl) Hold(duration time.Duration) error {
+	c.scenario.background.Go(func() { c.node.hold(duration) })
+	return nil
+}
+
+// ReloadTruncated implements NodeControl.
+func (c nodeControl) ReloadTruncated() error {
+	c.scenario.background.Go(func() { c.node.reloadTruncated() })
+	return nil
+}
+
+// Crowd implements NodeControl.
+func (c nodeControl) Crowd(connections int, duration time.Duration) error {
+	c.scenario.background.Go(func() { crowd(c.node.addr, connections, duration) })
+	return nil
+}
+
 // SetStandby implements NodeControl.
 func (c nodeControl) SetStandby(standby bool) error {
 	line := "active"
--- a/internal/testbed/simulator/system.go
+++ b/internal/testbed/simulator/system.go
@@ -75,6 +75,15 @@
 // Reload implements experiment.NodeControl. It cannot be simulated.
 func (c nodeControl) Reload() error { return unsupported("a reload of settings") }
 
+// Hold implements experiment.NodeControl. It cannot be simulated.
+func (c nodeControl) Hold(time.Duration) error { return unsupported("a node that is held up") }
+
+// ReloadTruncated implements experiment.NodeControl. It cannot be simulated.
+func (c nodeControl) ReloadTruncated() error { return unsupported("a reload of settings") }
+
+// Crowd implements experiment.NodeControl. It cannot be simulated.
+func (c nodeControl) Crowd(int, time.Duration) error { return unsupported("a crowd of connections") }
+
 // SetStandby implements experiment.NodeControl. It cannot be simulated.
 func (c nodeControl) SetStandby(bool) error { return unsupported("standby") }
 
--- a/internal/testbed/syscalltrace/syscalltrace.go
+++ b/internal/testbed/syscalltrace/syscalltrace.go
@@ -15,6 +15,8 @@
 	Deny Mode = "deny"
 	// Kill ends the program at its first blocked call.
 	Kill Mode = "kill"
+	// allow is how a program is traced whose calls are failed by a plan: none is blocked.
+	allow Mode = "allow"
 )
 
 // BlockedCallError is the error of a program that Kill ended.
--- a/internal/testbed/syscalltrace/tracer_linux_amd64.go
+++ b/internal/testbed/syscalltrace/tracer_linux_amd64.go
@@ -55,6 +55,7 @@
 	printed map[string]bool       // names of blocked calls that were printed
 	failing map[int]syscall.Errno // by thread id: the errno of the blocked call that the thread is in
 	killed  *BlockedCallError     // why the program was killed; nil while it was not
+	faults  *faultInjector        // nil: nothing is failed but blocked calls
 }
 
 // Run runs a program until it exits, with the files and the environment of this process, and forwards SIGTERM, SIGINT and SIGHUP to
@@ -64,6 +65,13 @@
 	if mode != Deny && mode != Kill {
 		return fmt.Errorf("unknown mode %q of tracing; %s and %s are known", mode, Deny, Kill)
 	}
+	return run(argv, mode, nil)
+}
+
+// RunWithFaults runs a program as Run does, lets it make every system call, and fails those that a plan says.
+func RunWithFaults(argv []string, plan *FaultPlan) error { return run(argv, allow, plan) }
+
+func run(argv []string, mode Mode, plan *FaultPlan) error {
 	runtime.LockOSThread() // ptrace requests have to come from the thread that started the program
 	defer runtime.UnlockOSThread()
 	command := exec.Command(argv[0], argv[1:]...)
@@ -80,6 +88,12 @@
 		return fmt.Errorf("starting the traced program: %w", err)
 	}
 	t := &tracer{pid: command.Process.Pid, mode: mode, printed: map[string]bool{}, failing: map[int]syscall.Errno{}}
+	if plan != nil {
+		t.faults = newFaultInjector(plan, t.pid)
+		defer func() {
+			fmt.Fprintf(os.Stderr, "syscalltrace: %d calls of %s failed or shortened\n", t.faults.injected, t.faults.names())
+		}()
+	}
 	go t.forwardSignals(signals)
 	if err := t.attach(); err != nil {
 		return fmt.Errorf("tracing %s: %w", argv[0], err)
@@ -168,6 +182,15 @@
 
 // handleEntry reports a blocked call that a thread enters, and ends the program or has the kernel skip the call.
 func (t *tracer) handleEntry(tid int, info *syscallInfo) {
+	if t.faults != nil {
+		switch t.faults.decide(tid, info) {
+		case failCall:
+			t.fail(tid, t.faults.plan.Errno)
+		case shortenCall:
+			t.faults.shorten(tid)
+		}
+		return
+	}
 	call := findBlockedCall(info.Number, info.Args, func(address uint64) uint64 { return peekWord(tid, address) })
 	if call == nil {
 		return
@@ -181,9 +204,14 @@
 		_ = syscall.Kill(t.pid, syscall.SIGKILL) // fails only if the program was killed meanwhile
 		return
 	}
+	t.fail(tid, call.errno)
+}
+
+// fail has the kernel skip the call that a thread enters, and return an errno at its exit.
+func (t *tracer) fail(tid int, errno syscall.Errno) {
 	setNumber := func(registers *syscall.PtraceRegs) { registers.Orig_rax = invalidNumber }
 	if changeRegisters(tid, setNumber) {
-		t.failing[tid] = call.errno
+		t.failing[tid] = errno
 	}
 }
 
--- a/internal/testbed/syscalltrace/tracer_linux_amd64_test.go
+++ b/internal/testbed/syscalltrace/tracer_linux_amd64_test.go
@@ -21,6 +21,9 @@
 	tracedAction = "SYSCALLTRACE_TEST_ACTION" // what the traced program does
 )
 
+// faultsPrefix begins the mode of a tracer that fails calls by a plan.
+const faultsPrefix = "faults:"
+
 // What the traced program prints: that its action worked, or failed.
 const (
 	actionWorked = "worked"
@@ -45,7 +48,12 @@
 // runTracer traces this program in the other role, and returns the exit code.
 func runTracer(mode Mode) int {
 	err := os.Unsetenv(tracerMode)
-	if err == nil {
+	if text, found := strings.CutPrefix(string(mode), faultsPrefix); err == nil && found {
+		var plan *FaultPlan
+		if plan, err = ParseFaultPlan(text); err == nil {
+			err = RunWithFaults([]string{os.Args[0]}, plan)
+		}
+	} else if err == nil {
 		err = Run([]string{os.Args[0]}, mode)
 	}
 	if err != nil {
@@ -208,6 +216,28 @@
 	}
 }
 
+// A plan fails just the calls that it names: the program sees the errno, or goes on where the standard library deals with it.
+func TestFaults(t *testing.T) {
+	for _, test := range []struct{ plan, action, result string }{
+		{"calls=connect,errno=EADDRNOTAVAIL", "tcp", actionFailed + ": dial tcp4 127.0.0.1"},
+		{"calls=connect,errno=EADDRNOTAVAIL,from=1m", "tcp", actionWorked},
+		{"calls=connect,errno=EADDRNOTAVAIL,share=0", "tcp", actionWorked},
+		{"calls=accept,errno=ECONNABORTED,limit=1", "tcp", actionWorked},
+		{"calls=accept,errno=ENFILE,limit=1", "tcp", actionFailed + ": accept tcp4"},
+		{"calls=read+write,errno=EINTR,share=0.3,seed=5", "tcp", actionWorked},
+		{"calls=read+write,errno=short,share=0.3,seed=5", "tcp", actionWorked},
+		{"calls=server-write,errno=ETIMEDOUT", "tcp", actionFailed},
+		{"calls=open,errno=ENOSPC,path=no such path", "file", actionWorked},
+		{"calls=open,errno=ENOSPC,path=TestFaults", "file", actionFailed},
+	} {
+		command := tracedCommand(t, Mode(faultsPrefix+test.plan), test.action)
+		out, err := command.Output()
+		if err != nil || !strings.HasPrefix(string(out), test.result) {
+			t.Errorf("%s: program printed %q, %v, want %q", test.plan, out, err, test.result)
+		}
+	}
+}
+
 // SIGTERM is forwarded to the program, and a tracer that is killed leaves no process behind.
 func TestSignals(t *testing.T) {
 	for _, number := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL} {
--- a/internal/testbed/syscalltrace/tracer_other.go
+++ b/internal/testbed/syscalltrace/tracer_other.go
@@ -6,3 +6,6 @@
 
 // Run returns an error that wraps errors.ErrUnsupported: tracing needs Linux on amd64.
 func Run([]string, Mode) error { return errors.ErrUnsupported }
+
+// RunWithFaults returns an error that wraps errors.ErrUnsupported, as Run does.
+func RunWithFaults([]string, *FaultPlan) error { return errors.ErrUnsupported }
