Failing test: disks of two of three replicas that fail for a moment

Cause: after a failed write or sync a replica stores and promises nothing more until its process ends.

--- a/internal/cluster/idempotency/replica/replica_test.go
+++ b/internal/cluster/idempotency/replica/replica_test.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -109,6 +111,54 @@
 	}
 }
 
+// Where the disks of two of three members fail for a moment, claims fail as long as there is no majority, and the members come back by
+// themselves, with all that they had acknowledged.
+func TestDisksThatFailForAWhile(t *testing.T) {
+	c := newTestCluster(t)
+	c.startAll(nil)
+	if claim := c.claimAndSettle(0, "before"); claim.Decision != idempotency.DecisionGranted {
+		t.Fatal(claim)
+	}
+	setSync := func(member int, sync func(*os.File) error) {
+		set := func() bool { c.replicas[member].disk.store.Sync = sync; return true }
+		if _, err := query(c.replicas[member], set); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var failing atomic.Bool
+	failing.Store(true)
+	fail := func(f *os.File) error {
+		if failing.Load() {
+			return syscall.ENOSPC
+		}
+		return f.Sync()
+	}
+	setSync(1, fail)
+	setSync(2, fail)
+	c.claimAndSettle(0, "meanwhile")
+	c.awaitState(1, "its disk has failed: asks only")
+	c.awaitState(2, "its disk has failed: asks only")
+	failing.Store(false)
+	c.awaitState(1, "holds")
+	c.awaitState(2, "holds")
+	if claim := c.claimAndSettle(2, "after"); claim.Decision != idempotency.DecisionGranted {
+		t.Errorf("after the disks work again: %v", claim)
+	}
+	if claim := c.claimAndSettle(1, "before"); claim.Decision != idempotency.DecisionReplay {
+		t.Errorf("what was settled before: %v", claim)
+	}
+	// What they hold is on their disks: it is there for processes that start anew.
+	for _, member := range []int{1, 2} {
+		c.replicas[member].Stop(time.Second)
+		c.start(member, 4000+member, nil)
+	}
+	for _, key := range []string{"before", "after"} {
+		if claim := c.claimAndSettle(1, key); claim.Decision != idempotency.DecisionReplay {
+			t.Errorf("%s, after a restart: %v", key, claim)
+		}
+	}
+}
+
 // A data directory that lost what was synced is refused: its member proposes and stores nothing, and shows it.
 func TestCorruptDataDirectory(t *testing.T) {
 	c := newTestCluster(t)
