A replica whose disk failed stores again once all its records are on the disk anew

Cause: replica.handleSynced stopped the storage for good at the first failed write or sync (storage.Store.guard keeps the error). Change: now and then (1 s, doubling to 60 s) all records and the header are written from memory into another segment and synced (Store.Recover); only then the acceptor answers again, and what waited for the failed sync is never sent. At its opening a store writes again, and syncs, what it reads behind the last synced record: pages of a failed sync may be dropped by the system.

--- a/internal/cluster/idempotency/core.go
+++ b/internal/cluster/idempotency/core.go
@@ -150,6 +150,12 @@
 // FailStorage says that the storage has failed: this member stores and promises nothing more, and goes on as a proposer.
 func (c *Core) FailStorage() { c.acceptor.storageFailed = true }
 
+// RestoreStorage says that the storage works again and holds, synced, the header and all records as they were when a batch was taken.
+func (c *Core) RestoreStorage(r Ready) {
+	c.Advance(r)
+	c.acceptor.storageFailed = false
+}
+
 // NewerStorage returns the later storage incarnation under this member's number, 0 if none is known. If this member's own storage has never served,
 // the clock was behind when it was made, and it may take a later incarnation; otherwise another process uses the number.
 func (c *Core) NewerStorage() (latest StorageIncarnation, neverServed bool) {
--- a/internal/cluster/idempotency/replica/disk.go
+++ b/internal/cluster/idempotency/replica/disk.go
@@ -19,12 +19,14 @@
 	appendJob  diskJobKind = iota // append and sync entries
 	verifyJob                     // read the closed segments again
 	rewriteJob                    // write all records into another segment
+	recoverJob                    // the same after a write has failed
 )
 
 // diskJob is one job for the disk's goroutine.
 type diskJob struct {
 	kind            diskJobKind
 	entries, header [][]byte
+	covers          idempotency.Ready // of recoverJob: the last batch before its entries were collected
 }
 
 // diskResult is what became of a job.
@@ -41,8 +43,9 @@
 	jobs    chan diskJob
 	results chan diskResult
 
-	busy           bool    // there is a job
-	failed         bool    // a write has failed
+	busy           bool // there is a job
+	failed         bool // a write has failed, and nothing is stored until a recovery has succeeded
+	recovery       retryTimer
 	verifyAt       float64 // when the next verifyJob is due; 0: not set yet
 	corruptSegment string  // a rewriteJob is due
 
@@ -78,6 +81,9 @@
 // stores reports whether the member stores records.
 func (r *Replica) stores() bool { return r.disk != nil && !r.disk.failed }
 
+// recovering reports whether all records are being written anew after a failure. What has to be stored meanwhile waits for that.
+func (r *Replica) recovering() bool { return r.disk != nil && r.disk.failed && r.disk.busy }
+
 // loop runs jobs until there will be no more.
 func (d *disk) loop() {
 	for job := range d.jobs {
@@ -89,6 +95,8 @@
 			result.corruptSegment = d.store.CorruptSegment()
 		case rewriteJob:
 			result.err = d.store.Rewrite(job.entries, job.header)
+		case recoverJob:
+			result.err = d.store.Recover(job.entries, job.header)
 		}
 		d.results <- result
 	}
@@ -160,9 +168,34 @@
 	}
 }
 
+// startRecovery has all records written anew, now and then, after a write has failed.
+func (r *Replica) startRecovery() {
+	if r.disk == nil || !r.disk.failed || r.disk.busy || r.clock.Now() < r.disk.recovery.dueAt {
+		return
+	}
+	// What was to be stored since the failure is in memory. This batch has the number up to which all is covered.
+	covers := r.core.Ready()
+	r.send(covers.Messages)
+	r.disk.start(diskJob{kind: recoverJob, entries: r.core.RecordEntries(), header: r.core.FileHeader(), covers: covers})
+}
+
+func (r *Replica) handleRecovered(result diskResult) {
+	if result.err != nil {
+		r.disk.recovery.failed(r.clock.Now())
+		r.unsynced = nil // the next attempt covers it
+		r.log.WithError(result.err).Debug("data directory still fails")
+		return
+	}
+	r.disk.failed, r.disk.recovery = false, retryTimer{}
+	r.core.RestoreStorage(result.job.covers)
+	r.log.WithField("records", len(result.job.entries)).Info("data directory works again, storing idempotency records")
+}
+
 func (r *Replica) handleDiskResult(result diskResult) {
 	r.disk.busy = false
 	switch {
+	case result.job.kind == recoverJob:
+		r.handleRecovered(result)
 	case result.err != nil:
 		r.handleSynced(result.err)
 	case result.job.kind == appendJob:
@@ -175,7 +208,8 @@
 	}
 }
 
-// handleSynced sends what waited for the batches that are synced now. After an error the member stores and promises nothing more.
+// handleSynced sends what waited for the batches that are synced now. After an error the member stores and promises nothing until its data
+// directory works again (startRecovery). What waited for the sync that failed is never sent.
 func (r *Replica) handleSynced(err error) {
 	synced := r.syncing
 	r.syncing = nil
@@ -183,6 +217,7 @@
 		r.log.WithError(err).Error("data directory failed, storing no more idempotency records")
 		r.core.FailStorage()
 		r.disk.failed, r.unsynced = true, nil
+		r.disk.recovery.failed(r.clock.Now())
 		return
 	}
 	for _, ready := range synced {
--- a/internal/cluster/idempotency/replica/replica.go
+++ b/internal/cluster/idempotency/replica/replica.go
@@ -37,9 +37,9 @@
 	ticksPerRetry = 4
 	// minTickInterval is the shortest time between two ticks.
 	minTickInterval = time.Millisecond
-	// minIncarnationRetryMs and maxIncarnationRetryMs bound the time between two attempts to give the storage a later incarnation.
-	minIncarnationRetryMs = 1000
-	maxIncarnationRetryMs = 60_000
+	// minRetryMs and maxRetryMs bound the time between two attempts at a data directory that fails.
+	minRetryMs = 1000
+	maxRetryMs = 60_000
 	// queryTimeout is how long another goroutine waits for the member's goroutine.
 	queryTimeout = time.Second
 	// stopPollInterval is how often Stop looks whether the member is still busy.
@@ -80,7 +80,7 @@
 	loggedState   string
 	snapshotFetch *snapshotFetch // nil: none is under way
 
-	incarnationRetry incarnationRetry
+	incarnationRetry retryTimer
 
 	sendingSnapshot atomic.Bool
 }
@@ -253,6 +253,7 @@
 	r.collectReady()
 	r.startSync()
 	r.startVerification()
+	r.startRecovery()
 	for _, result := range r.core.TakeResults() {
 		r.onResult(result)
 	}
@@ -266,7 +267,7 @@
 		ready.Messages = nil
 		switch {
 		case ready.Empty():
-		case !r.stores():
+		case !r.stores() && !r.recovering():
 			r.core.Advance(ready) // it promises nothing
 		default:
 			r.unsynced = append(r.unsynced, ready)
@@ -274,17 +275,16 @@
 	}
 }
 
-// incarnationRetry is when the attempt to give the storage a later incarnation is repeated. The zero value is before the first attempt, and after one
-// that has succeeded.
-type incarnationRetry struct {
+// retryTimer is when an attempt at the data directory is repeated. The zero value is before the first attempt, and after one that has succeeded.
+type retryTimer struct {
 	delayMs float64 // of the last repetition; 0: no attempt has failed
 	dueAt   float64 // ms of the member's clock
 }
 
 // failed notes an attempt that has failed, and reports whether it is the first one.
-func (retry *incarnationRetry) failed(now float64) (first bool) {
+func (retry *retryTimer) failed(now float64) (first bool) {
 	first = retry.delayMs == 0
-	retry.delayMs = min(max(2*retry.delayMs, minIncarnationRetryMs), maxIncarnationRetryMs)
+	retry.delayMs = min(max(2*retry.delayMs, minRetryMs), maxRetryMs)
 	retry.dueAt = now + retry.delayMs
 	return first
 }
@@ -304,7 +304,7 @@
 		r.core.FailStorage()
 		return
 	}
-	r.incarnationRetry = incarnationRetry{}
+	r.incarnationRetry = retryTimer{}
 	r.log.WithField("storage_incarnation", uint64(later)).Warn("clock was behind when the data directory was created, took a later storage incarnation")
 	r.config.Core.StorageIncarnation, r.unsynced = later, nil
 	r.core = idempotency.New(r.clock.Now(), r.config.Core, idempotency.NewStoredState())
--- a/internal/cluster/idempotency/storage/storage_test.go
+++ b/internal/cluster/idempotency/storage/storage_test.go
@@ -130,6 +130,69 @@
 	}
 }
 
+// After a failure a store takes entries again once all that is to be there has been written anew and synced: a sync that succeeds after
+// one that failed says nothing of what that one had covered. Whatever the process dies in, the data directory can be opened.
+func TestRecoverAfterFailure(t *testing.T) {
+	errDisk := errors.New("no space left on device")
+	const good = 4 // operations that were acknowledged before the failure
+	for failures := range 6 {
+		dir := testDir(t)
+		s, _ := openStore(t, dir)
+		if err := s.Append(testEntries(good), nil); err != nil {
+			t.Fatal(err)
+		}
+		left := failures
+		s.Sync = func(f *os.File) error {
+			if left > 0 {
+				left--
+				return errDisk
+			}
+			return f.Sync()
+		}
+		err := s.Append(testEntries(good+1), nil)
+		if (err != nil) != (failures > 0) {
+			t.Fatalf("%d failures: %v", failures, err)
+		}
+		for err != nil {
+			if err = s.Recover(testEntries(good+2), nil); err != nil && !errors.Is(err, errDisk) {
+				t.Fatalf("%d failures: %v", failures, err)
+			}
+		}
+		if err := s.Append(testEntries(good+3), nil); err != nil {
+			t.Errorf("%d failures: after the recovery: %v", failures, err)
+		}
+		s.Close()
+		s, state := openStore(t, dir)
+		if len(state.Records) != good+3 {
+			t.Errorf("%d failures: %d records, want %d", failures, len(state.Records), good+3)
+		}
+		s.Close()
+	}
+}
+
+// A process that dies between a failure and the recovery from it leaves what was acknowledged.
+func TestOpenAfterFailedRecovery(t *testing.T) {
+	errDisk := errors.New("input/output error")
+	dir := testDir(t)
+	s, _ := openStore(t, dir)
+	if err := s.Append(testEntries(4), nil); err != nil {
+		t.Fatal(err)
+	}
+	s.Sync = func(*os.File) error { return errDisk }
+	if s.Append(testEntries(5), nil) == nil || s.Recover(testEntries(5), nil) == nil || s.Recover(testEntries(5), nil) == nil {
+		t.Fatal("a write did not fail")
+	}
+	s.Close()
+	s, state := openStore(t, dir)
+	defer s.Close()
+	if n := len(state.Records); n < 4 || n > 5 {
+		t.Errorf("%d records", n)
+	}
+	if err := s.Append(testEntries(6), nil); err != nil {
+		t.Error(err)
+	}
+}
+
 // A data directory never becomes larger than its limit.
 func TestAppendBeyondTheLimit(t *testing.T) {
 	limits := Limits{Retention: time.Minute, MaxBytes: 2000}
--- a/internal/cluster/idempotency/storage/write.go
+++ b/internal/cluster/idempotency/storage/write.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"slices"
@@ -48,10 +50,33 @@
 			return fmt.Errorf("cut off a truncated record: %w", err)
 		}
 	}
+	if err := s.syncTail(r); err != nil {
+		return err
+	}
 	_, err = s.segmentFile.Seek(r.validSize, io.SeekStart)
 	return err
 }
 
+// syncTail writes again what was read behind the last synced record, and syncs it: a sync of the process before may have failed, after
+// which the system may drop what it did not write, and another sync without another write succeeds.
+func (s *Store) syncTail(r *segmentReader) error {
+	synced := int64(0)
+	if r.mark.lastSegment == s.segmentNumber {
+		synced = int64(r.mark.syncedSize)
+	}
+	if r.validSize <= synced {
+		return nil
+	}
+	tail := make([]byte, r.validSize-synced)
+	if _, err := s.segmentFile.ReadAt(tail, synced); err != nil {
+		return err
+	}
+	if _, err := s.segmentFile.WriteAt(tail, synced); err != nil {
+		return err
+	}
+	return s.Sync(s.segmentFile)
+}
+
 func (s *Store) segmentPath(number uint64) string { return filepath.Join(s.dir, segmentName(number)) }
 
 // Size returns how many bytes all segments have.
@@ -74,6 +99,38 @@
 	return s.guard(func() error { return s.rewrite(entries, header) })
 }
 
+// Recover takes writes again after one that has failed, once all entries are in another segment that is synced: nothing that a failed sync
+// had covered counts as stored, whatever a later sync of the same file returns. After an error it may be called again.
+func (s *Store) Recover(entries, header [][]byte) error {
+	if err := s.recover(entries, header); err != nil {
+		return fmt.Errorf("recover %s: %w", s.dir, err)
+	}
+	s.failure = nil
+	return nil
+}
+
+func (s *Store) recover(entries, header [][]byte) error {
+	size := 0
+	for _, entry := range slices.Concat(header, entries) {
+		size += len(entry)
+	}
+	if s.limits.MaxBytes > 0 && int64(size) > s.limits.MaxBytes {
+		return ErrFull
+	}
+	// What stands behind the last synced record may be half of one.
+	if err := s.segmentFile.Truncate(s.segmentSize); err != nil {
+		return err
+	}
+	if _, err := s.segmentFile.Seek(s.segmentSize, io.SeekStart); err != nil {
+		return err
+	}
+	// A segment that was begun when the write failed is not listed in the mark.
+	if err := os.Remove(s.segmentPath(s.segmentNumber + 1)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	return s.rewrite(entries, header)
+}
+
 // guard calls write unless an earlier write has failed.
 func (s *Store) guard(write func() error) error {
 	if s.failure == nil {
