A consensus replica whose folder failed is started again

Cause: after a failed write or sync, or a start that met a full disk, the replica stayed ended until its process did. Change: replicaSupervisor starts it again after 1 s, doubling to 60 s, where the operating system's errors ended it (ErrStorage, errnos), and not after a failed core, which may know less than others know it to have known. At its opening a store writes again, and syncs, what it reads behind the sync mark. Measured: TestReplicaStartsOnceItsFolderWorks, TestReplicaIsNotRestartedAfterOtherFailures, packages consensus and leasetest pass. Not red before the fix: the supervisor is new. No test fails a disk under a running consensus replica among real processes.

--- a/internal/cluster/consensus/replica/handle.go
+++ b/internal/cluster/consensus/replica/handle.go
@@ -1,12 +1,14 @@
 package replica
 
 import (
+	"fmt"
 	"net/netip"
 
 	"github.com/sirupsen/logrus"
 	"go.etcd.io/raft/v3/raftpb"
 
 	"mintspring/internal/cluster/consensus"
+	"mintspring/internal/cluster/consensus/storage"
 	"mintspring/internal/cluster/lease"
 )
 
@@ -88,7 +90,7 @@
 		if !ok {
 			break
 		}
-		if err := r.store.Save(u); err != nil {
+		if err := r.save(u); err != nil {
 			return err
 		}
 		messages, responses, err := r.core.Advance(r.clock.Now())
@@ -106,7 +108,15 @@
 	if err != nil || !ok {
 		return err
 	}
-	return r.store.Save(u)
+	return r.save(u)
+}
+
+// save makes an update durable. Its error matches ErrStorage.
+func (r *Replica) save(u storage.Update) error {
+	if err := r.store.Save(u); err != nil {
+		return fmt.Errorf("%w: %w", ErrStorage, err)
+	}
+	return nil
 }
 
 // sendMessage sends a message to another replica. It may be lost.
--- a/internal/cluster/consensus/replica/replica.go
+++ b/internal/cluster/consensus/replica/replica.go
@@ -4,6 +4,7 @@
 package replica
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -87,6 +88,9 @@
 	incarnation uint64         // of the client
 }
 
+// ErrStorage is matched by the error of a replica whose data directory failed. It may be started again: what it had made durable is there.
+var ErrStorage = errors.New("the data directory failed")
+
 // Start opens the data directory and the socket, and starts the replica. It runs until Stop, or until its disk or the consensus core fails.
 func Start(config Config, log *logrus.Logger) (*Replica, error) {
 	addrs, err := parseReplicaAddrs(config.ReplicaAddrs)
--- a/internal/cluster/consensus/storage/log.go
+++ b/internal/cluster/consensus/storage/log.go
@@ -33,10 +33,25 @@
 		}
 	}
 	s.rewrittenSize = s.logSize
+	if err := s.syncTail(b[min(synced, s.logSize):s.logSize]); err != nil {
+		return err
+	}
 	_, err = s.logFile.Seek(s.logSize, io.SeekStart)
 	return err
 }
 
+// syncTail writes again what was read behind the sync mark, and syncs it: a sync of the process before may have failed, after which the
+// system may drop what it did not write, and another sync without another write succeeds.
+func (s *Store) syncTail(tail []byte) error {
+	if len(tail) == 0 {
+		return nil
+	}
+	if _, err := s.logFile.WriteAt(tail, s.logSize-int64(len(tail))); err != nil {
+		return err
+	}
+	return s.syncFile(s.logFile)
+}
+
 // syncedSize reads the sync mark: how many bytes of the log file are known to be synced.
 func (s *Store) syncedSize() (int64, error) {
 	b, err := io.ReadAll(s.markFile)
--- a/internal/node/maintenance.go
+++ b/internal/node/maintenance.go
@@ -29,7 +29,7 @@
 type maintenanceTask struct {
 	node     *Node
 	settings *operatorfile.Consensus
-	replica  *replica.Replica // nil: this node is no member of the group
+	replica  *replicaSupervisor // nil: this node is no member of the group
 	client   *replica.Client
 	lease    *lease.Client
 	excluded *exclusion.Set // by the plan, apart from what operators exclude on the admin port
@@ -69,7 +69,7 @@
 		waiting:     map[uint64]chan<- lease.Result{},
 		nextMember:  rand.IntN(len(section.Members)),
 	}
-	t.startReplica()
+	t.replica = t.startReplica()
 	var err error
 	t.client, err = replica.NewClient("0.0.0.0:0", section.Members, uint64(process.Incarnation), func(callID uint64, result lease.Result) {
 		n.inbox.post(consensusReply{callID, result})
@@ -81,12 +81,12 @@
 	return nil
 }
 
-// startReplica makes the node a member of the group. One that cannot be started stays a client.
-func (t *maintenanceTask) startReplica() {
+// startReplica makes the node a member of the group, if it is to be one; nil: it is not.
+func (t *maintenanceTask) startReplica() *replicaSupervisor {
 	if t.settings.MemberNumber <= 0 {
-		return
+		return nil
 	}
-	r, err := replica.Start(replica.Config{
+	config := replica.Config{
 		Group:         t.settings.Name,
 		Number:        uint64(t.settings.MemberNumber),
 		Generation:    t.settings.Generation,
@@ -95,12 +95,8 @@
 		InitialVoters: t.settings.InitialMembers,
 		DataDir:       t.settings.DataDir,
 		TickInterval:  max(20*time.Millisecond, t.settings.Lease.Duration()/20),
-	}, t.node.log.Logger)
-	if err != nil {
-		t.node.log.WithError(err).Error("cannot start the consensus replica, continuing as a client of the group")
-		return
 	}
-	t.replica = r
+	return superviseReplica(t.node.log, func() (*replica.Replica, error) { return replica.Start(config, t.node.log.Logger) })
 }
 
 // stop releases the lease and ends the node's part in the group.
@@ -110,7 +106,7 @@
 	}
 	t.client.Close()
 	if t.replica != nil {
-		t.replica.Stop()
+		t.replica.stop()
 	}
 }
 
