--- a/internal/cluster/idempotency/replica/disk.go
+++ b/internal/cluster/idempotency/replica/disk.go
@@ -214,7 +214,7 @@
 	synced := r.syncing
 	r.syncing = nil
 	if err != nil {
-		r.log.WithError(err).Error("data directory failed, storing no more idempotency records")
+		r.log.WithError(err).Error("data directory failed, storing no idempotency records until it works")
 		r.core.FailStorage()
 		r.disk.failed, r.unsynced = true, nil
 		r.disk.recovery.failed(r.clock.Now())
--- a/internal/testbed/processrunner/client.go
+++ b/internal/testbed/processrunner/client.go
@@ -87,15 +87,21 @@
 // errMalformedResponse says that a response does not follow the protocol.
 var errMalformedResponse = errors.New("malformed response")
 
-// roundTrip sends a command and reads its response until a deadline.
-func (c *client) roundTrip(cmd *command, deadline time.Time) (exchange, error) {
+// send writes bytes, and has reading and writing end at a deadline. It returns when the last byte was written.
+func (c *client) send(b []byte, deadline time.Time) (sentMs float64, err error) {
 	if err := c.netConn.SetDeadline(deadline); err != nil {
-		return exchange{}, err
+		return 0, err
 	}
-	if _, err := c.netConn.Write(cmd.encode()); err != nil {
+	_, err = c.netConn.Write(b)
+	return fakes.NowMs(), err
+}
+
+// roundTrip sends a command and reads its response until a deadline.
+func (c *client) roundTrip(cmd *command, deadline time.Time) (exchange, error) {
+	sentMs, err := c.send(cmd.encode(), deadline)
+	if err != nil {
 		return exchange{}, err
 	}
-	sentMs := fakes.NowMs()
 	r, err := readResponse(c.reader)
 	return exchange{response: r, sentMs: sentMs, answeredMs: fakes.NowMs()}, err
 }
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -20,6 +20,9 @@
 	persistentNodeBits = 10
 	// reconnectWait is how long a persistent client waits before it connects again.
 	reconnectWait = 20 * time.Millisecond
+	// pipelineShare is the share of a persistent client's turns in which it sends several requests at once, maxPipelined at most.
+	pipelineShare = 0.3
+	maxPipelined  = 5
 	// maxThinkTime is the longest pause between two requests of a persistent client.
 	maxThinkTime = 30 * time.Millisecond
 )
@@ -64,38 +67,84 @@
 	p.conn = nil
 }
 
-// request sends one request and records what became of it. Some clients leave before they have their response.
+// pendingRequest is a request that was sent, with what its client knows of it.
+type pendingRequest struct {
+	generated *experiment.GeneratedRequest
+	attempt   invariants.ClientAttempt
+}
+
+// request sends one request, or several at once, and records what became of them. Some clients leave before they have their responses.
 func (p *persistentClient) request() {
-	r := p.traffic.NextRequest(fakes.NowMs())
-	attempt := p.traffic.NewAttempt(r, fakes.NowMs())
-	timeoutMs := p.load.experiment.AttemptTimeoutMs(r.Class)
-	stayMs := timeoutMs + experiment.ClientGraceMs
+	batch, encoded, longestMs := p.nextBatch()
+	stayMs := longestMs + experiment.ClientGraceMs
 	leaves := p.random.Float64() < p.load.experiment.Load.LeaveShare
 	if leaves {
-		stayMs = p.random.Float64() * timeoutMs / 4
+		stayMs = p.random.Float64() * longestMs / 4
 	}
-	x, err := p.conn.roundTrip(p.load.command(r, attempt.ID), time.Now().Add(msDuration(stayMs)))
-	if x.sentMs == 0 { // the connection has ended before
+	sentMs, err := p.conn.send(encoded, time.Now().Add(msDuration(stayMs)))
+	if err != nil { // the connection has ended before
 		p.disconnect()
 		return
 	}
-	attempt.Node, attempt.Sent, attempt.Deadline = p.node, x.sentMs, x.sentMs+timeoutMs
-	switch {
-	case err == nil:
-		p.conn.reused = true
-		attempt.Outcome, attempt.AnsweredAt = x.Outcome, x.answeredMs
-		attempt.DuplicateResponse = p.conn.reader.Buffered() > 0
-		attempt.WrongKey = x.Outcome == invariants.Completed && !experiment.IsValueOf(x.Value, r.Key)
-	case !errors.Is(err, os.ErrDeadlineExceeded):
-		attempt.ConnEndedAt, attempt.EndedInOrder = x.answeredMs, !p.conn.reused && !errors.Is(err, syscall.ECONNRESET)
-		p.disconnect()
-	default:
-		p.disconnect()
-		if leaves {
-			attempt.LeftAt = fakes.NowMs()
-		}
+	for i := range batch {
+		a := &batch[i].attempt
+		a.Node, a.Sent, a.Deadline = p.node, sentMs, sentMs+p.load.experiment.AttemptTimeoutMs(batch[i].generated.Class)
 	}
+	p.receive(batch, leaves)
 	p.load.mu.Lock()
-	p.load.attempts = append(p.load.attempts, attempt)
+	for i := range batch {
+		p.load.attempts = append(p.load.attempts, batch[i].attempt)
+	}
 	p.load.mu.Unlock()
 }
+
+// nextBatch draws the requests that are sent at once, with their bytes and their longest timeout.
+func (p *persistentClient) nextBatch() (batch []pendingRequest, encoded []byte, longestMs float64) {
+	size := 1
+	if p.random.Float64() < pipelineShare {
+		size += 1 + p.random.IntN(maxPipelined-1)
+	}
+	for range size {
+		r := p.traffic.NextRequest(fakes.NowMs())
+		attempt := p.traffic.NewAttempt(r, fakes.NowMs())
+		batch = append(batch, pendingRequest{r, attempt})
+		encoded = append(encoded, p.load.command(r, attempt.ID).encode()...)
+		longestMs = max(longestMs, p.load.experiment.AttemptTimeoutMs(r.Class))
+	}
+	return batch, encoded, longestMs
+}
+
+// receive reads the responses to a batch, in its order, until all are there or the connection has ended.
+func (p *persistentClient) receive(batch []pendingRequest, leaves bool) {
+	waitedUntilMs := 0.0 // for the responses before
+	for i := range batch {
+		a := &batch[i].attempt
+		answer, err := readResponse(p.conn.reader)
+		if err != nil {
+			p.connectionEnded(batch[i:], err, leaves)
+			return
+		}
+		p.conn.reused = true
+		a.Outcome, a.AnsweredAt = answer.Outcome, fakes.NowMs()
+		a.ExtraSlack = max(0, waitedUntilMs-a.Deadline) // the time for which it had to wait for those before does not count
+		a.WrongKey = answer.Outcome == invariants.Completed && !experiment.IsValueOf(answer.Value, batch[i].generated.Key)
+		waitedUntilMs = a.AnsweredAt
+	}
+	batch[len(batch)-1].attempt.DuplicateResponse = p.conn.reader.Buffered() > 0
+}
+
+// connectionEnded records the requests that have no response as the connection ends, or as the client leaves.
+func (p *persistentClient) connectionEnded(unanswered []pendingRequest, err error, leaves bool) {
+	timedOut, endedMs := errors.Is(err, os.ErrDeadlineExceeded), fakes.NowMs()
+	isNew, isReset := !p.conn.reused, errors.Is(err, syscall.ECONNRESET)
+	p.disconnect()
+	for i := range unanswered {
+		a := &unanswered[i].attempt
+		switch {
+		case !timedOut:
+			a.ConnEndedAt, a.EndedInOrder = endedMs, isNew && !isReset
+		case leaves:
+			a.LeftAt = fakes.NowMs()
+		}
+	}
+}
--- a/internal/testbed/processrunner/run.go
+++ b/internal/testbed/processrunner/run.go
@@ -153,7 +153,7 @@
 func checkInvariants(r *experiment.Run, fleet *fakes.Fleet, nodes *nodeSet, attempts []invariants.ClientAttempt) {
 	for i := range attempts {
 		if a := &attempts[i]; a.AnsweredAt > a.Deadline {
-			a.ExtraSlack = experiment.WorstLateness(r.Requests, a.Deadline, a.AnsweredAt) + nodes.all[a.Node].heldUpBetween(a.Sent, a.AnsweredAt)
+			a.ExtraSlack += experiment.WorstLateness(r.Requests, a.Deadline, a.AnsweredAt) + nodes.all[a.Node].heldUpBetween(a.Sent, a.AnsweredAt)
 		}
 	}
 	evidence := invariants.Evidence{
