Failing tests: a client closed for want of memory, and a disconnect behind unread bytes

Cause: conn.ResponseReady closes a client that has more than one large reply waiting where memory runs out, and with it requests that were read have no answer; the newest terms free no request for that. recordRead waits without reading once 32 KiB are read ahead, and the client's end stands behind what is not read. Test replaced: TestPendingRepliesAreBounded wanted the client closed; it now wants the bound of memory at each step, an answer to each request in order, and all memory given back.

--- a/internal/node/clients/limits_test.go
+++ b/internal/node/clients/limits_test.go
@@ -80,31 +80,47 @@
 	}
 }
 
-// Pending replies count as buffered too: where memory runs out, the client that lets them wait is closed, and all its memory
-// is given back.
+// Pending replies count as buffered too: where memory runs out, the value of another one is replaced by an error. Each request that was read
+// has its answer all the same, in order, and all memory is given back. The client used to be closed over its requests.
 func TestPendingRepliesAreBounded(t *testing.T) {
-	r := newHarness(t, func(s *Server) { s.MaxBuffered, s.Config().WriteTimeout = 200_000, 60_000 })
+	const maxBuffered, requests = 200_000, 20
+	r := newHarness(t, func(s *Server) { s.MaxBuffered, s.Config().WriteTimeout = maxBuffered, 60_000 })
 	c := r.dial()
-	for i := range 20 {
+	for i := range requests {
 		c.send(command("KV.GET", "k", fmt.Sprint(i), testExtra))
 	}
 	var all []*exchange.Exchange
-	for range 20 {
+	for range requests {
 		all = append(all, r.nextRequest())
 	}
-	head := all[0]
 	for _, x := range all[1:] {
 		x.Respond(exchange.Response{Value: make([]byte, exchange.MaxBufferedValue)})
+		if n := r.server.buffered.Load(); n > overloadFactor*maxBuffered+2*exchange.MaxBufferedValue {
+			t.Fatalf("%d bytes are buffered", n)
+		}
 	}
-	c.expectEnd()
-	for x := <-r.gone; x != head; x = <-r.gone {
-		if x.Response() != nil && x == all[1] {
-			t.Error("an answered request was reported")
+	all[0].Respond(exchange.Response{Value: []byte("head")})
+	c.expect("$4\r\nhead\r\n")
+	values := 0
+	for range requests - 1 {
+		line, err := c.r.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		if line[0] == '$' {
+			values++
+			c.expect(string(make([]byte, exchange.MaxBufferedValue)) + "\r\n")
+		} else if !strings.HasPrefix(line, "-ERR") {
+			t.Fatalf("reply %q", line)
 		}
 	}
-	head.Respond(exchange.Response{Value: make([]byte, exchange.MaxBufferedValue)})
-	if n := r.server.buffered.Load(); n != 0 {
-		t.Errorf("%d bytes are buffered for nobody", n)
+	if values == 0 || values == requests-1 {
+		t.Errorf("%d of %d values", values, requests-1)
+	}
+	for deadline := time.Now().Add(5 * time.Second); r.server.buffered.Load() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are buffered for nobody", r.server.buffered.Load())
+		}
 	}
 }
 
@@ -226,6 +242,33 @@
 	}
 }
 
+// The disconnect of a client that has sent more than is read ahead is noticed in time too: nothing may be sent for it 0.1 s later.
+func TestDisconnectBeyondReadAheadIsNoticed(t *testing.T) {
+	r := newHarness(t)
+	c := r.dial()
+	text := ""
+	for i := range 20 * maxPipelined {
+		text += command("KV.GET", "k", fmt.Sprint(i), "c=read,d=400,pad="+strings.Repeat("x", 100))
+	}
+	c.send(text)
+	for range maxPipelined {
+		r.nextRequest()
+	}
+	time.Sleep(50 * time.Millisecond) // the reader has read ahead what it may
+	c.disconnect()
+	left := time.Now()
+	for range maxPipelined {
+		select {
+		case <-r.gone:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the disconnect was not noticed")
+		}
+	}
+	if took := time.Since(left); took > 100*time.Millisecond {
+		t.Errorf("it was noticed after %v", took)
+	}
+}
+
 // A client that sends more commands than are taken at once, or read ahead, gets all replies in order.
 func TestPipelineBeyondReadAhead(t *testing.T) {
 	r := newHarness(t)
--- a/internal/slowstart/slowstart_test.go
+++ b/internal/slowstart/slowstart_test.go
@@ -44,11 +44,47 @@
 	})
 }
 
+// The operators' bound of a server in slow start, in any window in which it may fail: N requests of mean work, 2 roots of N and 2 more; 3 roots
+// and 3 where N is under 30. It holds for one node alone, for a few, and for hundreds, however unevenly they are loaded. All of them
+// begin with a random part of a token, as the decision module gives them.
+func TestOperatorsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.SampledFrom([]int{1, 2, 3, 5, 12, 30, 100, 300}).Draw(t, "nodes")
+		mean := rapid.Float64Range(5, 2000).Draw(t, "mean ms between requests of a node")
+		gaps := make([]float64, nodes)
+		total := 0.0
+		for i := range gaps {
+			gaps[i] = mean * rapid.Float64Range(0.2, 5).Draw(t, "share")
+			total += 1 / gaps[i]
+		}
+		const window = 2 * burst
+		allowed := 2 * multiple * total / warm * window
+		bound := allowed + 2*math.Sqrt(allowed) + 2
+		if allowed < 30 {
+			bound = allowed + 3*math.Sqrt(allowed) + 3
+		}
+		sent := sendTo(gaps)
+		first := 0
+		for last, at := range sent {
+			for at-sent[first] > window {
+				first++
+			}
+			if n := float64(last - first + 1); n > bound {
+				t.Fatalf("%.0f within %.0f ms by %d nodes; %.1f allowed, bound %.1f", n, window, nodes, allowed, bound)
+			}
+		}
+	})
+}
+
 // sendTo returns the times at which nodes send to a server that starts at 2 s and that all requests prefer; each node has a request per gap in ms.
 func sendTo(gaps []float64) (sent []float64) {
 	const startsAt, end = 2000, 6000
 	meters, buckets := make([]Meter, len(gaps)), make([]Bucket, len(gaps))
 	next := make([]float64, len(gaps))
+	const spread = 0.618 // of the parts of a token with which nodes begin
+	for i := range buckets {
+		_, buckets[i].Tokens = math.Modf(spread * float64(i+1))
+	}
 	for now := 1.0; now < end; now++ {
 		for i := range gaps {
 			if now < next[i] {
