Soak: requests behind others in flight, clients that leave more often, slow servers

Change: persistent clients read while they send, pause within a batch in half of their turns, and leave in up to four of ten; servers slow down thirtyfold.

--- a/internal/testbed/faultsearch/soak.go
+++ b/internal/testbed/faultsearch/soak.go
@@ -31,7 +31,7 @@
 
 // soakServerFaults and soakSystemFaults are the faults beside which nodes are signalled.
 var (
-	soakServerFaults = []string{"kill", "replace", "drain", "halt", "reset", "refuse", "cut", "errors", "resets", "half_answers", "spoilt", "lost_answers"}
+	soakServerFaults = []string{"kill", "replace", "drain", "halt", "halt", "slow", "reset", "refuse", "cut", "errors", "resets", "half_answers", "spoilt", "lost_answers"}
 	soakSystemFaults = []string{"discovery_down", "discovery_silent", "discovery_late", "discovery_moves", "discovery_anew", "server_clocks"}
 )
 
@@ -74,7 +74,7 @@
 	x.Load.Rate, x.Load.Keys, x.Load.ValueBytes, x.Load.Retries = 60+s.Float64()*120, soakKeys, soakValueBytes, s.IntN(3)
 	x.Load.WarmCaches = true
 	x.Load.PersistentClients = 4 + s.IntN(12)
-	x.Load.LeaveShare = roundToMilli(0.15 * s.Float64())
+	x.Load.LeaveShare = roundToMilli(0.4 * s.Float64())
 	x.Classes = s.soakClasses()
 }
 
@@ -139,6 +139,8 @@
 	switch step.Action {
 	case "errors", "resets", "half_answers", "spoilt", "lost_answers":
 		step.Value = roundToMilli(0.05 + 0.4*s.Float64())
+	case "slow":
+		step.Value = 30 // longer than an attempt may be silent
 	case "replace", "reset":
 		step.Duration = 0
 	}
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -23,6 +23,8 @@
 	// pipelineShare is the share of a persistent client's turns in which it sends several requests at once, maxPipelined at most.
 	pipelineShare = 0.3
 	maxPipelined  = 5
+	// maxPipelinePause is the longest pause between two of these.
+	maxPipelinePause = 150 * time.Millisecond
 	// maxThinkTime is the longest pause between two requests of a persistent client.
 	maxThinkTime = 30 * time.Millisecond
 )
@@ -75,22 +77,23 @@
 
 // request sends one request, or several at once, and records what became of them. Some clients leave before they have their responses.
 func (p *persistentClient) request() {
-	batch, encoded, longestMs := p.nextBatch()
+	batch, longestMs := p.nextBatch()
 	stayMs := longestMs + experiment.ClientGraceMs
 	leaves := p.random.Float64() < p.load.experiment.Load.LeaveShare
 	if leaves {
 		stayMs = p.random.Float64() * longestMs / 4
 	}
-	sentMs, err := p.conn.send(encoded, time.Now().Add(msDuration(stayMs)))
-	if err != nil { // the connection has ended before
+	if err := p.conn.netConn.SetDeadline(time.Now().Add(msDuration(stayMs))); err != nil {
 		p.disconnect()
 		return
 	}
-	for i := range batch {
-		a := &batch[i].attempt
-		a.Node, a.Sent, a.Deadline = p.node, sentMs, sentMs+p.load.experiment.AttemptTimeoutMs(batch[i].generated.Class)
+	responses := p.conn.readResponses(len(batch))
+	sent := p.send(batch)
+	p.receive(sent, responses, leaves)
+	if len(sent) < len(batch) {
+		p.disconnect()
 	}
-	p.receive(batch, leaves)
+	batch = sent
 	p.load.mu.Lock()
 	for i := range batch {
 		p.load.attempts = append(p.load.attempts, batch[i].attempt)
@@ -98,8 +101,25 @@
 	p.load.mu.Unlock()
 }
 
-// nextBatch draws the requests that are sent at once, with their bytes and their longest timeout.
-func (p *persistentClient) nextBatch() (batch []pendingRequest, encoded []byte, longestMs float64) {
+// send sends a batch, at once or with pauses in it, and returns what was sent.
+func (p *persistentClient) send(batch []pendingRequest) (sent []pendingRequest) {
+	pauses := p.random.IntN(2) == 0
+	for i := range batch {
+		if i > 0 && pauses {
+			time.Sleep(time.Duration(p.random.Int64N(int64(maxPipelinePause))))
+		}
+		generated, a := batch[i].generated, &batch[i].attempt
+		if _, err := p.conn.netConn.Write(p.load.command(generated, a.ID).encode()); err != nil {
+			return batch[:i]
+		}
+		sentMs := fakes.NowMs()
+		a.Node, a.Sent, a.Deadline = p.node, sentMs, sentMs+p.load.experiment.AttemptTimeoutMs(generated.Class)
+	}
+	return batch
+}
+
+// nextBatch draws the requests that are sent without waiting for responses, and their longest timeout.
+func (p *persistentClient) nextBatch() (batch []pendingRequest, longestMs float64) {
 	size := 1
 	if p.random.Float64() < pipelineShare {
 		size += 1 + p.random.IntN(maxPipelined-1)
@@ -108,41 +128,64 @@
 		r := p.traffic.NextRequest(fakes.NowMs())
 		attempt := p.traffic.NewAttempt(r, fakes.NowMs())
 		batch = append(batch, pendingRequest{r, attempt})
-		encoded = append(encoded, p.load.command(r, attempt.ID).encode()...)
 		longestMs = max(longestMs, p.load.experiment.AttemptTimeoutMs(r.Class))
 	}
-	return batch, encoded, longestMs
+	return batch, longestMs
+}
+
+// timedResponse is a response and when its last byte came, or why there is none.
+type timedResponse struct {
+	response
+	atMs float64
+	err  error
 }
 
-// receive reads the responses to a batch, in its order, until all are there or the connection has ended.
-func (p *persistentClient) receive(batch []pendingRequest, leaves bool) {
+// readResponses reads so many responses beside what is sent, until an error.
+func (c *client) readResponses(count int) <-chan timedResponse {
+	responses := make(chan timedResponse, count)
+	go func() { // ends at the deadline of the connection, or with that
+		for range count {
+			r, err := readResponse(c.reader)
+			responses <- timedResponse{r, fakes.NowMs(), err}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return responses
+}
+
+// receive records the responses to a batch, in its order, until all are there or the connection has ended.
+func (p *persistentClient) receive(batch []pendingRequest, responses <-chan timedResponse, leaves bool) {
 	waitedUntilMs := 0.0 // for the responses before
 	for i := range batch {
 		a := &batch[i].attempt
-		answer, err := readResponse(p.conn.reader)
-		if err != nil {
-			p.connectionEnded(batch[i:], err, leaves)
+		answer := <-responses
+		if answer.err != nil {
+			p.connectionEnded(batch[i:], answer, leaves)
 			return
 		}
 		p.conn.reused = true
-		a.Outcome, a.AnsweredAt = answer.Outcome, fakes.NowMs()
+		a.Outcome, a.AnsweredAt = answer.Outcome, answer.atMs
 		a.ExtraSlack = max(0, waitedUntilMs-a.Deadline) // the time for which it had to wait for those before does not count
 		a.WrongKey = answer.Outcome == invariants.Completed && !experiment.IsValueOf(answer.Value, batch[i].generated.Key)
 		waitedUntilMs = a.AnsweredAt
 	}
-	batch[len(batch)-1].attempt.DuplicateResponse = p.conn.reader.Buffered() > 0
+	if len(batch) == cap(responses) { // else it is still being read
+		batch[len(batch)-1].attempt.DuplicateResponse = p.conn.reader.Buffered() > 0
+	}
 }
 
 // connectionEnded records the requests that have no response as the connection ends, or as the client leaves.
-func (p *persistentClient) connectionEnded(unanswered []pendingRequest, err error, leaves bool) {
-	timedOut, endedMs := errors.Is(err, os.ErrDeadlineExceeded), fakes.NowMs()
-	isNew, isReset := !p.conn.reused, errors.Is(err, syscall.ECONNRESET)
+func (p *persistentClient) connectionEnded(unanswered []pendingRequest, end timedResponse, leaves bool) {
+	timedOut := errors.Is(end.err, os.ErrDeadlineExceeded)
+	isNew, isReset := !p.conn.reused, errors.Is(end.err, syscall.ECONNRESET)
 	p.disconnect()
 	for i := range unanswered {
 		a := &unanswered[i].attempt
 		switch {
 		case !timedOut:
-			a.ConnEndedAt, a.EndedInOrder = endedMs, isNew && !isReset
+			a.ConnEndedAt, a.EndedInOrder = max(end.atMs, a.Sent), isNew && !isReset
 		case leaves:
 			a.LeftAt = fakes.NowMs()
 		}
