Failing test: slots of removed servers beside requests under longer timeouts

Cause: the retention of slots follows from the timeouts at the start; after a reload with longer ones a request in flight may refer to a slot that another server has by then.

--- a/internal/node/reconfigure_test.go
+++ b/internal/node/reconfigure_test.go
@@ -82,3 +82,22 @@
 		tc.t.Fatal(err)
 	}
 }
+
+// The slot of a removed server is kept for as long as any request may refer to it: also requests that arrive under settings with longer
+// timeouts, and those that arrived before settings with shorter ones.
+func TestSlotsOutliveRequestsUnderOtherSettings(t *testing.T) {
+	tc := newTestCluster(t, 1, serveHit, echoOrigin)
+	retention := func() (ms float64) {
+		tc.onLoop(func(float64) { ms = tc.node.serverTable.Retention })
+		return ms
+	}
+	short := retention()
+	tc.reconfigure(`"StatementTimeout":600000`, `"StatementTimeout":9000000`)
+	if long := retention(); long < 9000 {
+		t.Errorf("with timeouts of 9 s slots are kept for %.0f ms", long)
+	}
+	tc.reconfigure(`"StatementTimeout":600000`, `"StatementTimeout":300000`)
+	if after := retention(); after < 9000 || short > after {
+		t.Errorf("beside requests of 9 s slots are kept for %.0f ms", after)
+	}
+}
