Slots of removed servers outlive requests under all settings that were in force

Change: reconfigure raises the retention to that of the new settings, and never lowers it. Measured: TestSlotsOutliveRequestsUnderOtherSettings and TestReconfigure pass.

--- a/internal/node/reconfigure.go
+++ b/internal/node/reconfigure.go
@@ -33,6 +33,8 @@
 	deployment.Limits.Seed, deployment.Limits.Subscribe = n.deployment.Limits.Seed, n.deployment.Limits.Subscribe
 	deployment.ConnIdleTimeout, deployment.ConnectTimeout = n.deployment.ConnIdleTimeout, n.deployment.ConnectTimeout
 	n.deployment = deployment
+	// Requests under the settings before may be in flight still.
+	n.serverTable.Retention = max(n.serverTable.Retention, SlotRetention(&deployment))
 	limits := deployment.Limits
 	limits.Classes, limits.Subscribe = n.classes.Classes(), true
 	policy.Reconfigure(now, limits)
