--- a/internal/testbed/faultsearch/soak.go
+++ b/internal/testbed/faultsearch/soak.go
@@ -116,6 +116,9 @@
 		add("start_node", at+50*time.Millisecond, 0, 0)
 		return
 	}
+	if s.IntN(2) == 0 {
+		x.Steps = append(x.Steps, s.soakHang(at)...)
+	}
 	add("stop_node", at, 0, 0)
 	for range s.IntN(3) {
 		add("hangup_node", at+signalPauses[s.IntN(len(signalPauses))], 0, 0)
@@ -126,6 +129,16 @@
 	add("start_node", at+time.Millisecond, 0, 0) // once it has ended
 }
 
+// soakHang has caches and the origin hang through the whole of a stop.
+func (s sampler) soakHang(stopAt time.Duration) []experiment.Step {
+	at := tomlfile.Duration(max(soakFirstFault, stopAt-200*time.Millisecond)).Round(time.Millisecond)
+	duration := ms(1000 + 2500*s.Float64())
+	return []experiment.Step{
+		{Time: at, Action: "halt", Share: roundToMilli(0.3 + 0.7*s.Float64()), Duration: duration},
+		{Time: at, Action: "halt", Server: "origin", Duration: duration},
+	}
+}
+
 // soakServerFault draws a fault of caches.
 func (s sampler) soakServerFault(x *experiment.Experiment) experiment.Step {
 	step := experiment.Step{
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -24,7 +24,7 @@
 	pipelineShare = 0.3
 	maxPipelined  = 5
 	// maxPipelinePause is the longest pause between two of these.
-	maxPipelinePause = 150 * time.Millisecond
+	maxPipelinePause = 300 * time.Millisecond
 	// maxThinkTime is the longest pause between two requests of a persistent client.
 	maxThinkTime = 30 * time.Millisecond
 )
@@ -78,7 +78,8 @@
 // request sends one request, or several at once, and records what became of them. Some clients leave before they have their responses.
 func (p *persistentClient) request() {
 	batch, longestMs := p.nextBatch()
-	stayMs := longestMs + experiment.ClientGraceMs
+	pausesMs := float64(len(batch)-1) * float64(maxPipelinePause/time.Millisecond)
+	stayMs := longestMs + experiment.ClientGraceMs + pausesMs
 	leaves := p.random.Float64() < p.load.experiment.Load.LeaveShare
 	if leaves {
 		stayMs = p.random.Float64() * longestMs / 4
