--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -42,7 +42,7 @@
 func (n *Node) Stop(grace, bound time.Duration) {
 	start := time.Now()
 	n.life.BeginStop()
-	n.inbox.post(stopDeadline{n.clock.Now() + float64(bound/time.Millisecond)})
+	n.inbox.post(stopDeadline{n.clock.Now() + float64(max(0, bound-holdUpAllowance)/time.Millisecond)})
 	n.frontend.Sweep()
 	if _, phase := n.handover.other(); phase.successorAccepts() {
 		// New clients go to the successor already, and so do clients between two requests. Those that never pause are closed in time.
