Soak: new connections that are shut unread in a crowd

Cause: the standing test allows a new connection to be shut unread while idle clients fill the descriptors; the checker took the end of one, in order and 0 ms after the request, for a request that was read. Measured: invariants and processrunner pass.

--- a/internal/testbed/invariants/checker.go
+++ b/internal/testbed/invariants/checker.go
@@ -18,6 +18,7 @@
 	notifications     map[nodeServer]map[string][]fakes.Notification // by the id under which a server was listed
 	reportedDrains    map[nodeServer]bool                            // a violation was reported already
 	downtimes         []Downtime
+	crowds            []Crowd
 	violations        []Violation
 	seen              map[Violation]bool
 }
@@ -106,7 +107,7 @@
 
 // crossedEnd reports whether an attempt crossed the end of its connection, so that its client sends it again on another one.
 func (c *Checker) crossedEnd(attempt *ClientAttempt) bool {
-	if attempt.EndedInOrder && !c.wasStopping(attempt.Node, attempt.ConnEndedAt) {
+	if attempt.EndedInOrder && !c.wasStopping(attempt.Node, attempt.ConnEndedAt) && !c.wasCrowded(attempt.Node, attempt.ConnEndedAt) {
 		return false
 	}
 	return attempt.ConnEndedAt > 0 && attempt.ConnEndedAt-attempt.Sent <= crossingLimit+c.slack
@@ -119,6 +120,11 @@
 	})
 }
 
+// wasCrowded reports whether silent clients took the descriptors of a node at a time.
+func (c *Checker) wasCrowded(node servermodel.NodeID, at float64) bool {
+	return slices.ContainsFunc(c.crowds, func(d Crowd) bool { return d.Node == node && d.From <= at && at <= d.To })
+}
+
 // endOfConnection says how the connection of an attempt without a response ended.
 func (a *ClientAttempt) endOfConnection() string {
 	if a.ConnEndedAt == 0 {
--- a/internal/testbed/invariants/invariants.go
+++ b/internal/testbed/invariants/invariants.go
@@ -69,6 +69,12 @@
 	StopAt   float64 // when it was told so
 }
 
+// Crowd is a time in which silent clients took a node's descriptors: new connections may be shut unread then.
+type Crowd struct {
+	Node     servermodel.NodeID
+	From, To float64
+}
+
 // Collapse is a collapse of a server under overload.
 type Collapse struct {
 	Server      string
@@ -88,6 +94,7 @@
 	Executions    []*servermodel.Execution // in the order in which they came
 	Notifications []fakes.Notification     // in their order
 	Downtimes     []Downtime
+	Crowds        []Crowd
 	Collapses     []Collapse
 	Crashes       []string
 	DrainGrace    float64 // how long requests may be sent to a server that drains or has gone
@@ -135,6 +142,7 @@
 	for _, d := range e.Downtimes {
 		c.NodeDown(d)
 	}
+	c.crowds = e.Crowds
 	byRequestID := map[string][]*servermodel.Execution{}
 	for _, x := range e.Executions {
 		byRequestID[x.RequestID] = append(byRequestID[x.RequestID], x)
--- a/internal/testbed/processrunner/noderunner.go
+++ b/internal/testbed/processrunner/noderunner.go
@@ -53,6 +53,7 @@
 	downtimes []invariants.Downtime
 	crashes   []string
 	holdUps   []holdUp
+	crowds    []invariants.Crowd
 }
 
 // reserveAddress reserves an address for the node until it is released: between two of its processes, and before the first, no
@@ -287,10 +288,11 @@
 }
 
 // crowd opens connections on which nothing is sent, and closes them after some time.
-func crowd(addr string, connections int, duration time.Duration) {
+func (n *nodeRunner) crowd(connections int, duration time.Duration) {
+	from := fakes.NowMs()
 	var all []*client
 	for range connections {
-		if c, err := dial(addr); err == nil {
+		if c, err := dial(n.addr); err == nil {
 			all = append(all, c)
 		}
 	}
@@ -298,6 +300,9 @@
 	for _, c := range all {
 		c.close()
 	}
+	n.mu.Lock()
+	n.crowds = append(n.crowds, invariants.Crowd{Node: servermodel.NodeID(n.index), From: from, To: fakes.NowMs()})
+	n.mu.Unlock()
 }
 
 // reload makes the process read its configuration again.
--- a/internal/testbed/processrunner/run.go
+++ b/internal/testbed/processrunner/run.go
@@ -162,6 +162,7 @@
 	}
 	for _, n := range nodes.all {
 		evidence.Downtimes, evidence.Crashes = append(evidence.Downtimes, n.downtimes...), append(evidence.Crashes, n.crashes...)
+		evidence.Crowds = append(evidence.Crowds, n.crowds...)
 	}
 	checker := invariants.CheckAll(evidence)
 	r.Violations, r.WrongKeyResponses = checker.Violations(), checker.WrongKeyResponses
--- a/internal/testbed/processrunner/scenario.go
+++ b/internal/testbed/processrunner/scenario.go
@@ -134,7 +134,7 @@
 
 // Crowd implements NodeControl.
 func (c nodeControl) Crowd(connections int, duration time.Duration) error {
-	c.scenario.background.Go(func() { crowd(c.node.addr, connections, duration) })
+	c.scenario.background.Go(func() { c.node.crowd(connections, duration) })
 	return nil
 }
 
