The control plane places servers' starts by when the list showed them

Cause: the ring's slow start took the difference of the list's up_since_ms and the controller's clock. Change: serverstart.Tracker as in the node. Measured: TestCoreStartByAnotherClock (an hour and 40 s either way), packages of the control plane pass. Not red before the fix: written with it; without the tracker it fails for each offset by the definition of warmingUp.

--- a/internal/controlplane/controller/build.go
+++ b/internal/controlplane/controller/build.go
@@ -42,7 +42,7 @@
 	window := c.config.Deployment.Limits.WarmUpTime + c.config.BatchIntervalMs
 	for i := range c.slots {
 		slot := &c.slots[i]
-		if slot.state == fleet.Ready && slot.entry.UpSince > 0 && now-slot.entry.UpSince < window {
+		if slot.state == fleet.Ready && slot.startedMs > 0 && now-slot.startedMs < window {
 			return true
 		}
 	}
--- a/internal/controlplane/controller/core.go
+++ b/internal/controlplane/controller/core.go
@@ -13,6 +13,7 @@
 	"mintspring/internal/controlplane/loadreport"
 	"mintspring/internal/controlplane/snapshot"
 	"mintspring/internal/fleet"
+	"mintspring/internal/node/serverstart"
 )
 
 const (
@@ -54,6 +55,7 @@
 
 	slots           []serverSlot
 	slotByID        map[string]fleet.ServerID
+	starts          serverstart.Tracker
 	slotRetentionMs float64 // how long the slot of a server that is gone is not reused
 	hasEndpoints    bool    // the endpoint list has arrived
 
--- a/internal/controlplane/controller/core_test.go
+++ b/internal/controlplane/controller/core_test.go
@@ -328,3 +328,19 @@
 		t.Errorf("shares off by %.2f, %.2f of keys elsewhere", worst, elsewhere)
 	}
 }
+
+// A server that restarts is in slow start from then on by the controller's clock, however far the clock of its machine is apart.
+func TestCoreStartByAnotherClock(t *testing.T) {
+	const hour = 3.6e6
+	for _, offset := range []float64{0, hour, -hour, 40_000, -40_000} {
+		now := 1e12
+		c := newStartedCore(t, now, 3, 4)
+		window := c.config.Deployment.Limits.WarmUpTime + c.config.BatchIntervalMs
+		now += 1000
+		c.UpdateEndpoints(now, discovery.Update{Members: []json.RawMessage{serverEntry(2, discovery.PhaseInService, now+offset)}})
+		if !c.warmingUp(now) || !c.warmingUp(now+window-1) || c.warmingUp(now+window+1) {
+			t.Errorf("clocks %.0f ms apart: warming up %v at once, %v at the end of its time, %v after it",
+				offset, c.warmingUp(now), c.warmingUp(now+window-1), c.warmingUp(now+window+1))
+		}
+	}
+}
--- a/internal/controlplane/controller/endpoints.go
+++ b/internal/controlplane/controller/endpoints.go
@@ -3,14 +3,17 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"mintspring/internal/fleet"
 	"mintspring/internal/node/discovery"
+	"mintspring/internal/node/serverstart"
 )
 
 // serverSlot is one entry of the server table.
 type serverSlot struct {
 	entry       discovery.Entry
+	startedMs   float64 // of its process, by the controller's clock; 0: long ago
 	state       fleet.State
 	goneSinceMs float64 // meaningful while state is fleet.Gone
 }
@@ -26,10 +29,14 @@
 	if update.Complete {
 		mode = fleet.ListFull
 	}
+	confirmedAt := serverstart.Never()
+	if update.ConfirmedAgo >= 0 {
+		confirmedAt = now - float64(update.ConfirmedAgo)/float64(time.Millisecond)
+	}
 	listed := map[fleet.ServerID]bool{}
 	var endpoints []fleet.Endpoint
 	for _, text := range update.Members {
-		endpoint, err := c.updateEndpoint(now, text)
+		endpoint, err := c.updateEndpoint(now, text, confirmedAt)
 		if err != nil {
 			c.errs = append(c.errs, fmt.Errorf("reading an endpoint: %w", err))
 			continue
@@ -55,7 +62,7 @@
 }
 
 // updateEndpoint merges an entry of the list into what is known of its server.
-func (c *core) updateEndpoint(now float64, text json.RawMessage) (fleet.Endpoint, error) {
+func (c *core) updateEndpoint(now float64, text json.RawMessage, confirmedAt float64) (fleet.Endpoint, error) {
 	entry, err := discovery.Merge(discovery.Entry{}, text)
 	if err != nil {
 		return fleet.Endpoint{}, err
@@ -72,6 +79,8 @@
 	previous := c.slots[id].entry
 	c.slots[id].entry = entry
 	endpoint := entry.Member(id, &c.config.Deployment)
+	endpoint.Started = c.starts.Observe(now, entry.ID, entry.UpSince, confirmedAt)
+	c.slots[id].startedMs = endpoint.Started
 	// The same ID at another address, or of a process that has started since, is another server to whoever holds connections.
 	if known && (previous.HostPort != entry.HostPort || previous.UpSince != entry.UpSince || previous.Locality != entry.Locality) {
 		c.notePending(serverRemoved)
@@ -103,6 +112,7 @@
 		slot := &c.slots[i]
 		if slot.state == fleet.Gone && now-slot.goneSinceMs > c.slotRetentionMs {
 			delete(c.slotByID, slot.entry.ID)
+			c.starts.Forget(slot.entry.ID)
 			*slot = serverSlot{}
 			return fleet.ServerID(i)
 		}
--- a/internal/controlplane/controller/persistence.go
+++ b/internal/controlplane/controller/persistence.go
@@ -28,7 +28,7 @@
 		slot := &c.slots[i]
 		servers = append(servers, snapshot.CurrentServer{
 			Name:      slot.entry.ID,
-			StartedAt: slot.entry.UpSince,
+			StartedAt: slot.startedMs,
 			Ready:     slot.state == fleet.Ready,
 		})
 	}
