--- a/internal/node/idempotency_test.go
+++ b/internal/node/idempotency_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -172,3 +173,28 @@
 	time.AfterFunc(50*time.Millisecond, func() { closeQuietly(taken) })
 	tc.expectPrefix(tc.request("KV.SET", "k", "2", "c=put,d=500,k=1", "v"), "PUT")
 }
+
+// A replica whose folder cannot be opened at the start, because of the system and not of what is in it, stores records once it can be.
+func TestRecordsFolderIsOpenedLater(t *testing.T) {
+	var dir string
+	tc := newTestCluster(t, 1, serveHit, echoOrigin, singleReplica(t, func(section *operatorfile.Idempotency) {
+		dir = section.DataDir + "-later"
+		section.DataDir = dir
+		if err := os.WriteFile(dir, nil, 0o600); err != nil { // a file stands where the folder is to be
+			t.Fatal(err)
+		}
+	}))
+	tc.expectPrefix(tc.request("KV.SET", "k", "1", "c=put,d=300,k=1", "v"), "-BUSY ")
+	if err := os.Remove(dir); err != nil {
+		t.Fatal(err)
+	}
+	owner := storage.Owner{Group: "b"}
+	if err := storage.Create(dir, owner, 7); err != nil {
+		t.Fatal(err)
+	}
+	answer := ""
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline) && !strings.HasPrefix(answer, "PUT"); time.Sleep(50 * time.Millisecond) {
+		answer = tc.request("KV.SET", "k", fmt.Sprint("again", time.Now().UnixNano()), "c=put,d=500,k=2", "v")
+	}
+	tc.expectPrefix(answer, "PUT")
+}
