--- a/internal/cluster/idempotency/replica/disk.go
+++ b/internal/cluster/idempotency/replica/disk.go
@@ -60,10 +60,9 @@
 	if r.config.DataDir == "" {
 		return stored
 	}
-	owner := storage.Owner{Group: r.config.Group, Member: r.config.Core.Self}
-	limits := storage.Limits{Retention: clock.Duration(r.config.Core.RetentionMs), MaxBytes: r.config.MaxBytes}
-	store, err := storage.Open(r.config.DataDir, owner, r.config.Core.Incarnation, limits, stored)
+	store, err := r.config.openStore(stored)
 	if err != nil {
+		r.dataDirErr = err
 		r.log.WithError(err).Error("data directory cannot be used, storing no idempotency records")
 		return idempotency.NewStoredState()
 	}
@@ -78,6 +77,25 @@
 	return stored
 }
 
+// openStore opens the data directory and reads it into stored.
+func (c *Config) openStore(stored *idempotency.StoredState) (*storage.Store, error) {
+	owner := storage.Owner{Group: c.Group, Member: c.Core.Self}
+	limits := storage.Limits{Retention: clock.Duration(c.Core.RetentionMs), MaxBytes: c.MaxBytes}
+	return storage.Open(c.DataDir, owner, c.Core.Incarnation, limits, stored)
+}
+
+// CheckDataDir opens the data directory and closes it again.
+func (c *Config) CheckDataDir() error {
+	store, err := c.openStore(idempotency.NewStoredState())
+	if err == nil {
+		store.Close()
+	}
+	return err
+}
+
+// DataDirError returns why the data directory could not be opened at the start; nil: it was, or there is none.
+func (r *Replica) DataDirError() error { return r.dataDirErr }
+
 // stores reports whether the member stores records.
 func (r *Replica) stores() bool { return r.disk != nil && !r.disk.failed }
 
--- a/internal/cluster/idempotency/replica/replica.go
+++ b/internal/cluster/idempotency/replica/replica.go
@@ -75,6 +75,7 @@
 	// Fields of the member's goroutine, which is in run.
 	core          *idempotency.Core
 	disk          *disk               // nil: it stores nothing
+	dataDirErr    error               // why it was not opened; not changed after Start
 	syncing       []idempotency.Ready // handed to the disk
 	unsynced      []idempotency.Ready // not handed to the disk yet
 	loggedState   string
--- a/internal/node/consensusreplica.go
+++ b/internal/node/consensusreplica.go
@@ -48,7 +48,7 @@
 				err, pause = r.Err(), s.minPause
 			}
 		}
-		if !isDiskFailure(err) {
+		if !errors.Is(err, replica.ErrStorage) && !isSystemError(err) {
 			s.log.WithError(err).Error("cannot run the consensus replica, continuing as a client of the group")
 			return
 		}
@@ -70,8 +70,8 @@
 	<-s.done
 }
 
-// isDiskFailure reports whether a replica failed for what the operating system said of its files.
-func isDiskFailure(err error) bool {
+// isSystemError reports whether something failed for what the operating system said, which may be otherwise later.
+func isSystemError(err error) bool {
 	var errno syscall.Errno
-	return errors.Is(err, replica.ErrStorage) || errors.As(err, &errno)
+	return errors.As(err, &errno)
 }
--- a/internal/node/idempotency.go
+++ b/internal/node/idempotency.go
@@ -52,15 +52,45 @@
 	return nil
 }
 
+// replicaChangeTimeout is how long the claims of a replica that is replaced may take to end.
+const replicaChangeTimeout = 100 * time.Millisecond
+
 func (n *Node) startReplica(config *replica.Config) error {
 	r, err := replica.Start(*config, n.clock, n.log.Logger, func(result idempotency.Result) { n.inbox.post(recordResult{result}) })
 	if err != nil {
 		return err
 	}
 	n.inbox.post(replicaStarted{r})
+	if isSystemError(r.DataDirError()) {
+		go n.reopenDataDir(config, r)
+	}
 	return nil
 }
 
+// reopenDataDir starts the replica anew once its data directory can be opened: a disk may be full for a moment. Until then the replica asks
+// the others only. It ends with the node.
+func (n *Node) reopenDataDir(config *replica.Config, asking *replica.Replica) {
+	for pause := minReplicaRestart; ; pause = min(2*pause, maxReplicaRestart) {
+		select {
+		case <-n.quit:
+			return
+		case <-time.After(pause):
+		}
+		if config.CheckDataDir() == nil {
+			break
+		}
+	}
+	if stopped, err := onLoop(n, func(float64) (bool, error) { return n.idempotency.closed, nil }); err != nil || stopped {
+		return
+	}
+	asking.Stop(replicaChangeTimeout)
+	if err := n.startReplica(config); err != nil {
+		n.log.WithError(err).Error("continuing without idempotency records")
+		return
+	}
+	n.log.Info("the data directory of the idempotency records works now")
+}
+
 // retryReplica starts the replica once the predecessor has released its address. It ends with the node.
 func (n *Node) retryReplica(config *replica.Config) {
 	err := n.retryWhileAddressInUse(bindRetryInterval, func() error { return n.startReplica(config) })
