Failing test: eviction in the instant in which a reader has taken bytes

Cause: conn.evict looks for unread bytes and at the state, and the reader says what it has read only after it has parsed it; in between the connection looks quiet and has no unread bytes.

--- a/internal/node/clients/eviction_test.go
+++ b/internal/node/clients/eviction_test.go
@@ -262,3 +262,26 @@
 
 // readByte reads the byte that has arrived on an unreadConn.
 func readByte(c *conn) { _, _ = io.ReadFull(c.net, make([]byte, 1)) }
+
+// A connection whose reader has taken bytes, and has not yet said what they are, is in use: to close it then would lose a request that was
+// read. It may be closed once the reader has said that nothing is in flight.
+func TestBytesJustReadPreventEviction(t *testing.T) {
+	for _, state := range []ConnState{Idle, Silent, Incomplete} {
+		c, _ := unreadConn(newHarness(t))
+		if state != Idle {
+			c.state.usage = usageUnused
+		}
+		reader := newCommandReader(c)
+		if err := reader.fill(); err != nil || reader.in.Len() != 1 {
+			t.Fatalf("%d bytes were read, %v", reader.in.Len(), err)
+		}
+		if c.evict(state) || c.state.phase == phaseClosed {
+			t.Errorf("state %d: it was closed over bytes that were read", state)
+		}
+		reader.in.Discard(1)
+		c.recordRead(&reader.in, 1, false, false)
+		if state == Idle && !c.evict(Idle) {
+			t.Error("it was not closed between requests")
+		}
+	}
+}
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -38,9 +38,13 @@
 	takeConnClosed                   // the connection is closed
 )
 
+func newCommandReader(c *conn) *commandReader {
+	return &commandReader{conn: c, timeout: clock.Duration(c.server.CommandTimeout)}
+}
+
 // readLoop reads commands until the client disconnects or the connection ends.
 func (c *conn) readLoop() {
-	r := &commandReader{conn: c, timeout: clock.Duration(c.server.CommandTimeout)}
+	r := newCommandReader(c)
 	defer r.in.Release()
 	defer c.recoverPanic()
 	if !c.hasRequested() {
