Clients' bytes are read and marked in one step

Cause: between a reader's read and its look at the bytes the connection passed for quiet, with nothing unread, and could be evicted. Change: socketReader reads under the connection's mutex and marks the state; connections without a socket (tests) are marked right after.

--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -18,6 +18,7 @@
 // commandReader is the state of a connection's reading goroutine.
 type commandReader struct {
 	conn    *conn
+	socket  *socketReader
 	in      ringbuf.Ring
 	args    [][]byte // of the command before, for reuse
 	skip    int      // bytes of a refused command that are still to arrive
@@ -39,7 +40,7 @@
 )
 
 func newCommandReader(c *conn) *commandReader {
-	return &commandReader{conn: c, timeout: clock.Duration(c.server.CommandTimeout)}
+	return &commandReader{conn: c, socket: newSocketReader(c), timeout: clock.Duration(c.server.CommandTimeout)}
 }
 
 // readLoop reads commands until the client disconnects or the connection ends.
@@ -91,7 +92,7 @@
 	}
 	r.conn.awaitInput(r.deadline)
 	if r.skip == 0 {
-		_, err := r.in.ReadOnce(r.conn.net)
+		_, err := r.in.ReadOnce(r.socket)
 		return err
 	}
 	n, err := io.CopyN(io.Discard, r.conn.net, int64(min(r.skip, exchange.MaxBufferedValue)))
--- a/internal/node/clients/state.go
+++ b/internal/node/clients/state.go
@@ -60,6 +60,7 @@
 	lastActive float64 // when the client was last read from or written to
 
 	// The reader's progress.
+	reading    bool // bytes have been read, and recordRead has not said yet what they are
 	midCommand bool // part of a command has been read
 	paused     bool // no command is taken until one is replied to
 	departing  bool // the reader is to end the connection, or hand it over, once it is between commands
@@ -75,12 +76,12 @@
 
 // betweenRequests reports whether nothing is in flight on an open connection.
 func (s *sharedState) betweenRequests() bool {
-	return !s.hasPending() && !s.midCommand && s.phase != phaseClosed
+	return !s.hasPending() && !s.midCommand && !s.reading && s.phase != phaseClosed
 }
 
 // incomplete reports whether nothing is in flight but a command that has begun to arrive.
 func (s *sharedState) incomplete() bool {
-	return !s.hasPending() && s.midCommand && s.phase != phaseClosed
+	return !s.hasPending() && s.midCommand && !s.reading && s.phase != phaseClosed
 }
 
 // hasPending reports whether a command that was read has not been replied to.
@@ -170,7 +171,7 @@
 
 // recordRead records a read of the reader, and returns whether part of a command had been read before.
 func (s *sharedState) recordRead(now float64, midCommand, paused bool) (wasMidCommand bool) {
-	wasMidCommand = s.midCommand
+	wasMidCommand, s.reading = s.midCommand, false
 	s.midCommand, s.lastActive = midCommand, now
 	s.usage = max(s.usage, usageReceived)
 	s.paused = paused || s.atLimit()
