--- a/cmd/mintspring/idempotency_test.go
+++ b/cmd/mintspring/idempotency_test.go
@@ -70,12 +70,12 @@
 	t.Helper()
 	var addrs strings.Builder
 	for i := range members {
-		fmt.Fprintf(&addrs, "\"${MINTRIG_BOOK_%d}\", ", i+1)
+		fmt.Fprintf(&addrs, "\"${MINTSPRING_REPLICA_%d}\", ", i+1)
 	}
 	name := filepath.Join(t.TempDir(), "operator.toml")
 	writeFile(t, name, `[idempotency]
 name = "sales"
-data_dir = "${MINTRIG_NODE_DIR}/book"
+data_dir = "${MINTSPRING_NODE_DIR}/book"
 retry_interval = "10ms"
 claim_timeout = "150ms"
 commit_timeout = "150ms"
@@ -282,7 +282,7 @@
 // TestBareMachineGetsASnapshot: a node on a bare machine restores the snapshot of another member, within a second and as another
 // node's.
 func TestBareMachineGetsASnapshot(t *testing.T) {
-	f := startSalesFleet(t, "[snapshot]\ndata_dir = \"${MINTRIG_NODE_DIR}/learnt\"\n")
+	f := startSalesFleet(t, "[snapshot]\ndata_dir = \"${MINTSPRING_NODE_DIR}/learnt\"\n")
 	load := processrunner.LoadTest{
 		Addr: f.Addrs[1], Rate: 200, Clients: 8, Duration: time.Second, Class: "read", Tenant: "all", Timeout: 500 * time.Millisecond, Keys: 50,
 	}
--- a/internal/testbed/processrunner/nodeprocess.go
+++ b/internal/testbed/processrunner/nodeprocess.go
@@ -74,7 +74,7 @@
 		argv = append(slices.Clip(argv), "run", "--operator", n.operatorFile)
 	}
 	cmd := exec.Command(argv[0], argv[1:]...)
-	cmd.Env = append(os.Environ(), "LB_CONFIG="+n.configFile(), "MINTRIG_NODE_DIR="+n.dataDir())
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+n.configFile(), "MINTSPRING_NODE_DIR="+n.dataDir())
 	cmd.Env = append(cmd.Env, n.env...)
 	if n.listenSocket != nil {
 		cmd.ExtraFiles = []*os.File{n.listenSocket} // descriptor 3 of the process
--- a/internal/testbed/processrunner/noderunner.go
+++ b/internal/testbed/processrunner/noderunner.go
@@ -90,7 +90,7 @@
 	return os.MkdirAll(n.dataDir(), 0o755)
 }
 
-// dataDir returns the node's data directory, which MINTRIG_NODE_DIR names to it.
+// dataDir returns the node's data directory, which MINTSPRING_NODE_DIR names to it.
 func (n *nodeRunner) dataDir() string { return filepath.Join(n.dir, fmt.Sprintf("node-%d", n.index)) }
 
 // clearDataDir removes the node's data directory.
--- a/internal/testbed/processrunner/nodeset.go
+++ b/internal/testbed/processrunner/nodeset.go
@@ -18,9 +18,9 @@
 	"mintspring/internal/testbed/reservedport"
 )
 
-// idempotencyAddrVariable names the replicas of idempotency records in the environment of a node: MINTRIG_BOOK_1 and so on are their
+// idempotencyAddrVariable names the replicas of idempotency records in the environment of a node: MINTSPRING_REPLICA_1 and so on are their
 // addresses, the node's own one or a relay's.
-const idempotencyAddrVariable = "MINTRIG_BOOK_"
+const idempotencyAddrVariable = "MINTSPRING_REPLICA_"
 
 // nodeSet is the nodes of a run.
 type nodeSet struct {
