--- a/internal/node/clients/limits_test.go
+++ b/internal/node/clients/limits_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -299,3 +301,42 @@
 		}
 	}
 }
+
+// failingListener fails accepts until a time, as where the system has no descriptor. Connections wait in the backlog meanwhile.
+type failingListener struct {
+	net.Listener
+	until time.Time
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if time.Now().Before(l.until) {
+		return nil, syscall.ENFILE
+	}
+	return l.Listener.Accept()
+}
+
+// A request that waited for its connection to be accepted has the time that its client has left, and not all of it anew.
+func TestDeadlineOfRequestThatWaitedForAccept(t *testing.T) {
+	const outage = 200 * time.Millisecond
+	r := newHarness(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.addr = ln.Addr().String()
+	go func() { _ = r.server.Serve(&failingListener{ln, time.Now().Add(outage)}) }() // it returns when the test ends
+	time.Sleep(outage / 4)
+	c := r.dial()
+	sentAt := r.server.Clock.Now()
+	c.send(command("KV.GET", "k", "1", "c=read,d=480"))
+	x := r.nextRequest()
+	if late := x.Deadline - (sentAt + 480); late > 20 {
+		t.Errorf("its deadline is %.0f ms after its client's", late)
+	}
+	x.Respond(exchange.Response{Value: []byte("v")})
+	c.expect("$1\r\nv\r\n")
+	c.send(command("KV.GET", "k", "2", "c=read,d=480"))
+	if left := r.nextRequest().Deadline - r.server.Clock.Now(); left < 400 {
+		t.Errorf("the next request on the connection has %.0f ms left", left)
+	}
+}
