What is read first after a failed accept counts from the beginning of the outage

Change: clients.acceptOutage: connections that are accepted within 100 ms of a failed accept may have waited since the first failure, and the deadline of what is read first on them counts from there. Soak: a new connection that ends in order within 20 ms of a request was ended before that had come. Not reproduced; the account is by reading.

--- a/internal/node/clients/conn.go
+++ b/internal/node/clients/conn.go
@@ -30,7 +30,9 @@
 	net        net.Conn
 	jitter     float64 // from [0,1), spreads the ends of connections that are closed together
 	acceptedAt float64
-	rejecting  bool // the node is about to end, and requests are rejected unforwarded; owned by the reader
+	// waitingSince is when what is read first may have come, where the connection waited to be accepted; 0: it did not. Owned by the reader.
+	waitingSince float64
+	rejecting    bool // the node is about to end, and requests are rejected unforwarded; owned by the reader
 
 	mu    sync.Mutex // guards state
 	cond  sync.Cond  // state has changed
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -77,13 +77,21 @@
 		return false
 	}
 	at := c.server.Clock.Now()
-	taken, result := r.takeCommands(at)
+	taken, result := r.takeCommands(c.arrivalOfRead(at))
 	if result == takeConnClosed {
 		return false
 	}
 	return r.afterRead(at, taken, result == takeLimited)
 }
 
+// arrivalOfRead returns since when the time of requests counts that were read at a time.
+func (c *conn) arrivalOfRead(at float64) float64 {
+	if c.waitingSince > 0 {
+		at, c.waitingSince = c.waitingSince, 0
+	}
+	return at
+}
+
 // fill reads once, or not at all where commands that were read before may be taken now. The rest of a refused command is
 // dropped.
 func (r *commandReader) fill() error {
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -114,8 +114,10 @@
 	s.mu.Lock()
 	s.listener, s.serveEnded = listener, ended
 	s.mu.Unlock()
+	var outage acceptOutage
 	for s.waitAccept() {
 		netConn, err := listener.Accept()
+		now := s.Clock.Now()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
@@ -125,18 +127,44 @@
 				return nil
 			}
 		case err != nil:
+			outage.failed(now)
 			s.LogError("cannot accept a client", err)
 			time.Sleep(acceptRetryDelay)
 		case !s.acquireDescriptor():
 			s.counters.rejected.Add(1)
 			_ = netConn.Close() // nothing was written
 		default:
-			s.serveConn(netConn, false)
+			s.serveConn(netConn, false, outage.waitingSince(now))
 		}
 	}
 	return nil
 }
 
+// backlogDrainMs is for how long after the last failed accept connections are taken to have waited, in ms.
+const backlogDrainMs = 100
+
+// acceptOutage is a time in which accepts fail, and connections wait in the backlog. Times are of the server's clock, in ms. The zero value
+// is before the first.
+type acceptOutage struct {
+	since, until float64
+}
+
+// failed records an accept that failed.
+func (o *acceptOutage) failed(now float64) {
+	if now > o.until+backlogDrainMs {
+		o.since = now
+	}
+	o.until = now
+}
+
+// waitingSince returns since when a connection that is accepted now may have waited, 0 if it has not.
+func (o *acceptOutage) waitingSince(now float64) float64 {
+	if o.since == 0 || now > o.until+backlogDrainMs {
+		return 0
+	}
+	return o.since
+}
+
 // waitAccept waits while another process accepts, and reports false once nothing more is to be accepted here.
 func (s *Server) waitAccept() bool {
 	s.mu.Lock()
@@ -157,9 +185,10 @@
 	return s.closed
 }
 
-// serveConn serves a connection whose descriptor is counted.
-func (s *Server) serveConn(netConn net.Conn, requested bool) {
+// serveConn serves a connection whose descriptor is counted, and which may have waited for that since a time; 0: it has not.
+func (s *Server) serveConn(netConn net.Conn, requested bool, waitingSince float64) {
 	c := s.newConn(netConn, requested)
+	c.waitingSince = waitingSince
 	if requested {
 		s.requesters.Add(1)
 	}
@@ -191,7 +220,7 @@
 // silent here for any time.
 func (s *Server) Adopt(netConn net.Conn, requested bool) {
 	s.Sockets.AcquireLent()
-	s.serveConn(netConn, requested)
+	s.serveConn(netConn, requested, 0)
 }
 
 // SetHandover has connections handed over from now on where they would be closed between requests, and stops accepting in
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -25,6 +25,8 @@
 	maxPipelined  = 5
 	// maxPipelinePause is the longest pause between two of these.
 	maxPipelinePause = 300 * time.Millisecond
+	// crossedEndMs is how long after a request the end of its connection may show, in ms, if that had been on its way before.
+	crossedEndMs = 20
 	// maxThinkTime is the longest pause between two requests of a persistent client.
 	maxThinkTime = 30 * time.Millisecond
 )
@@ -186,7 +188,8 @@
 		a := &unanswered[i].attempt
 		switch {
 		case !timedOut:
-			a.ConnEndedAt, a.EndedInOrder = max(end.atMs, a.Sent), isNew && !isReset
+			a.ConnEndedAt = end.atMs
+			a.EndedInOrder = isNew && !isReset && end.atMs-a.Sent > crossedEndMs // else it was sent as the connection ended, or after
 		case leaves:
 			a.LeftAt = fakes.NowMs()
 		}
