The successor's clock continues the predecessor's without losing the time on the way

Change: the state carries the machine's monotonic time beside the clock (CLOCK_MONOTONIC, common to its processes), and the successor adds what has passed since.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -2,7 +2,11 @@
 // with the start times of servers in the endpoint list, and no step of the wall clock is seen.
 package clock
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Clock is the one clock of a node. It is safe for concurrent use.
 type Clock struct {
@@ -24,5 +28,15 @@
 	return c.startMs + float64(time.Since(c.start))/float64(time.Millisecond)
 }
 
+// Monotonic returns the time of the system's monotonic clock in milliseconds, which all processes of a machine have in common until it starts
+// anew; 0: the system does not say.
+func Monotonic() float64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		return 0
+	}
+	return float64(t.Nano()) / float64(time.Millisecond)
+}
+
 // Duration converts milliseconds.
 func Duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mintspring/internal/clock"
 	"mintspring/internal/node/hotrestart"
 	"mintspring/internal/node/lifecycle"
 )
@@ -209,6 +210,7 @@
 		n.log.WithError(err).Warn("cannot export the state for the successor, which is refused")
 		return hotrestart.State{}, err
 	}
+	t.state.Clock, t.state.Monotonic = n.clock.Now(), clock.Monotonic()
 	n.log.WithField("pause", t.pause).Info("successor connected")
 	n.shareLimits(n.descriptors.Limit() / successorDivisor)
 	go n.reportDescriptors(channel)
--- a/internal/node/hotrestart/protocol.go
+++ b/internal/node/hotrestart/protocol.go
@@ -11,6 +11,7 @@
 	"net"
 	"time"
 
+	"mintspring/internal/clock"
 	"mintspring/internal/node/discovery"
 	"mintspring/internal/node/exclusion"
 	"mintspring/internal/node/serverstart"
@@ -64,9 +65,19 @@
 	// Clock is the time of the predecessor's clock, by which all times in the state are; 0: a build that does not send it. The successor
 	// continues that clock, for the wall clock may have been stepped since the predecessor started.
 	Clock        float64             `json:"Clock,omitempty"`
+	Monotonic    float64             `json:"Mono,omitempty"`   // of the machine at that time (clock.Monotonic); 0: unknown
 	ServerStarts []serverstart.Start `json:"Starts,omitempty"` // of servers, by that clock
 }
 
+// ClockNow returns what the predecessor's clock says now: the state has been on its way for a while. 0: it did not send its clock.
+func (s *State) ClockNow() float64 {
+	now := clock.Monotonic()
+	if s.Clock == 0 || s.Monotonic == 0 || now < s.Monotonic {
+		return s.Clock
+	}
+	return s.Clock + now - s.Monotonic
+}
+
 // Command is an operator's command that changed something.
 type Command struct {
 	Name     string `json:"Word"` // as on the admin port
