--- a/internal/cluster/idempotency/replica/replica_test.go
+++ b/internal/cluster/idempotency/replica/replica_test.go
@@ -120,9 +120,19 @@
 		t.Fatal(claim)
 	}
 	setSync := func(member int, sync func(*os.File) error) {
-		set := func() bool { c.replicas[member].disk.store.Sync = sync; return true }
-		if _, err := query(c.replicas[member], set); err != nil {
-			t.Fatal(err)
+		r := c.replicas[member]
+		set := func() bool {
+			if r.disk.busy {
+				return false // the store is its goroutine's
+			}
+			r.disk.store.Sync = sync
+			return true
+		}
+		for isSet := false; !isSet; time.Sleep(time.Millisecond) {
+			var err error
+			if isSet, err = query(r, set); err != nil {
+				t.Fatal(err)
+			}
 		}
 	}
 	var failing atomic.Bool
