Invariants: only clients of open connections may have crossed an end

The check had been eased without saying so. Change: it applies to persistent clients, and to nodes that are stopping as before; a row of TestEachRule holds it.

--- a/internal/testbed/invariants/checker.go
+++ b/internal/testbed/invariants/checker.go
@@ -107,6 +107,9 @@
 
 // crossedEnd reports whether an attempt crossed the end of its connection, so that its client sends it again on another one.
 func (c *Checker) crossedEnd(attempt *ClientAttempt) bool {
+	if !attempt.FromOpenConnection && !c.wasStopping(attempt.Node, attempt.ConnEndedAt) {
+		return false
+	}
 	if attempt.EndedInOrder && !c.wasStopping(attempt.Node, attempt.ConnEndedAt) && !c.wasCrowded(attempt.Node, attempt.ConnEndedAt) {
 		return false
 	}
--- a/internal/testbed/invariants/invariants.go
+++ b/internal/testbed/invariants/invariants.go
@@ -44,21 +44,22 @@
 
 // ClientAttempt is one attempt of a request as its client saw it.
 type ClientAttempt struct {
-	ID                string
-	IdempotencyKey    string
-	Semantics         WriteSemantics
-	DedupWindow       float64 // ms
-	Node              servermodel.NodeID
-	Sent              float64 // when its last byte was written
-	Deadline          float64
-	AnsweredAt        float64 // when the last byte of its response came
-	Outcome           Outcome
-	DuplicateResponse bool    // a second response came
-	WrongKey          bool    // the response had the value of another key
-	LeftAt            float64 // when its client closed the connection without a response; 0: it did not
-	ConnEndedAt       float64 // when the node ended the connection without a response; 0: it did not
-	EndedInOrder      bool    // ... and that connection was new and not reset: unless the node was ending, it had read what had come
-	ExtraSlack        float64 // beside that of all attempts, where the machine itself stood still
+	ID                 string
+	IdempotencyKey     string
+	Semantics          WriteSemantics
+	DedupWindow        float64 // ms
+	Node               servermodel.NodeID
+	Sent               float64 // when its last byte was written
+	Deadline           float64
+	AnsweredAt         float64 // when the last byte of its response came
+	Outcome            Outcome
+	DuplicateResponse  bool    // a second response came
+	WrongKey           bool    // the response had the value of another key
+	LeftAt             float64 // when its client closed the connection without a response; 0: it did not
+	FromOpenConnection bool    // sent by a client that keeps its connection and sends again, on another one, what crossed its end
+	ConnEndedAt        float64 // when the node ended the connection without a response; 0: it did not
+	EndedInOrder       bool    // ... and that connection was new and not reset: unless the node was ending, it had read what had come
+	ExtraSlack         float64 // beside that of all attempts, where the machine itself stood still
 }
 
 // Downtime is a time in which a node did not run, or was being ended.
--- a/internal/testbed/invariants/invariants_test.go
+++ b/internal/testbed/invariants/invariants_test.go
@@ -65,6 +65,7 @@
 // endedAttempt is an attempt whose connection a node ended without a response, some time after it was sent.
 func endedAttempt(after float64, change func(*ClientAttempt)) Evidence {
 	return attemptEvidence(attempt(Idempotent, withOutcome(Unanswered), func(a *ClientAttempt) {
+		a.FromOpenConnection = true
 		a.ConnEndedAt = a.Sent + after
 		if change != nil {
 			change(a)
@@ -140,6 +141,7 @@
 		"another node was killed": {downEvidence(1), "rule 1"},
 		"node told to end":        {stoppedEvidence(), "rule 1: request q was never answered"},
 		"crossed the end":         {endedAttempt(crossingLimit+40, nil), ""},
+		"closed, not kept open":   {endedAttempt(1, func(a *ClientAttempt) { a.FromOpenConnection = false }), "rule 1: request q was never answered"},
 		"read before the end":     {endedAttempt(crossingLimit+60, nil), "rule 1: request q was never answered"},
 		"read and closed, new":    {endedAttempt(1, func(a *ClientAttempt) { a.EndedInOrder = true }), "rule 1: request q was never answered"},
 		"told a little more":      {toldEvidence(toldLimit + 40), ""},
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -188,6 +188,7 @@
 		a := &unanswered[i].attempt
 		switch {
 		case !timedOut:
+			a.FromOpenConnection = true
 			a.ConnEndedAt = end.atMs
 			a.EndedInOrder = isNew && !isReset && end.atMs-a.Sent > crossedEndMs // else it was sent as the connection ended, or after
 		case leaves:
