Fault rounds: a process claims its loopback network with a socket

Change: a process binds a socket in its network for as long as it runs, and takes the next network where that is bound already.

--- a/internal/cluster/consensus/replica/replica_test.go
+++ b/internal/cluster/consensus/replica/replica_test.go
@@ -76,8 +76,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(relay.Close)
-	addrs = []string{faultrounds.LoopbackAddr(1, 0), faultrounds.LoopbackAddr(1, 1)} // another process may run this test too
-	for i, a := range addrs {
+	for i := range 2 {
+		a, err := faultrounds.LoopbackAddr(1, i) // another process may run this test too
+		if err != nil {
+			t.Fatal(err)
+		}
+		addrs = append(addrs, a)
 		if err := relay.SetDestination(i, a); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/testbed/faultrounds/machine_test.go
+++ b/internal/testbed/faultrounds/machine_test.go
@@ -18,8 +18,12 @@
 
 func TestMain(m *testing.M) {
 	processtest.Main(m, printAddress, func(string) error {
-		fmt.Println(LoopbackAddr(1, 0))
-		_, err := io.Copy(io.Discard, os.Stdin)
+		addr, err := LoopbackAddr(1, 0)
+		if err != nil {
+			return err
+		}
+		fmt.Println(addr)
+		_, err = io.Copy(io.Discard, os.Stdin)
 		return err
 	})
 }
@@ -46,7 +50,10 @@
 			t.Fatal(err)
 		}
 		line, readErr := bufio.NewReader(stdout).ReadString('\n')
-		own := LoopbackAddr(1, 0) // while the other process runs
+		own, err := LoopbackAddr(1, 0) // while the other process runs
+		if err != nil {
+			t.Error(err)
+		}
 		if err := stdin.Close(); err != nil {
 			t.Error(err)
 		}
--- a/internal/testbed/faultrounds/round.go
+++ b/internal/testbed/faultrounds/round.go
@@ -49,6 +49,7 @@
 	Failures []string // nodes that exited by themselves
 
 	options   Options
+	net       int // loopback network of the process
 	startedAt time.Time
 }
 
@@ -68,6 +69,9 @@
 
 func (r *Round[C]) open() error {
 	var err error
+	if r.net, err = ownNet(); err != nil {
+		return err
+	}
 	if r.Dir, err = os.MkdirTemp("", r.options.Name+"-"); err != nil {
 		return err
 	}
@@ -82,8 +86,8 @@
 	return nil
 }
 
-// Addr returns the address of a node's own datagram socket.
-func (r *Round[C]) Addr(node int) string { return LoopbackAddr(r.options.Seed, node) }
+// Addr returns the address of the nth socket of the round: the nodes' own datagram sockets come first.
+func (r *Round[C]) Addr(n int) string { return addrInNet(r.net, r.options.Seed, n) }
 
 // AddrsFrom returns the addresses at which a node reaches the first so many nodes: the others through the relay, and itself directly.
 func (r *Round[C]) AddrsFrom(node, count int) []string {
--- a/internal/testbed/idempotencytest/round.go
+++ b/internal/testbed/idempotencytest/round.go
@@ -101,7 +101,7 @@
 	}
 	addrs := make([]string, r.config.Members)
 	for i := range addrs {
-		addrs[i] = faultrounds.LoopbackAddr(r.config.Seed, clientPortOffset+i)
+		addrs[i] = r.Addr(clientPortOffset + i)
 		r.addMember(i, addrs[i])
 	}
 	r.clients = newClients(addrs, r.config.Rate, r.config.Seed)
