Soak: operators replace processes, drain nodes, retune them and exclude servers

Change: in one run of three operators replace processes (several in a row), use standby, other settings and maintenance calls; the checks know what binds after each.

--- a/internal/testbed/experiment/actions.go
+++ b/internal/testbed/experiment/actions.go
@@ -17,6 +17,8 @@
 	inverseValue float64 // the value of the inverse
 	needsValue   bool    // its value has to be above 0
 
+	namesServer bool // it acts on a node, and names a server
+
 	onServer func(ServerControl, *Step) error
 	onNode   func(NodeControl, *Step) error
 	onLink   func(*faultrelay.Link, *Step)
@@ -76,6 +78,10 @@
 	"replace_node": {onNode: func(n NodeControl, _ *Step) error { return n.HotRestart() }},
 	"standby_node": {inverse: "active_node", onNode: func(n NodeControl, _ *Step) error { return n.SetStandby(true) }},
 	"active_node":  {onNode: func(n NodeControl, _ *Step) error { return n.SetStandby(false) }},
+	"exclude":      {inverse: "readmit", namesServer: true, onNode: func(n NodeControl, s *Step) error { return n.Exclude(s.Server, true) }},
+	"readmit":      {namesServer: true, onNode: func(n NodeControl, s *Step) error { return n.Exclude(s.Server, false) }},
+	"retune_node":  {inverse: "restore_node", onNode: func(n NodeControl, _ *Step) error { return n.Retune(true) }},
+	"restore_node": {onNode: func(n NodeControl, _ *Step) error { return n.Retune(false) }},
 
 	"cut_peers":    {inverse: "join_peers", onLink: func(l *faultrelay.Link, _ *Step) { l.Cut = true }},
 	"join_peers":   {onLink: func(l *faultrelay.Link, _ *Step) { l.Cut = false }},
--- a/internal/testbed/experiment/nodebalancer.go
+++ b/internal/testbed/experiment/nodebalancer.go
@@ -74,6 +74,9 @@
 // SetStandby has a node take no new connections, or take them again.
 func (b *NodeBalancer) SetStandby(node int, standby bool) { b.nodes[node].standby = standby }
 
+// OnStandby reports whether a node takes no new connections.
+func (b *NodeBalancer) OnStandby(node int) bool { return b.nodes[node].standby }
+
 // Probed records whether a node that was probed is back.
 func (b *NodeBalancer) Probed(node int, isBack bool) {
 	state := &b.nodes[node]
--- a/internal/testbed/experiment/nodesettings.go
+++ b/internal/testbed/experiment/nodesettings.go
@@ -89,6 +89,32 @@
 	return text, nil
 }
 
+// RetunedSettings returns other settings for a node, as operators may give them under load: idempotent writes may not be repeated any more,
+// a class is added, and there is one attempt more.
+func (x *Experiment) RetunedSettings(node int) ([]byte, error) {
+	s := x.nodeSettings(node)
+	for i := range x.Classes {
+		if x.Classes[i].BecomesStricter() {
+			s.Workloads[i].Effect = settingsEffects[invariants.NonIdempotent]
+		}
+	}
+	added := x.Classes[0].settings()
+	added.Name = addedClass
+	s.Workloads = append(s.Workloads, added)
+	s.PolicyLimits.MaxExecutions++
+	text, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encoding the other settings of node %d: %w", node, err)
+	}
+	return text, nil
+}
+
+// addedClass is the name of a class that only RetunedSettings has.
+const addedClass = "added-by-retuning"
+
+// BecomesStricter reports whether requests of the class may not be repeated under RetunedSettings, and otherwise may.
+func (c *ClassConfig) BecomesStricter() bool { return c.Write && c.semantics == invariants.Idempotent }
+
 func (x *Experiment) nodeSettings(node int) *nodeSettings {
 	originKind := originKindIndex
 	family := familyInfo{Mode: "aside", OriginKind: &originKind}
--- a/internal/testbed/experiment/system.go
+++ b/internal/testbed/experiment/system.go
@@ -50,6 +50,8 @@
 	ReloadTruncated() error                              // of a configuration that is cut short
 	Crowd(connections int, duration time.Duration) error // clients connect and say nothing
 	SetStandby(standby bool) error
+	Exclude(server string, excluded bool) error // as its operators call it; the server is one of the experiment's file
+	Retune(stricter bool) error                 // settings with other classes and limits, as RetunedSettings has them
 	HotRestart() error
 	ReplaceMachine() // it loses its disk, and another one begins under its name
 }
--- a/internal/testbed/experiment/traffic.go
+++ b/internal/testbed/experiment/traffic.go
@@ -123,7 +123,7 @@
 	class := &g.experiment.Classes[r.Class]
 	return invariants.ClientAttempt{
 		ID: fmt.Sprintf("%016x", r.rng.Uint64()), IdempotencyKey: r.IdempotencyKey, Semantics: class.semantics,
-		DedupWindow: class.DedupWindow.Milliseconds(),
+		DedupWindow: class.DedupWindow.Milliseconds(), BecomesStricter: class.BecomesStricter(),
 	}
 }
 
--- a/internal/testbed/faultsearch/soak.go
+++ b/internal/testbed/faultsearch/soak.go
@@ -11,8 +11,11 @@
 	"mintspring/internal/testbed/experiment"
 )
 
-// soakStream separates the random numbers of soak runs from others under the same seed.
-const soakStream = 37
+// Streams separate the random numbers of soak runs from others under the same seed, and those of what operators do from the rest.
+const (
+	soakStream      = 37
+	operationStream = 38
+)
 
 // Sizes and times of a soak run. It is played with real processes, several at a time.
 const (
@@ -24,6 +27,11 @@
 	soakKeys       = 200
 	soakValueBytes = 80
 	soakHorizon    = 4 * time.Second // what a stop, and the start after it, take together at most
+	soakStandby    = 4800 * time.Millisecond
+	lastStandby    = 1500 * time.Millisecond // when it begins at the latest, so that its end is seen too
+	lastTakeover   = 4500 * time.Millisecond
+	soakStartup    = 80 * time.Millisecond // about what a successor takes until it serves
+	operationsIn   = 3                     // one run in so many has operators that do more than stop nodes
 )
 
 // signalPauses are the times between two signals of a series.
@@ -45,8 +53,14 @@
 		Settle: tomlfile.Duration(soakSettle), Length: tomlfile.Duration(soakLength),
 	}
 	s.soakFleet(x)
+	operations := sampler{rand.New(rand.NewPCG(seed, operationStream))}
+	operated := operations.IntN(operationsIn) == 0
 	for node := range x.Nodes.Count {
-		s.soakStops(x, node)
+		if operated {
+			operations.soakOperations(x, node)
+		} else {
+			s.soakStops(x, node)
+		}
 	}
 	for range 2 + s.IntN(4) {
 		x.Steps = append(x.Steps, s.soakServerFault(x))
@@ -129,6 +143,38 @@
 	add("start_node", at+time.Millisecond, 0, 0) // once it has ended
 }
 
+// soakOperations draws what operators do to one node: it is replaced by other processes, one after the other, or put on standby and called
+// back; meanwhile it gets other settings and bad ones, and leaves out a server.
+func (s sampler) soakOperations(x *experiment.Experiment, node int) {
+	add := func(action string, at time.Duration, duration tomlfile.Duration) *experiment.Step {
+		x.Steps = append(x.Steps, experiment.Step{Time: tomlfile.Duration(at).Round(time.Millisecond), Action: action, Node: &node, Duration: duration})
+		return &x.Steps[len(x.Steps)-1]
+	}
+	between := func(from, to time.Duration) time.Duration { return from + time.Duration(s.Int64N(int64(to-from))) }
+	at := between(soakFirstFault, lastTakeover)
+	if s.IntN(3) == 0 {
+		at = between(soakFirstFault, lastStandby)
+		add("standby_node", at, tomlfile.Duration(soakStandby))
+	} else {
+		for i := range 1 + s.IntN(3) { // one waits for the one before
+			add("replace_node", at+time.Duration(i)*signalPauses[s.IntN(len(signalPauses))], 0)
+		}
+	}
+	if s.IntN(2) == 0 {
+		add("retune_node", max(soakFirstFault, at+between(-time.Second, time.Second)), ms(1500+2000*s.Float64()))
+	}
+	for range s.IntN(3) {
+		add([]string{"hangup_node", "spoil_node"}[s.IntN(2)], max(soakFirstFault, at+between(-time.Second, time.Second)), 0)
+	}
+	for range s.IntN(3) {
+		add("hold_node", at+between(0, []time.Duration{soakStartup, time.Second}[s.IntN(2)]), 0).Delay = tomlfile.Duration(soakHoldUp)
+	}
+	for range s.IntN(3) {
+		step := add("exclude", max(soakFirstFault, at+between(-2*time.Second, time.Second)), ms(1000+3000*s.Float64()))
+		step.Server = fmt.Sprint("box-", s.IntN(x.CacheCount()))
+	}
+}
+
 // soakHang has caches and the origin hang through the whole of a stop.
 func (s sampler) soakHang(stopAt time.Duration) []experiment.Step {
 	at := tomlfile.Duration(max(soakFirstFault, stopAt-200*time.Millisecond)).Round(time.Millisecond)
--- a/internal/testbed/invariants/checker.go
+++ b/internal/testbed/invariants/checker.go
@@ -19,6 +19,7 @@
 	reportedDrains    map[nodeServer]bool                            // a violation was reported already
 	downtimes         []Downtime
 	crowds            []Crowd
+	operations        Operations
 	violations        []Violation
 	seen              map[Violation]bool
 }
@@ -89,6 +90,9 @@
 // AttemptEnded checks rules 1 and 2 for an attempt that has ended, with all the executions that it had so far.
 func (c *Checker) AttemptEnded(attempt ClientAttempt, executions []*servermodel.Execution) {
 	slices.SortStableFunc(executions, func(a, b *servermodel.Execution) int { return cmp.Compare(a.FirstByte, b.FirstByte) })
+	if attempt.BecomesStricter && c.operations.isStricter(attempt.Node, attempt.Sent) {
+		attempt.Semantics = NonIdempotent
+	}
 	c.checkResponse(&attempt, executions)
 	c.checkTold(&attempt, executions)
 	c.checkSentAfterAnswer(&attempt, executions)
@@ -161,6 +165,8 @@
 		}
 	case attempt.DuplicateResponse:
 		c.report(ruleAnswer, "request %s was answered twice", attempt.ID)
+	case attempt.Outcome != Unanswered && c.operations.onStandby(attempt.Node, attempt.Sent-c.slack):
+		c.report(ruleAnswer, "request %s was answered by node %d, which has been on standby for longer than its limit", attempt.ID, attempt.Node)
 	case attempt.LeftAt > 0:
 	case attempt.Outcome == Unanswered && c.crossedEnd(attempt):
 	case attempt.Outcome == Unanswered && !c.wasDown(attempt):
@@ -251,6 +257,12 @@
 // ExecutionArrived checks rule 3: nothing is sent to a server after the grace, once its node was notified of its drain or its end
 // under every id that it is listed under.
 func (c *Checker) ExecutionArrived(x *servermodel.Execution) {
+	if id, ok := c.operations.excludedID(x.Node, x.Server, x.FirstByte, c.drainGrace+c.slack); ok && !c.hasOtherID(x, id) {
+		c.report(ruleDrain, "request %s was sent to server %d, which node %d has to leave out", x.RequestID, x.Server, x.Node)
+	}
+	if c.operations.inTakeover(x.Node, x.FirstByte) {
+		return
+	}
 	key := nodeServer{x.Node, x.Server}
 	allowed := len(c.notifications[key]) == 0
 	for _, notifications := range c.notifications[key] {
@@ -262,6 +274,16 @@
 	}
 }
 
+// hasOtherID reports whether the node of an execution has been notified of its server under another id than one.
+func (c *Checker) hasOtherID(x *servermodel.Execution, id string) bool {
+	for name, notifications := range c.notifications[nodeServer{x.Node, x.Server}] {
+		if name != id && slices.ContainsFunc(notifications, func(n fakes.Notification) bool { return n.AtMs <= x.FirstByte && n.Phase == fakes.InService }) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayReceive reports whether a node may send to a server at a time, by its notifications of one id of the server.
 func (c *Checker) mayReceive(notifications []fakes.Notification, at float64) bool {
 	inService := true
--- a/internal/testbed/invariants/invariants.go
+++ b/internal/testbed/invariants/invariants.go
@@ -59,6 +59,7 @@
 	FromOpenConnection bool    // sent by a client that keeps its connection and sends again, on another one, what crossed its end
 	ConnEndedAt        float64 // when the node ended the connection without a response; 0: it did not
 	EndedInOrder       bool    // ... and that connection was new and not reset: unless the node was ending, it had read what had come
+	BecomesStricter    bool    // of a class that is non-idempotent while its node has stricter settings
 	ExtraSlack         float64 // beside that of all attempts, where the machine itself stood still
 }
 
@@ -96,6 +97,7 @@
 	Notifications []fakes.Notification     // in their order
 	Downtimes     []Downtime
 	Crowds        []Crowd
+	Operations    Operations
 	Collapses     []Collapse
 	Crashes       []string
 	DrainGrace    float64 // how long requests may be sent to a server that drains or has gone
@@ -143,7 +145,7 @@
 	for _, d := range e.Downtimes {
 		c.NodeDown(d)
 	}
-	c.crowds = e.Crowds
+	c.crowds, c.operations = e.Crowds, e.Operations
 	byRequestID := map[string][]*servermodel.Execution{}
 	for _, x := range e.Executions {
 		byRequestID[x.RequestID] = append(byRequestID[x.RequestID], x)
--- a/internal/testbed/processrunner/loadgenerator.go
+++ b/internal/testbed/processrunner/loadgenerator.go
@@ -136,8 +136,9 @@
 func (l *loadGenerator) sendOnce(r *experiment.GeneratedRequest, attempt *invariants.ClientAttempt, cmd *command, isFirst bool) (answer response, sendAgain bool) {
 	node, c, err := l.clients.get(!isFirst)
 	if err != nil {
-		return response{}, true // the node is dead, or the machine is short of ports
+		return response{}, true // the node is dead, the machine is short of ports, or clients hold all that they may
 	}
+	defer l.clients.release(node)
 	timeoutMs := l.experiment.AttemptTimeoutMs(r.Class)
 	x, err := c.roundTrip(cmd, time.Now().Add(msDuration(timeoutMs+experiment.ClientGraceMs)))
 	attempt.Node = servermodel.NodeID(node)
--- a/internal/testbed/processrunner/nodecalls.go
+++ b/internal/testbed/processrunner/nodecalls.go
@@ -22,9 +22,17 @@
 	pingResponse = "+PONG\r\n" // of a node that serves
 )
 
-// adminCall sends a line to the admin address of the process that was started last, and returns the answer.
+// adminCall sends a line to the admin address of the process that serves, and returns the answer.
 func (n *nodeRunner) adminCall(line string) (string, error) {
-	conn, err := net.DialTimeout("tcp4", n.config.Admin, callTimeout)
+	n.mu.Lock()
+	addr := n.servingAdmin
+	n.mu.Unlock()
+	return n.callAdmin(addr, line)
+}
+
+// callAdmin sends a line to an admin address of the node, and returns the answer.
+func (n *nodeRunner) callAdmin(addr, line string) (string, error) {
+	conn, err := net.DialTimeout("tcp4", addr, callTimeout)
 	if err != nil {
 		return "", err
 	}
--- a/internal/testbed/processrunner/nodeconfig.go
+++ b/internal/testbed/processrunner/nodeconfig.go
@@ -40,9 +40,12 @@
 	}, nil
 }
 
+// operatorActions are the steps for which nodes need what operators reach them by.
+var operatorActions = []string{"replace_node", "standby_node", "active_node", "exclude", "readmit"}
+
 // usesHotRestart reports whether processes of a node take over from one another, or are called by operators.
 func usesHotRestart(x *experiment.Experiment) bool {
 	return slices.ContainsFunc(x.Steps, func(s experiment.Step) bool {
-		return s.Action == "replace_node" || s.Action == "standby_node" || s.Action == "active_node"
+		return slices.Contains(operatorActions, s.Action)
 	})
 }
--- a/internal/testbed/processrunner/nodeprocess.go
+++ b/internal/testbed/processrunner/nodeprocess.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// start starts a process of the node.
+// start starts a process of the node. Called with the mutex of the configuration held, or before the node serves.
 func (n *nodeRunner) start() error {
 	if err := n.writeConfig(); err != nil {
 		return err
@@ -60,9 +60,7 @@
 		return fmt.Errorf("starting node %d: %w", n.index, err)
 	}
 	p := &nodeProcess{cmd: cmd, exited: make(chan struct{}), expectedUp: true}
-	n.mu.Lock()
-	n.current = p
-	n.mu.Unlock()
+	n.setCurrent(p)
 	go n.waitForExit(p) // ends with the process
 	return nil
 }
@@ -108,12 +106,20 @@
 	if err != nil {
 		return fmt.Errorf("starting node %d: %w", n.index, err)
 	}
-	n.mu.Lock()
-	n.current = &nodeProcess{stop: stop, exited: make(chan struct{}), expectedUp: true}
-	n.mu.Unlock()
+	n.setCurrent(&nodeProcess{stop: stop, exited: make(chan struct{}), expectedUp: true})
 	return nil
 }
 
+// setCurrent records a process that was started. It serves unless there is one that does: then it is a successor.
+func (n *nodeRunner) setCurrent(p *nodeProcess) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.current = p
+	if n.serving == nil || !n.serving.expectedUp {
+		n.serving = p
+	}
+}
+
 // terminate ends the node's process: at once with SIGKILL, or with SIGTERM and time to answer what it has. It returns when the process
 // has ended.
 func (n *nodeRunner) terminate(sig syscall.Signal) {
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -45,7 +45,7 @@
 // run sends requests until a time.
 func (p *persistentClient) run(until time.Time) {
 	for time.Now().Before(until) {
-		if p.conn == nil && !p.connect() {
+		if p.conn == nil && (p.load.clients.onStandby(int(p.node)) || !p.connect()) {
 			time.Sleep(reconnectWait)
 			continue
 		}
--- a/internal/testbed/processrunner/run.go
+++ b/internal/testbed/processrunner/run.go
@@ -65,6 +65,9 @@
 	}
 	clients := newClientPool(nodes.addrs(), x.Nodes.FailureNotice.Duration(), x.Nodes.TrafficWeights)
 	defer clients.close()
+	if x.Load.PersistentClients > 0 {
+		clients.limitInUse(x.Nodes.Sockets, x.Load.PersistentClients)
+	}
 	load := newLoadGenerator(x, clients, seed)
 	x.WarmKeys(load.traffic.Keys, func(place int, keys []string) { fleet.WarmCache(fleet.Servers()[place], keys) })
 	return playLoad(ctx, o, seed, fleet, nodes, load)
@@ -172,6 +175,7 @@
 	for _, n := range nodes.all {
 		evidence.Downtimes, evidence.Crashes = append(evidence.Downtimes, n.downtimes...), append(evidence.Crashes, n.crashes...)
 		evidence.Crowds = append(evidence.Crowds, n.crowds...)
+		evidence.Operations.Add(n.operations)
 	}
 	checker := invariants.CheckAll(evidence)
 	r.Violations, r.WrongKeyResponses = checker.Violations(), checker.WrongKeyResponses
--- a/internal/testbed/processrunner/standalone.go
+++ b/internal/testbed/processrunner/standalone.go
@@ -86,7 +86,7 @@
 		if err := s.nodes.configureIdempotency(n, s.experiment.Nodes.Count); err != nil {
 			return err
 		}
-		if err := n.newAdminAddress(); err != nil {
+		if n.servingAdmin, err = n.newAdminAddress(); err != nil {
 			return err
 		}
 	}
--- a/internal/testbed/simulator/simulator.go
+++ b/internal/testbed/simulator/simulator.go
@@ -34,7 +34,10 @@
 // unsupportedActions are the steps that cannot be simulated, with what they would need.
 var unsupportedActions = map[string]string{
 	"replace_node": "processes that take over from one another", "standby_node": "a node's admin address", "active_node": "a node's admin address",
+	"exclude": "a node's admin address", "readmit": "a node's admin address",
 	"hangup_node": "settings that are read again", "discovery_moves": "settings that are read again",
+	"retune_node": "settings that are read again", "restore_node": "settings that are read again", "spoil_node": "settings that are read again",
+	"hold_node": "processes that the system holds up", "crowd_node": "sockets",
 }
 
 // unsupportedFigures are figures of processes and machines, which a simulated run has none of.
--- a/internal/testbed/simulator/system.go
+++ b/internal/testbed/simulator/system.go
@@ -87,6 +87,12 @@
 // SetStandby implements experiment.NodeControl. It cannot be simulated.
 func (c nodeControl) SetStandby(bool) error { return unsupported("standby") }
 
+// Exclude implements experiment.NodeControl. It cannot be simulated.
+func (c nodeControl) Exclude(string, bool) error { return unsupported("a call of operators") }
+
+// Retune implements experiment.NodeControl. It cannot be simulated.
+func (c nodeControl) Retune(bool) error { return unsupported("a reload of settings") }
+
 // HotRestart implements experiment.NodeControl. It cannot be simulated.
 func (c nodeControl) HotRestart() error { return unsupported("a hot restart") }
 
