--- a/cmd/mintspring/hotrestart_test.go
+++ b/cmd/mintspring/hotrestart_test.go
@@ -132,6 +132,35 @@
 	})
 }
 
+// A process is replaced while its own predecessor still has requests in flight, again and again: clients notice nothing. The end of that
+// predecessor was once taken for that of the successor, and the process closed its clients' connections in place of handing them over.
+func TestReplacementBesideAnEndingPredecessor(t *testing.T) {
+	n := newTestNode(t)
+	n.work = 100 * time.Millisecond
+	current := n.start()
+	current.waitForReply("status", "OK")
+	load := n.startLoad(40)
+	time.Sleep(2 * n.work)
+	var ending sync.WaitGroup
+	for range 4 {
+		successor := n.start()
+		successor.waitForReply("status", "OK")
+		predecessor := current
+		ending.Go(func() { predecessor.signal(syscall.SIGTERM, 2*time.Second) })
+		time.Sleep(time.Millisecond)
+		current = successor
+	}
+	ending.Wait()
+	time.Sleep(2 * n.work)
+	load.stop(t)
+	n.executions.Range(func(id, count any) bool {
+		if c := count.(*atomic.Int64).Load(); c > 1 {
+			t.Errorf("%v was executed %d times", id, c)
+		}
+		return true
+	})
+}
+
 // TestSuccessorDies: a successor that dies, before it is ready or after, leaves its predecessor serving, with its admin port and
 // its clients; and the next one takes over all the same.
 func TestSuccessorDies(t *testing.T) {
--- a/cmd/mintspring/nodeprocess_test.go
+++ b/cmd/mintspring/nodeprocess_test.go
@@ -98,16 +98,17 @@
 	addr       string
 	dir        string
 	discovery  string
-	operator   string // path of the operator's file; empty: none
-	guarantees string // JSON fields beside the usual ones
-	timeoutMs  int    // of requests
+	operator   string        // path of the operator's file; empty: none
+	guarantees string        // JSON fields beside the usual ones
+	timeoutMs  int           // of requests
+	work       time.Duration // of a cache server for a request; set before the first one
 	received   [2]atomic.Int64
 	executions sync.Map // by request id, *atomic.Int64
 }
 
 func newTestNode(t *testing.T) *testNode {
 	t.Helper()
-	n := &testNode{t: t, dir: t.TempDir(), timeoutMs: 1200}
+	n := &testNode{t: t, dir: t.TempDir(), timeoutMs: 1200, work: time.Millisecond}
 	ln := n.listen()
 	n.addr = ln.Addr().String()
 	var err error
@@ -142,7 +143,7 @@
 		received.Add(1)
 		count, _ := n.executions.LoadOrStore(string(cmd.Args[2]), new(atomic.Int64))
 		count.(*atomic.Int64).Add(1)
-		time.Sleep(time.Millisecond)
+		time.Sleep(n.work)
 		c.WriteRaw([]byte("*3\r\n$3\r\nhit\r\n$3\r\nhit\r\n$-1\r\n"))
 	}, nil, nil)
 }
