Hot restart: a process has no successor before its predecessor has ended

Cause: a process that had taken over and was itself replaced had two channels in one place; the end of its predecessor reset the relation to its successor (handover.PeerLost), and it closed its clients' connections in place of handing them over. It also listened for a successor only after it had told operators that it is ready. Change: a successor is told to ask again (a message of the channel) while its predecessor has another process to deal with, for 4 s of the 6 s that it has; a process listens for its successor before it says that it is ready.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -141,9 +141,9 @@
 	if err := channel.AnnounceReady(); err != nil {
 		n.log.WithError(err).Warn("cannot announce readiness to the predecessor")
 	}
+	n.listenForSuccessor() // before operators are told that this process is ready: they may start the next one then
 	n.life.SetPredecessor(false)
 	n.frontend.ResumeAccept()
-	n.listenForSuccessor()
 	n.log.Info("took over from the predecessor")
 }
 
@@ -193,8 +193,13 @@
 }
 
 // SuccessorJoined returns the state for a successor that has connected. One whose state is not had in time is refused: without any it
-// would serve with no exclusions and no servers. It implements hotrestart.Handler, as the methods below do.
+// would serve with no exclusions and no servers. While the predecessor of this process has not ended, a successor is told to wait: three
+// processes could neither keep to the limits of one node, nor would all learn of operators' commands. It implements hotrestart.Handler,
+// as the methods below do.
 func (n *Node) SuccessorJoined(channel *hotrestart.Channel) (hotrestart.State, error) {
+	if _, phase := n.handover.other(); phase.isSuccessor() {
+		return hotrestart.State{}, hotrestart.ErrBusy
+	}
 	type transfer struct {
 		state hotrestart.State
 		pause time.Duration // for so long the loop did nothing else
--- a/internal/node/hotrestart/channel_test.go
+++ b/internal/node/hotrestart/channel_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -84,6 +85,39 @@
 	}
 }
 
+// busyHandler has the first successors ask again.
+type busyHandler struct {
+	*recordingHandler
+	refusals atomic.Int64
+}
+
+func (h *busyHandler) SuccessorJoined(c *Channel) (State, error) {
+	if h.refusals.Add(-1) >= 0 {
+		return State{}, ErrBusy
+	}
+	return h.recordingHandler.SuccessorJoined(c)
+}
+
+// TestBusyPredecessorIsAskedAgain: a successor waits for its state while the predecessor has another process to deal with, be it its own
+// predecessor or another successor.
+func TestBusyPredecessorIsAskedAgain(t *testing.T) {
+	path, predecessor := t.TempDir(), &busyHandler{recordingHandler: newRecordingHandler()}
+	predecessor.refusals.Store(3)
+	if err := openDir(t, path).Listen(predecessor); err != nil {
+		t.Fatal(err)
+	}
+	first, err := openDir(t, path).Join()
+	if err != nil || first == nil {
+		t.Fatalf("joined %+v, %v", first, err)
+	}
+	time.AfterFunc(5*joinRetryDelay, first.Channel().Close) // it dies, and only then may another one take over
+	second, err := openDir(t, path).Join()
+	if err != nil || second == nil {
+		t.Fatalf("joined %+v, %v", second, err)
+	}
+	second.Channel().Close()
+}
+
 // slowHandler takes its time to learn that the successor is ready.
 type slowHandler struct{ *recordingHandler }
 
--- a/internal/node/hotrestart/handover.go
+++ b/internal/node/hotrestart/handover.go
@@ -12,8 +12,10 @@
 	"time"
 )
 
-// acceptRetryDelay is the pause after a failed accept.
-const acceptRetryDelay = 5 * time.Millisecond
+const (
+	acceptRetryDelay = 5 * time.Millisecond // after a failed accept
+	joinRetryDelay   = 20 * time.Millisecond
+)
 
 // Handover is a successor's channel that is up, with the state to start from.
 type Handover struct {
@@ -23,8 +25,18 @@
 }
 
 // Join connects to the process that serves, if there is one, and asks for its state. It returns nil and no error if there
-// is none. Start has to be called once the node at this end exists.
+// is none. A process that cannot have a successor yet is asked again, for busyPatience at most. Start has to be called once the node at
+// this end exists.
 func (d *Dir) Join() (*Handover, error) {
+	for deadline := time.Now().Add(busyPatience); ; time.Sleep(joinRetryDelay) {
+		handover, err := d.joinOnce()
+		if !errors.Is(err, ErrBusy) || time.Now().After(deadline) {
+			return handover, err
+		}
+	}
+}
+
+func (d *Dir) joinOnce() (*Handover, error) {
 	path, release := d.socketPath(socketFile)
 	defer release()
 	conn, err := net.DialTimeout("unix", path, ioTimeout)
@@ -56,6 +68,9 @@
 	if err != nil {
 		return State{}, err
 	}
+	if kind == kindBusy {
+		return State{}, ErrBusy
+	}
 	if kind != kindState {
 		return State{}, fmt.Errorf("%w: %q in place of the state", errMalformed, kind)
 	}
@@ -137,7 +152,7 @@
 		select {
 		case busy <- struct{}{}:
 		default:
-			_ = conn.Close() // another successor is about to take over
+			go refuseNow(conn) // another successor is about to take over
 			continue
 		}
 		go func() {
@@ -157,6 +172,7 @@
 	}
 	state, err := h.SuccessorJoined(c)
 	if err != nil {
+		refuse(conn, err)
 		r.close()
 		return
 	}
@@ -166,6 +182,23 @@
 	c.readLoop(r)
 }
 
+// refuseNow has a successor ask again.
+func refuseNow(conn *net.UnixConn) {
+	r := &reader{conn: conn}
+	if readHello(conn, r) == nil { // closing before that, its hello would fail
+		refuse(conn, ErrBusy)
+	}
+	r.close()
+}
+
+// refuse closes the connection of a successor that gets no state, and tells it to ask again after ErrBusy.
+func refuse(conn *net.UnixConn, cause error) {
+	if errors.Is(cause, ErrBusy) {
+		_ = newChannel(nil, conn).send(kindBusy, nil, noFD) // else it finds the connection closed
+	}
+	_ = conn.Close() // the successor sees the end either way
+}
+
 func readHello(conn *net.UnixConn, r *reader) error {
 	if err := conn.SetReadDeadline(time.Now().Add(joinTimeout)); err != nil {
 		return err
--- a/internal/node/hotrestart/protocol.go
+++ b/internal/node/hotrestart/protocol.go
@@ -27,6 +27,10 @@
 	replyTimeout    = ioTimeout / 2
 	joinTimeout     = 2 * time.Second // for the exchange of hello and state; a successor has 6 s to be ready
 
+	// busyPatience is for how long a process that is busy with another one is asked again: that one ends within the longest deadline (3 s
+	// at most) and 0.7 s, and a successor has 6 s to be ready.
+	busyPatience = 4 * time.Second
+
 	// StateTimeout is how long a Handler may take for the state: the successor still waits then.
 	StateTimeout = joinTimeout * 3 / 4
 )
@@ -37,6 +41,7 @@
 const (
 	kindHello       messageKind = 'H' // successor: its protocol version
 	kindState       messageKind = 'S' // predecessor: what the successor starts from
+	kindBusy        messageKind = 'B' // predecessor, in place of the state: ask again in a moment
 	kindReady       messageKind = 'Y' // successor: it serves
 	kindReadyAck    messageKind = 'A' // predecessor: it has processed kindReady
 	kindCommand     messageKind = 'C' // either: an operator's command was carried out here
@@ -48,6 +53,9 @@
 // errMalformed is wrapped by the errors about messages that cannot be understood.
 var errMalformed = errors.New("malformed message")
 
+// ErrBusy refuses a successor for the moment: the process is itself in the middle of a handover.
+var ErrBusy = errors.New("it is busy with another process of the node")
+
 // errRefused is the error of a successor that got no state.
 var errRefused = errors.New("it has closed the channel without its state")
 
@@ -90,7 +98,7 @@
 type Handler interface {
 	// SuccessorJoined is called in the predecessor; the successor starts from what it returns. Commands that are carried
 	// out from then on have to be forwarded on the channel. With an error the successor is refused: it gets no state, and its
-	// end of the channel is closed.
+	// end of the channel is closed. After ErrBusy it asks again.
 	SuccessorJoined(c *Channel) (State, error)
 	// SuccessorReady is called in the predecessor: the successor serves now.
 	SuccessorReady()
