--- a/internal/testbed/faultsearch/soak.go
+++ b/internal/testbed/faultsearch/soak.go
@@ -137,8 +137,8 @@
 	for range s.IntN(3) {
 		add("hangup_node", at+signalPauses[s.IntN(len(signalPauses))], 0, 0)
 	}
-	for range s.IntN(3) {
-		add("hold_node", at+time.Duration(s.Int64N(int64(time.Second))), 0, soakHoldUp)
+	for _, holdAt := range s.soakHoldUps(at, time.Second) {
+		add("hold_node", holdAt, 0, soakHoldUp)
 	}
 	add("start_node", at+time.Millisecond, 0, 0) // once it has ended
 }
@@ -166,8 +166,8 @@
 	for range s.IntN(3) {
 		add([]string{"hangup_node", "spoil_node"}[s.IntN(2)], max(soakFirstFault, at+between(-time.Second, time.Second)), 0)
 	}
-	for range s.IntN(3) {
-		add("hold_node", at+between(0, []time.Duration{soakStartup, time.Second}[s.IntN(2)]), 0).Delay = tomlfile.Duration(soakHoldUp)
+	for _, holdAt := range s.soakHoldUps(at, []time.Duration{soakStartup, time.Second}[s.IntN(2)]) {
+		add("hold_node", holdAt, 0).Delay = tomlfile.Duration(soakHoldUp)
 	}
 	for range s.IntN(3) {
 		step := add("exclude", max(soakFirstFault, at+between(-2*time.Second, time.Second)), ms(1000+3000*s.Float64()))
@@ -175,6 +175,19 @@
 	}
 }
 
+// soakHoldUps draws when a node is held up within a time, twice at most. Between two of these it runs for as long as it stood still: one
+// right after the other would be a longer one than the protocol's page allows for.
+func (s sampler) soakHoldUps(from time.Duration, within time.Duration) (times []time.Duration) {
+	for range s.IntN(3) {
+		times = append(times, from+time.Duration(s.Int64N(int64(within))))
+	}
+	slices.Sort(times)
+	if len(times) == 2 {
+		times[1] = max(times[1], times[0]+2*soakHoldUp)
+	}
+	return times
+}
+
 // soakHang has caches and the origin hang through the whole of a stop.
 func (s sampler) soakHang(stopAt time.Duration) []experiment.Step {
 	at := tomlfile.Duration(max(soakFirstFault, stopAt-200*time.Millisecond)).Round(time.Millisecond)
--- a/internal/testbed/processrunner/loadgenerator.go
+++ b/internal/testbed/processrunner/loadgenerator.go
@@ -135,13 +135,13 @@
 // the end of a connection that the node closed between two commands.
 func (l *loadGenerator) sendOnce(r *experiment.GeneratedRequest, attempt *invariants.ClientAttempt, cmd *command, isFirst bool) (answer response, sendAgain bool) {
 	node, c, err := l.clients.get(!isFirst)
-	if err != nil {
+	if err != nil { // an attempt that crossed the end of a connection is left as that
 		return response{}, true // the node is dead, the machine is short of ports, or clients hold all that they may
 	}
 	defer l.clients.release(node)
 	timeoutMs := l.experiment.AttemptTimeoutMs(r.Class)
 	x, err := c.roundTrip(cmd, time.Now().Add(msDuration(timeoutMs+experiment.ClientGraceMs)))
-	attempt.Node = servermodel.NodeID(node)
+	attempt.Node, attempt.FromOpenConnection = servermodel.NodeID(node), false
 	if x.sentMs == 0 {
 		c.close()
 		l.clients.markFailed(node)
@@ -156,6 +156,7 @@
 		attempt.ConnEndedAt = x.answeredMs
 		// A node that was killed may have carried the request on; one that is up has closed between two requests.
 		if c.reused && isFirst && isAlive(l.clients.addrs[node]) {
+			attempt.FromOpenConnection = true
 			return x.response, true
 		}
 		l.clients.markFailed(node)
--- a/internal/testbed/reservedport/reservedport.go
+++ b/internal/testbed/reservedport/reservedport.go
@@ -78,7 +78,12 @@
 func (p *Port) Addr() string { return p.addr }
 
 // Listen listens on the address. When the listener is closed, the address is still reserved.
+//
+// A process that was being started as an earlier listener was closed has a copy of its descriptor until it executes its program: the
+// address is in use until then. The lock is held for writing from the fork on until that.
 func (p *Port) Listen() (*net.TCPListener, error) {
+	syscall.ForkLock.RLock()
+	syscall.ForkLock.RUnlock() //nolint:staticcheck // nothing is guarded, the end of a fork is waited for
 	listener, err := net.Listen("tcp4", p.addr)
 	if err != nil {
 		return nil, err
