--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -40,6 +40,29 @@
 	}
 }
 
+// An instance that ends and starts anew within one batch knows nothing of before: neither its requests nor its servers. A timer of one that
+// has ended has no answer.
+func TestInstanceRestartsWithinABatch(t *testing.T) {
+	const spawn = "SPAWN Who=3 Prng=9 Env=" + env + "\n"
+	list := func(server string) string {
+		return "LEDGER Elements=1 Slot=0\nSERVER Server=" + server + " Mode=2\nANNOUNCE Slot=0 Stamp=4 Mode=2 Who=3\n"
+	}
+	out, err := play(t, "ROUND Moment=5000000\n"+spawn+list("10.0.0.1:1")+"KNOCK PathKey=91f03b7c55d20a64 Job=77 Who=3 DropDead=5400000\nOVER_TO_YOU\n"+
+		"ROUND Moment=5010000\nEXIT Who=3\n"+spawn+list("10.0.0.2:1")+"KNOCK PathKey=91f03b7c55d20a64 Job=78 Who=3 DropDead=5400000\nOVER_TO_YOU\n"+
+		"ROUND Moment=5020000\nEXIT Who=3\nOVER_TO_YOU\nROUND Moment=5030000\nELAPSED Who=3 KeyBack=1\nOVER_TO_YOU\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	batches := strings.Split(out, "END\n")
+	if len(batches) != 5 || batches[2] != "" || batches[3] != "" {
+		t.Fatalf("%q", batches)
+	}
+	if !strings.Contains(batches[0], "SEND Who=3 Job=77 Server=10.0.0.1:1 ") || !strings.Contains(batches[1], "SEND Who=3 Job=78 Server=10.0.0.2:1 ") ||
+		strings.Contains(batches[1], "Job=77") || strings.Contains(batches[1], "10.0.0.1") {
+		t.Errorf("%q", batches)
+	}
+}
+
 func TestMalformedInputNamesTheLine(t *testing.T) {
 	for _, c := range []struct{ in, want string }{
 		{"HELLO\n", "line 1: message \"HELLO\""},
--- a/internal/testbed/processrunner/nodeoperations.go
+++ b/internal/testbed/processrunner/nodeoperations.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"mintspring/internal/testbed/fakes"
@@ -10,6 +11,9 @@
 
 // What operators do to a node: it is put on standby, told to leave out a server, and given other settings. Each is recorded for the checks.
 
+// unlistedAnswer begins the answer to a call about a server that the node has never been told of.
+const unlistedAnswer = "ERR no cache server "
+
 const (
 	// standbyLimit is how long after the call a node on standby may serve, and activeLimit how long it may take to serve again.
 	standbyLimit = 4 * time.Second
@@ -58,7 +62,10 @@
 	if !excluded { // from the call on it may be used
 		n.recordExclusion(server, id, excluded)
 	}
-	_, err := n.adminCall(line + id)
+	answer, err := n.adminCall(line + id)
+	if strings.HasPrefix(answer, unlistedAnswer) {
+		return nil // discovery has not told the node of it yet
+	}
 	if excluded {
 		n.recordExclusion(server, id, excluded)
 	}
