Test: accepts that fail, and a hold-up as they succeed again

The test has both, and is stricter: a request on a connection that did not wait has all of its time.

--- a/internal/node/clients/limits_test.go
+++ b/internal/node/clients/limits_test.go
@@ -304,19 +304,29 @@
 
 // failingListener fails accepts until a time, as where the system has no descriptor. Connections wait in the backlog meanwhile.
 type failingListener struct {
-	net.Listener
-	until time.Time
+	*net.TCPListener
+	until  time.Time
+	holdUp time.Duration // of the process, as the fault ends
 }
 
 func (l *failingListener) Accept() (net.Conn, error) {
 	if time.Now().Before(l.until) {
 		return nil, syscall.ENFILE
 	}
-	return l.Listener.Accept()
+	time.Sleep(l.holdUp)
+	l.holdUp = 0
+	return l.TCPListener.Accept()
 }
 
-// A request that waited for its connection to be accepted has the time that its client has left, and not all of it anew.
+// A request that waited for its connection to be accepted has the time that its client has left, and not all of it anew; also where the
+// process is held up just then, for as long as the operators' pages allow for.
 func TestDeadlineOfRequestThatWaitedForAccept(t *testing.T) {
+	for _, holdUp := range []time.Duration{0, 150 * time.Millisecond} {
+		t.Run(holdUp.String(), func(t *testing.T) { checkDeadlineAfterOutage(t, holdUp) })
+	}
+}
+
+func checkDeadlineAfterOutage(t *testing.T, holdUp time.Duration) {
 	const outage = 200 * time.Millisecond
 	r := newHarness(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -324,7 +334,8 @@
 		t.Fatal(err)
 	}
 	r.addr = ln.Addr().String()
-	go func() { _ = r.server.Serve(&failingListener{ln, time.Now().Add(outage)}) }() // it returns when the test ends
+	failing := &failingListener{ln.(*net.TCPListener), time.Now().Add(outage), holdUp}
+	go func() { _ = r.server.Serve(failing) }() // it returns when the test ends
 	time.Sleep(outage / 4)
 	c := r.dial()
 	sentAt := r.server.Clock.Now()
@@ -335,8 +346,10 @@
 	}
 	x.Respond(exchange.Response{Value: []byte("v")})
 	c.expect("$1\r\nv\r\n")
-	c.send(command("KV.GET", "k", "2", "c=read,d=480"))
-	if left := r.nextRequest().Deadline - r.server.Clock.Now(); left < 400 {
-		t.Errorf("the next request on the connection has %.0f ms left", left)
+	for i, c := range []*client{c, r.dial()} { // nothing waits for an accept any more
+		c.send(command("KV.GET", "k", fmt.Sprint("again", i), "c=read,d=480"))
+		if left := r.nextRequest().Deadline - r.server.Clock.Now(); left < 400 {
+			t.Errorf("request %d after that has %.0f ms left", i, left)
+		}
 	}
 }
