Clients: a connection counts as delayed until the backlog is empty

Cause: clients.acceptOutage took connections for delayed that were accepted within 100 ms of the last failed accept. A process that was held up for 0.15 s just then accepted them later, and told servers up to 297 ms too much; a connection that came after the backlog was empty lost time that its client had. Change: after a failed accept, connections count as delayed until poll(2) says that none waits. A failure is logged once, and no longer every 5 ms until the end of the fault.

--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -15,6 +15,7 @@
 	"mintspring/internal/node/fdlimit"
 	"mintspring/internal/node/lifecycle"
 	"mintspring/internal/node/memlimit"
+	"mintspring/internal/node/sockstate"
 )
 
 // Handler handles the requests of clients. Its methods are called from any goroutine and must not block.
@@ -114,7 +115,7 @@
 	s.mu.Lock()
 	s.listener, s.serveEnded = listener, ended
 	s.mu.Unlock()
-	var outage acceptOutage
+	var backlog backlog
 	for s.waitAccept() {
 		netConn, err := listener.Accept()
 		now := s.Clock.Now()
@@ -127,42 +128,40 @@
 				return nil
 			}
 		case err != nil:
-			outage.failed(now)
-			s.LogError("cannot accept a client", err)
+			if backlog.delayed(now) {
+				s.LogError("cannot accept a client; retrying", err)
+			}
 			time.Sleep(acceptRetryDelay)
 		case !s.acquireDescriptor():
 			s.counters.rejected.Add(1)
 			_ = netConn.Close() // nothing was written
 		default:
-			s.serveConn(netConn, false, outage.waitingSince(now))
+			s.serveConn(netConn, false, backlog.delayedSince)
+			backlog.settle(listener)
 		}
 	}
 	return nil
 }
 
-// backlogDrainMs is for how long after the last failed accept connections are taken to have waited, in ms.
-const backlogDrainMs = 100
-
-// acceptOutage is a time in which accepts fail, and connections wait in the backlog. Times are of the server's clock, in ms. The zero value
-// is before the first.
-type acceptOutage struct {
-	since, until float64
+// backlog tells whether connections may have waited for their accept. The zero value is one in which none has.
+type backlog struct {
+	delayedSince float64 // when accepts began to fail, in ms of the server's clock; 0: nothing waits since then
 }
 
-// failed records an accept that failed.
-func (o *acceptOutage) failed(now float64) {
-	if now > o.until+backlogDrainMs {
-		o.since = now
+// delayed records that an accept failed. It reports whether this is the first one since nothing waited.
+func (b *backlog) delayed(now float64) (first bool) {
+	if b.delayedSince > 0 {
+		return false
 	}
-	o.until = now
+	b.delayedSince = now
+	return true
 }
 
-// waitingSince returns since when a connection that is accepted now may have waited, 0 if it has not.
-func (o *acceptOutage) waitingSince(now float64) float64 {
-	if o.since == 0 || now > o.until+backlogDrainMs {
-		return 0
+// settle forgets the delay once no connection waits any more: those that are accepted next have come later.
+func (b *backlog) settle(listener net.Listener) {
+	if b.delayedSince > 0 && !sockstate.HasPending(listener) {
+		b.delayedSince = 0
 	}
-	return o.since
 }
 
 // waitAccept waits while another process accepts, and reports false once nothing more is to be accepted here.
--- a/internal/node/sockstate/sockstate.go
+++ b/internal/node/sockstate/sockstate.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"unsafe"
+
+	"golang.org/x/sys/unix"
 )
 
 // Peek reports whether bytes have arrived that nobody has read yet, and whether the other end has closed the connection or it is broken.
@@ -32,6 +34,26 @@
 	return readable, closed || err != nil
 }
 
+// HasPending reports whether a connection waits to be accepted. Of a listener other than TCP it reports that none does.
+func HasPending(listener net.Listener) (pending bool) {
+	tcp, ok := listener.(interface {
+		SyscallConn() (syscall.RawConn, error)
+	})
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(poll, 0)
+		pending = n > 0 || errors.Is(err, unix.EINTR) // the caller asks again
+	})
+	return pending && err == nil
+}
+
 // States of a TCP connection in which the other end has ended it or it is broken (include/net/tcp_states.h of Linux).
 const (
 	tcpClose     = 7
--- a/internal/node/sockstate/sockstate_test.go
+++ b/internal/node/sockstate/sockstate_test.go
@@ -102,3 +102,32 @@
 		t.Error("a connection without a socket has ended")
 	}
 }
+
+// A connection waits from its being established until it is accepted.
+func TestHasPending(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close() //nolint:errcheck // the test is over
+	if HasPending(ln) {
+		t.Error("a connection waits before there was any")
+	}
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close() //nolint:errcheck // the test is over
+	if !HasPending(ln) {
+		t.Error("no connection waits")
+	}
+	if _, err := ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	if HasPending(ln) {
+		t.Error("a connection waits that has been accepted")
+	}
+	if HasPending(struct{ net.Listener }{ln}) {
+		t.Error("a connection waits at a listener that cannot tell")
+	}
+}
