Test: the shared listening socket is in blocking mode

The mode of a listening socket is shared by all processes that inherited it, and the one that holds it may leave it blocking: Go sets it so where a file is passed to a process. accept(2) then blocks, no deadline ends it, and it takes the next connection, whoever should have it; Close waits for it too.

--- a/cmd/mintspring/hotrestart_test.go
+++ b/cmd/mintspring/hotrestart_test.go
@@ -161,6 +161,43 @@
 	})
 }
 
+// The listening socket is shared, and so is its mode: whoever holds it for the processes may leave it blocking, as Go does where it passes a
+// file to a process. A process once sat in accept(2) then, took a connection from its successor, which it reset, and could not end.
+func TestSharedSocketInBlockingMode(t *testing.T) {
+	n := newTestNode(t)
+	request := func(id string) {
+		t.Helper()
+		conn, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer closeAll(conn)
+		load := &requestLoad{}
+		if !load.request(conn, bufio.NewReader(conn)) || load.failed.Load() > 0 {
+			t.Errorf("%s: %v", id, load.lastFail.Load())
+		}
+	}
+	blocking := func() {
+		t.Helper()
+		if err := syscall.SetNonblock(int(n.socket.Fd()), false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	current := n.start()
+	current.waitForReply("status", "OK")
+	blocking()
+	request("before a successor") // from its accept on, the process sits in the next one
+	successor := n.start()
+	successor.waitForReply("status", "OK")
+	for range 3 {
+		request("beside a successor")
+	}
+	current.signal(syscall.SIGTERM, 2*time.Second)
+	blocking()
+	request("after the successor took over")
+	successor.signal(syscall.SIGTERM, 2*time.Second)
+}
+
 // TestSuccessorDies: a successor that dies, before it is ready or after, leaves its predecessor serving, with its admin port and
 // its clients; and the next one takes over all the same.
 func TestSuccessorDies(t *testing.T) {
--- a/internal/testbed/invariants/checker.go
+++ b/internal/testbed/invariants/checker.go
@@ -137,8 +137,8 @@
 	if a.ConnEndedAt == 0 {
 		return fmt.Sprintf(": sent to node %d at %.0f, deadline after %.0f ms", a.Node, a.Sent, a.Deadline-a.Sent)
 	}
-	return fmt.Sprintf(": node %d ended its connection %.0f ms after it was sent at %.0f, %.0f ms before its deadline, new and in order: %v",
-		a.Node, a.ConnEndedAt-a.Sent, a.Sent, a.Deadline-a.ConnEndedAt, a.EndedInOrder)
+	return fmt.Sprintf(": node %d ended its connection %.0f ms after it was sent at %.0f, %.0f ms before its deadline (%s), new and in order: %v",
+		a.Node, a.ConnEndedAt-a.Sent, a.Sent, a.Deadline-a.ConnEndedAt, a.EndedBy, a.EndedInOrder)
 }
 
 // checkTold checks that no server was told that there is more time than the client has left. A process that was frozen reads what came
--- a/internal/testbed/invariants/invariants.go
+++ b/internal/testbed/invariants/invariants.go
@@ -58,6 +58,7 @@
 	LeftAt             float64 // when its client closed the connection without a response; 0: it did not
 	FromOpenConnection bool    // sent by a client that keeps its connection and sends again, on another one, what crossed its end
 	ConnEndedAt        float64 // when the node ended the connection without a response; 0: it did not
+	EndedBy            string  // how it ended, for people
 	EndedInOrder       bool    // ... and that connection was new and not reset: unless the node was ending, it had read what had come
 	BecomesStricter    bool    // of a class that is non-idempotent while its node has stricter settings
 	ExtraSlack         float64 // beside that of all attempts, where the machine itself stood still
--- a/internal/testbed/processrunner/loadgenerator.go
+++ b/internal/testbed/processrunner/loadgenerator.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -154,6 +155,7 @@
 			return x.response, false
 		}
 		attempt.ConnEndedAt = x.answeredMs
+		attempt.EndedBy = fmt.Sprintf("%v, used before: %v, first connection: %v", err, c.reused, isFirst)
 		// A node that was killed may have carried the request on; one that is up has closed between two requests.
 		if c.reused && isFirst && isAlive(l.clients.addrs[node]) {
 			attempt.FromOpenConnection = true
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"syscall"
@@ -189,7 +190,7 @@
 		switch {
 		case !timedOut:
 			a.FromOpenConnection = true
-			a.ConnEndedAt = end.atMs
+			a.ConnEndedAt, a.EndedBy = end.atMs, fmt.Sprint(end.err)
 			a.EndedInOrder = isNew && !isReset && end.atMs-a.Sent > crossedEndMs // else it was sent as the connection ended, or after
 		case leaves:
 			a.LeftAt = fakes.NowMs()
