Run: a shared listening socket does not block, whatever its holder does

Cause: whether accept(2) blocks is a property of the open file, shared by all processes that inherited the socket. Where its holder had set it to block, a process sat in accept: no deadline ended that, so that after a handover it took a connection that was its successor's and rejected it for want of a descriptor; and closing the listener at a stop waited for it, past the bound. SO_RCVTIMEO was tried in its place: Go's own listeners are MPTCP sockets, whose accept does not keep to it (measured: blocked for 1 s with a limit of 10 ms).

--- a/cmd/mintspring/listen.go
+++ b/cmd/mintspring/listen.go
@@ -43,7 +43,31 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: descriptor %d: %w", socketVariable, fd, err)
 	}
-	return ln, nil
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		return nil, errors.Join(fmt.Errorf("%s: descriptor %d is a %T", socketVariable, fd, ln), ln.Close())
+	}
+	return sharedListener{tcp}, nil
+}
+
+// sharedListener is a listening socket that other processes have inherited too. Whether accept(2) blocks is a property of the open file,
+// which they share (fcntl(2)): whoever holds the socket for them may set it to block at any time, as Go does where it passes a file to
+// a process. No deadline would end an accept then, nor would a close, and it would take a connection that another process should have by
+// then.
+type sharedListener struct{ *net.TCPListener }
+
+// Accept accepts the next connection, after it has set the socket not to block.
+func (l sharedListener) Accept() (net.Conn, error) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) { setErr = syscall.SetNonblock(int(fd), true) })
+	if err = errors.Join(err, setErr); err != nil {
+		return nil, err
+	}
+	return l.TCPListener.Accept()
 }
 
 // listen listens on an address, and waits for so long while it is in use.
--- a/internal/node/clients/closing_test.go
+++ b/internal/node/clients/closing_test.go
@@ -1,8 +1,10 @@
 package clients
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -297,3 +299,27 @@
 		t.Errorf("%d of %d commands have a reply, %v", len(got), commands, err)
 	}
 }
+
+// A connection that an accept returns which had begun before another process took over goes to that process. It was once rejected, for the
+// descriptors were that process's by then.
+func TestLateAcceptIsHandedOver(t *testing.T) {
+	r := newHarness(t)
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = near.Close() })
+	passed := 0
+	pass := func(net.Conn, bool) bool { passed++; return true }
+	if r.server.passAccepted(far) || passed > 0 {
+		t.Error("a connection is passed to nobody")
+	}
+	r.server.SetHandover(pass)
+	if r.server.passAccepted(far) || passed > 0 {
+		t.Error("a connection is passed while this process accepts")
+	}
+	r.server.Lifecycle.SetSuccessor(true)
+	if !r.server.passAccepted(far) || passed != 1 {
+		t.Errorf("the connection was passed %d times", passed)
+	}
+	if _, err := far.Write([]byte{0}); !errors.Is(err, io.ErrClosedPipe) {
+		t.Errorf("it is still open here: %v", err)
+	}
+}
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -132,6 +132,7 @@
 				s.LogError("cannot accept a client; retrying", err)
 			}
 			time.Sleep(acceptRetryDelay)
+		case s.passAccepted(netConn):
 		case !s.acquireDescriptor():
 			s.counters.rejected.Add(1)
 			_ = netConn.Close() // nothing was written
@@ -164,6 +165,17 @@
 	}
 }
 
+// passAccepted hands over a connection that was accepted as another process had begun to accept in this one's place: an accept that had
+// begun before that is not ended by it at once.
+func (s *Server) passAccepted(netConn net.Conn) bool {
+	pass := s.handoverFunc()
+	if pass == nil || s.Lifecycle.AcceptsConnections() || !pass(netConn, false) {
+		return false
+	}
+	_ = netConn.Close() // the other process has a descriptor of its own
+	return true
+}
+
 // waitAccept waits while another process accepts, and reports false once nothing more is to be accepted here.
 func (s *Server) waitAccept() bool {
 	s.mu.Lock()
@@ -302,9 +314,24 @@
 		}
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.abandoned = true
-	if s.listener != nil {
-		_ = s.listener.Close() // it is not used any more
+	listener := s.listener
+	s.mu.Unlock()
+	if listener != nil {
+		closeWithin(listener, maxBacklogTime)
+	}
+}
+
+// closeWithin closes a listener, and waits so long for that: an accept that blocks holds it up, where the socket is shared with others that
+// have set it to block. The end of the process closes it in any case.
+func closeWithin(listener net.Listener, timeout time.Duration) {
+	closed := make(chan struct{})
+	go func() { // ends with the accept
+		defer close(closed)
+		_ = listener.Close() // it is not used any more
+	}()
+	select {
+	case <-closed:
+	case <-time.After(timeout):
 	}
 }
