--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -57,6 +59,42 @@
 	tc.expectPrefix(<-answer, "-ERR the node is stopping")
 }
 
+// failingListener is one whose accepts fail for a time, as where the system has no descriptor. Connections wait in the backlog meanwhile.
+type failingListener struct {
+	*net.TCPListener
+	fails atomic.Bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.fails.Load() {
+		return nil, syscall.ENFILE
+	}
+	return l.TCPListener.Accept()
+}
+
+// setFailing has accepts fail behind the one that is under way, which a connection ends.
+func (l *failingListener) setFailing(t *testing.T) {
+	t.Helper()
+	l.fails.Store(true)
+	closeQuietly(dial(t, l.Addr().String()))
+}
+
+// Accepts that fail beyond the grace period of a stop cost nobody their answer: the backlog is accepted as long as there is time to answer.
+// It was once given up 100 ms after the grace period, and its connections were reset.
+func TestStopAnswersBacklogOfFailingAccepts(t *testing.T) {
+	const grace, bound = 100 * time.Millisecond, 900 * time.Millisecond
+	ln := &failingListener{TCPListener: listen(t).(*net.TCPListener)}
+	tc := newTestClusterOn(t, ln, 2, serveHit, echoOrigin)
+	ln.setFailing(t)
+	time.Sleep(10 * time.Millisecond)
+	answer := make(chan string, 1)
+	conn := dial(t, tc.addr) // waits in the backlog
+	go func() { answer <- requestOn(conn, "KV.GET", "k", "1", "c=read,d=800") }()
+	time.AfterFunc(grace+250*time.Millisecond, func() { ln.fails.Store(false) })
+	tc.node.Stop(grace, bound)
+	tc.expectPrefix(<-answer, "hit")
+}
+
 // A stop does not wait for the attempts of a request whose client is gone.
 func TestStopDoesNotWaitForGoneClients(t *testing.T) {
 	release, begun := make(chan struct{}), make(chan struct{}, 10)
--- a/internal/node/testcluster_test.go
+++ b/internal/node/testcluster_test.go
@@ -47,6 +47,12 @@
 
 // newTestCluster starts a cluster whose node is ready.
 func newTestCluster(t *testing.T, caches int, serveCache func(redcon.Conn, string, string), serveOrigin http.HandlerFunc, with ...func(*Config)) *testCluster {
+	t.Helper()
+	return newTestClusterOn(t, listen(t), caches, serveCache, serveOrigin, with...)
+}
+
+// newTestClusterOn is newTestCluster with a node that serves on a listener.
+func newTestClusterOn(t *testing.T, ln net.Listener, caches int, serveCache func(redcon.Conn, string, string), serveOrigin http.HandlerFunc, with ...func(*Config)) *testCluster {
 	t.Helper()
 	tc := &testCluster{t: t, serveCache: serveCache, listUpdates: make(chan string, 10)}
 	var entries []string
@@ -72,7 +78,6 @@
 		change(&config)
 	}
 	tc.node = New(config, log)
-	ln := listen(t)
 	tc.addr = ln.Addr().String()
 	serve(t, tc.node, ln)
 	t.Cleanup(func() {
--- a/internal/testbed/invariants/checker.go
+++ b/internal/testbed/invariants/checker.go
@@ -149,7 +149,8 @@
 	}
 	for _, x := range executions {
 		if x.Node == attempt.Node && x.Deadline > 0 && x.Deadline > attempt.Deadline+toldLimit+c.slack {
-			c.report(ruleAnswer, "request %s was sent with %.0f ms more than its client had left", attempt.ID, x.Deadline-attempt.Deadline)
+			c.report(ruleAnswer, "request %s was sent with %.0f ms more than its client had left: to node %d at %.0f, by that one to a server %.0f ms later",
+				attempt.ID, x.Deadline-attempt.Deadline, attempt.Node, attempt.Sent, x.FirstByte-attempt.Sent)
 			return
 		}
 	}
--- a/internal/testbed/processrunner/loadgenerator.go
+++ b/internal/testbed/processrunner/loadgenerator.go
@@ -141,7 +141,7 @@
 	}
 	defer l.clients.release(node)
 	timeoutMs := l.experiment.AttemptTimeoutMs(r.Class)
-	x, err := c.roundTrip(cmd, time.Now().Add(msDuration(timeoutMs+experiment.ClientGraceMs)))
+	x, err := c.roundTrip(cmd, time.Now().Add(msDuration(timeoutMs+clientGraceMs(l.experiment))))
 	attempt.Node, attempt.FromOpenConnection = servermodel.NodeID(node), false
 	if x.sentMs == 0 {
 		c.close()
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -82,7 +82,7 @@
 func (p *persistentClient) request() {
 	batch, longestMs := p.nextBatch()
 	pausesMs := float64(len(batch)-1) * float64(maxPipelinePause/time.Millisecond)
-	stayMs := longestMs + experiment.ClientGraceMs + pausesMs
+	stayMs := longestMs + clientGraceMs(p.load.experiment) + pausesMs
 	leaves := p.random.Float64() < p.load.experiment.Load.LeaveShare
 	if leaves {
 		stayMs = p.random.Float64() * longestMs / 4
--- a/internal/testbed/processrunner/run.go
+++ b/internal/testbed/processrunner/run.go
@@ -181,6 +181,15 @@
 	r.Violations, r.WrongKeyResponses = checker.Violations(), checker.WrongKeyResponses
 }
 
+// clientGraceMs is how long after the deadline of an attempt a client goes away, in ms. In soak runs it waits until a missing answer counts as
+// lost.
+func clientGraceMs(x *experiment.Experiment) float64 {
+	if x.Load.PersistentClients > 0 {
+		return lostAfterMs + crossedEndMs
+	}
+	return experiment.ClientGraceMs
+}
+
 // sampleUntil looks at servers and nodes again and again until the context ends.
 func sampleUntil(ctx context.Context, r *experiment.Run, fleet *fakes.Fleet, nodes *nodeSet) {
 	ticker := time.NewTicker(sampleInterval)
