--- a/internal/node/clients/closing_test.go
+++ b/internal/node/clients/closing_test.go
@@ -160,7 +160,7 @@
 			}()
 		}
 		wg.Wait()
-		r.server.Close()
+		r.server.Close(testCloseTime)
 	}
 }
 
--- a/internal/node/clients/harness_test.go
+++ b/internal/node/clients/harness_test.go
@@ -37,6 +37,9 @@
 	listener *pipeListener // in place of addr
 }
 
+// testCloseTime is how long a server of a test accepts what is in its backlog at its end.
+const testCloseTime = 100 * time.Millisecond
+
 func newHarness(t *testing.T, with ...func(*Server)) *harness {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,7 +62,7 @@
 		f(s)
 	}
 	go func() { _ = s.Serve(ln) }() // it returns when the test ends
-	t.Cleanup(s.Close)
+	t.Cleanup(func() { s.Close(testCloseTime) })
 	return &harness{fakeHandler: d, t: t, server: s, addr: ln.Addr().String()}
 }
 
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -101,11 +101,11 @@
 // acceptRetryDelay is the pause after a failed accept.
 const acceptRetryDelay = 5 * time.Millisecond
 
-// Close accepts connections that the kernel has established already until there was none for backlogQuiet, and for maxBacklogTime
-// at most.
 const (
-	backlogQuiet   = 20 * time.Millisecond
-	maxBacklogTime = 100 * time.Millisecond
+	// backlogQuiet is for how long no connection has to come until Close takes the backlog for empty.
+	backlogQuiet = 20 * time.Millisecond
+	// maxListenerClose is how long Close waits for the listener.
+	maxListenerClose = 100 * time.Millisecond
 )
 
 // Serve accepts connections until the server or its listener is closed.
@@ -296,9 +296,9 @@
 	return conns
 }
 
-// Close stops accepting, once the connections are accepted that were established before: a request on them counts as taken, and a
-// listener that is closed resets them. Connections are not closed.
-func (s *Server) Close() {
+// Close stops accepting, once the connections are accepted that were established before, for patience at most: a request on them counts as
+// taken, and a listener that is closed resets them. Connections are not closed.
+func (s *Server) Close(patience time.Duration) {
 	s.mu.Lock()
 	ended := s.serveEnded
 	_, drains := s.listener.(deadlineListener)
@@ -310,7 +310,7 @@
 	if drains {
 		select {
 		case <-ended:
-		case <-time.After(maxBacklogTime):
+		case <-time.After(patience):
 		}
 	}
 	s.mu.Lock()
@@ -318,7 +318,7 @@
 	listener := s.listener
 	s.mu.Unlock()
 	if listener != nil {
-		closeWithin(listener, maxBacklogTime)
+		closeWithin(listener, maxListenerClose)
 	}
 }
 
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -51,7 +51,7 @@
 		time.Sleep(grace)
 		n.life.FinishStop()
 	}
-	n.frontend.Close()
+	n.frontend.Close(time.Until(start.Add(bound - holdUpAllowance)))
 	n.frontend.Sweep()
 	n.inbox.post(stopRequest{})
 	select {
