Test: several reads of what waited for an accept

What is read first on a connection that waited counts from the outage; the test has commands that take more than one read.

--- a/internal/node/clients/limits_test.go
+++ b/internal/node/clients/limits_test.go
@@ -339,13 +339,20 @@
 	time.Sleep(outage / 4)
 	c := r.dial()
 	sentAt := r.server.Clock.Now()
-	c.send(command("KV.GET", "k", "1", "c=read,d=480"))
-	x := r.nextRequest()
-	if late := x.Deadline - (sentAt + 480); late > 20 {
-		t.Errorf("its deadline is %.0f ms after its client's", late)
+	var commands strings.Builder // more than are read at once
+	const requests = 5
+	for i := range requests {
+		commands.WriteString(command("KV.GET", strings.Repeat("k", 500), fmt.Sprint(i), "c=read,d=480"))
+	}
+	c.send(commands.String())
+	for i := range requests {
+		x := r.nextRequest()
+		if late := x.Deadline - (sentAt + 480); late > 20 {
+			t.Errorf("the deadline of request %d is %.0f ms after its client's", i, late)
+		}
+		x.Respond(exchange.Response{Value: []byte("v")})
+		c.expect("$1\r\nv\r\n")
 	}
-	x.Respond(exchange.Response{Value: []byte("v")})
-	c.expect("$1\r\nv\r\n")
 	for i, c := range []*client{c, r.dial()} { // nothing waits for an accept any more
 		c.send(command("KV.GET", "k", fmt.Sprint("again", i), "c=read,d=480"))
 		if left := r.nextRequest().Deadline - r.server.Clock.Now(); left < 400 {
