Clients: all that waited for an accept counts from then, in however many reads

Cause: conn.waitingSince was cleared by the first read, which had no whole command where it was longer than the first buffer. Change: it is cleared once nothing is left to be read.

--- a/internal/node/clients/conn.go
+++ b/internal/node/clients/conn.go
@@ -30,7 +30,8 @@
 	net        net.Conn
 	jitter     float64 // from [0,1), spreads the ends of connections that are closed together
 	acceptedAt float64
-	// waitingSince is when what is read first may have come, where the connection waited to be accepted; 0: it did not. Owned by the reader.
+	// waitingSince is when what is read may have come, where the connection waited to be accepted; 0: it did not, or all that came meanwhile has
+	// been read. Owned by the reader.
 	waitingSince float64
 	rejecting    bool // the node is about to end, and requests are rejected unforwarded; owned by the reader
 
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -84,12 +84,17 @@
 	return r.afterRead(at, taken, result == takeLimited)
 }
 
-// arrivalOfRead returns since when the time of requests counts that were read at a time.
+// arrivalOfRead returns since when the time of requests counts that were read at a time. What waited for the accept counts from before that,
+// until all of it has been read.
 func (c *conn) arrivalOfRead(at float64) float64 {
-	if c.waitingSince > 0 {
-		at, c.waitingSince = c.waitingSince, 0
+	if c.waitingSince == 0 {
+		return at
 	}
-	return at
+	since := c.waitingSince
+	if unread, _ := sockstate.Peek(c.net); !unread {
+		c.waitingSince = 0
+	}
+	return since
 }
 
 // fill reads once, or not at all where commands that were read before may be taken now. The rest of a refused command is
