--- a/cmd/mintspring-bench/soak.go
+++ b/cmd/mintspring-bench/soak.go
@@ -19,10 +19,11 @@
 
 // soakCmd plays generated runs with real processes, in which nodes are signalled, held up and stopped beside the usual faults.
 type soakCmd struct {
-	Seeds   string `help:"Seeds to play, such as 7 or 1..50." default:"1..6"`
-	Jobs    int    `help:"Runs at a time." default:"2"`
-	Program string `help:"The node's program; the one beside this otherwise."`
-	Out     string `help:"Directory for the experiments and the logs of nodes of runs that violate a rule; none otherwise."`
+	Seeds     string `help:"Seeds to play, such as 7 or 1..50." default:"1..6"`
+	Jobs      int    `help:"Runs at a time." default:"2"`
+	Program   string `help:"The node's program; the one beside this otherwise."`
+	FailCalls bool   `name:"fail-syscalls" help:"Also fail system calls of nodes, by a plan that the seed draws."`
+	Out       string `help:"Directory for the experiments and the logs of nodes of runs that violate a rule; none otherwise."`
 }
 
 var errSoakFailed = errors.New("rules were broken")
@@ -79,7 +80,11 @@
 	if err != nil {
 		return nil, err
 	}
-	options := processrunner.Options{Program: mainProgram, Command: []string{program}}
+	command, err := c.command(program, seed)
+	if err != nil {
+		return nil, err
+	}
+	options := processrunner.Options{Program: mainProgram, Command: command}
 	if c.Out != "" {
 		options.Dir = filepath.Join(c.Out, x.Name)
 	}
@@ -94,6 +99,18 @@
 	return verdict.Violations, nil
 }
 
+// command returns how a node is started.
+func (c *soakCmd) command(program string, seed uint64) ([]string, error) {
+	if !c.FailCalls {
+		return []string{program}, nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	return []string{self, "trace-syscalls", faultsMode + faultsearch.SoakFaultPlan(seed), program}, nil
+}
+
 // saveSoak keeps the experiment of a run beside the logs of its nodes, so that it can be played again.
 func saveSoak(dir string, x *experiment.Experiment) error {
 	text, err := faultsearch.EncodeTOML(x)
--- a/internal/testbed/faultsearch/soak.go
+++ b/internal/testbed/faultsearch/soak.go
@@ -15,6 +15,7 @@
 const (
 	soakStream      = 37
 	operationStream = 38
+	systemStream    = 39
 )
 
 // Sizes and times of a soak run. It is played with real processes, several at a time.
@@ -72,6 +73,30 @@
 	return normalize(x)
 }
 
+// soakFaultPlans are faults of system calls beside which soak runs can be played, in the form of syscalltrace.ParseFaultPlan: those that
+// Linux documents for sockets, once in a while or for a moment.
+var soakFaultPlans = []string{
+	"calls=accept,errno=ECONNABORTED,share=0.05",
+	"calls=accept,errno=ENFILE,from=2s,for=300ms,every=2s",
+	"calls=accept,errno=ENOBUFS,share=0.05",
+	"calls=connect+socket,errno=ENOBUFS,share=0.05",
+	"calls=connect,errno=EADDRNOTAVAIL,from=2s,for=700ms,every=2s",
+	"calls=socket,errno=EMFILE,from=2s,for=700ms,every=2s",
+	"calls=connect,errno=ENETUNREACH,from=2s,for=700ms,every=2s",
+	"calls=read+write,errno=short,share=0.2",
+	"calls=read+write,errno=EINTR,share=0.05",
+	"calls=wait,errno=EINTR,share=0.05",
+	"calls=server-read,errno=ETIMEDOUT,share=0.005",
+	"calls=server-read,errno=EHOSTUNREACH,share=0.005",
+	"calls=server-write,errno=ENOBUFS,share=0.01",
+}
+
+// SoakFaultPlan returns the plan of failing system calls of a seed.
+func SoakFaultPlan(seed uint64) string {
+	s := sampler{rand.New(rand.NewPCG(seed, systemStream))}
+	return fmt.Sprintf("%s,seed=%d", soakFaultPlans[s.IntN(len(soakFaultPlans))], seed)
+}
+
 // soakFleet draws the fleet, the classes of requests and the load.
 func (s sampler) soakFleet(x *experiment.Experiment) {
 	x.Fleet.Zones = []string{"a", "b"}[:1+s.IntN(2)]
--- a/internal/testbed/faultsearch/soak_test.go
+++ b/internal/testbed/faultsearch/soak_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"mintspring/internal/testbed/experiment"
+	"mintspring/internal/testbed/syscalltrace"
 )
 
 // Each seed gives a run that can be played with real processes, the same each time; together they have every kind of fault, each series
@@ -23,6 +24,9 @@
 		if err != nil || !reflect.DeepEqual(x.Steps, again.Steps) {
 			t.Fatalf("seed %d gives another run the second time, %v", seed, err)
 		}
+		if _, err := syscalltrace.ParseFaultPlan(SoakFaultPlan(seed)); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
 		for _, step := range x.Steps {
 			actions[step.Action]++
 		}
