--- a/cmd/mintspring-bench/run.go
+++ b/cmd/mintspring-bench/run.go
@@ -66,13 +66,13 @@
 	}
 	judged := competitor{name: mainProgram, command: []string{program}, isMain: true}
 	if c.TraceSyscalls != "" {
-		judged.command = []string{self, "trace-syscalls", c.TraceSyscalls, program}
+		judged.command = tracedCommand(self, c.TraceSyscalls, program)
 	}
 	if c.FailSyscalls != "" {
 		if _, err := syscalltrace.ParseFaultPlan(c.FailSyscalls); err != nil {
 			return nil, err
 		}
-		judged.command = []string{self, "trace-syscalls", faultsMode + c.FailSyscalls, program}
+		judged.command = tracedCommand(self, faultsMode+c.FailSyscalls, program)
 	}
 	all := []competitor{judged}
 	for _, name := range c.Against {
--- a/cmd/mintspring-bench/soak.go
+++ b/cmd/mintspring-bench/soak.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return []string{self, "trace-syscalls", faultsMode + faultsearch.SoakFaultPlan(seed), program}, nil
+	return tracedCommand(self, faultsMode+faultsearch.SoakFaultPlan(seed), program), nil
 }
 
 // saveSoak keeps the experiment of a run beside the logs of its nodes, so that it can be played again.
--- a/cmd/mintspring-bench/syscalltrace.go
+++ b/cmd/mintspring-bench/syscalltrace.go
@@ -28,6 +28,11 @@
 // faultsMode begins the mode of a traced program whose system calls fail by a plan.
 const faultsMode = "faults:"
 
+// tracedCommand returns how a node's program is started with its system calls traced in a mode. self is this program.
+func tracedCommand(self, mode, program string) []string {
+	return []string{self, "trace-syscalls", mode, program}
+}
+
 // syscallTraceCmd runs a node's program in place of itself: a mode, the program and its arguments.
 type syscallTraceCmd struct {
 	Args []string `arg:"" passthrough:""`
--- a/internal/testbed/faultsearch/soak_test.go
+++ b/internal/testbed/faultsearch/soak_test.go
@@ -13,17 +13,7 @@
 func TestGenerateSoak(t *testing.T) {
 	actions, shortDeadlines := map[string]int{}, 0
 	for seed := uint64(1); seed <= 200; seed++ {
-		x, err := GenerateSoak(seed)
-		if err == nil {
-			err = x.ValidateRealTime()
-		}
-		if err != nil {
-			t.Fatalf("seed %d: %v", seed, err)
-		}
-		again, err := GenerateSoak(seed)
-		if err != nil || !reflect.DeepEqual(x.Steps, again.Steps) {
-			t.Fatalf("seed %d gives another run the second time, %v", seed, err)
-		}
+		x := generateSoakTwice(t, seed)
 		if _, err := syscalltrace.ParseFaultPlan(SoakFaultPlan(seed)); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
@@ -45,3 +35,20 @@
 		t.Errorf("%d of 200 runs have short deadlines", shortDeadlines)
 	}
 }
+
+// generateSoakTwice returns the run of a seed, which can be played and is the same the second time.
+func generateSoakTwice(t *testing.T, seed uint64) *experiment.Experiment {
+	t.Helper()
+	x, err := GenerateSoak(seed)
+	if err == nil {
+		err = x.ValidateRealTime()
+	}
+	if err != nil {
+		t.Fatalf("seed %d: %v", seed, err)
+	}
+	again, err := GenerateSoak(seed)
+	if err != nil || !reflect.DeepEqual(x.Steps, again.Steps) {
+		t.Fatalf("seed %d gives another run the second time, %v", seed, err)
+	}
+	return x
+}
