Run: failures of system calls that pass do not end a start, a takeover or a reload

Cause: opening the configuration, the sockets of clients and operators, and the predecessor's socket were each tried once.

--- a/cmd/mintspring/listen.go
+++ b/cmd/mintspring/listen.go
@@ -15,6 +15,7 @@
 
 	"mintspring/internal/config/platform"
 	"mintspring/internal/node/hotrestart"
+	"mintspring/internal/transient"
 )
 
 // socketVariable names the descriptor of the clients' listening socket where the platform holds that for all processes of
@@ -24,9 +25,6 @@
 // firstInheritedFD is the first descriptor behind standard input, output and error.
 const firstInheritedFD = 3
 
-// listenRetryInterval is the pause between two attempts to listen on an address that is in use.
-const listenRetryInterval = 10 * time.Millisecond
-
 // clientListener returns the listening socket that the platform holds, or one of this process.
 func clientListener(addr string) (net.Listener, error) {
 	text := os.Getenv(socketVariable)
@@ -39,7 +37,11 @@
 	}
 	f := os.NewFile(uintptr(fd), "clients")
 	defer f.Close() //nolint:errcheck // the listener has a duplicate
-	ln, err := net.FileListener(f)
+	var ln net.Listener
+	err = transient.Retry(startPatience, func() (err error) {
+		ln, err = net.FileListener(f)
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("%s: descriptor %d: %w", socketVariable, fd, err)
 	}
@@ -70,14 +72,14 @@
 	return l.TCPListener.Accept()
 }
 
-// listen listens on an address, and waits for so long while it is in use.
-func listen(addr string, patience time.Duration) (net.Listener, error) {
-	for deadline := time.Now().Add(patience); ; time.Sleep(listenRetryInterval) {
-		ln, err := net.Listen("tcp", addr)
-		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
-			return ln, err
-		}
-	}
+// listen listens on an address, and waits for so long while it is in use, or while the machine is short of what that takes.
+func listen(addr string, patience time.Duration) (ln net.Listener, err error) {
+	mayPass := func(err error) bool { return errors.Is(err, syscall.EADDRINUSE) || transient.Is(err) }
+	err = transient.RetryIf(patience, mayPass, func() (err error) {
+		ln, err = net.Listen("tcp", addr)
+		return err
+	})
+	return ln, err
 }
 
 // joinPredecessor opens the directory in which the processes of one node meet, and joins the process that serves, if there is
@@ -86,7 +88,11 @@
 	if config.Admin == "" && os.Getenv(socketVariable) == "" {
 		return nil, nil
 	}
-	dir, err := hotrestart.Open(hotRestartPath(config))
+	var dir *hotrestart.Dir
+	err := transient.Retry(startPatience, func() (err error) {
+		dir, err = hotrestart.Open(hotRestartPath(config))
+		return err
+	})
 	if err != nil {
 		log.WithError(err).Warn("hot restart is not available")
 		return nil, nil
--- a/cmd/mintspring/reload.go
+++ b/cmd/mintspring/reload.go
@@ -3,12 +3,14 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"mintspring/internal/config/operatorfile"
 	"mintspring/internal/config/platform"
 	"mintspring/internal/config/settings"
+	"mintspring/internal/transient"
 )
 
 // activeConfig is what the node runs with.
@@ -27,24 +29,32 @@
 // discovery service and the log's section take effect at once; what else has changed is logged, because it takes effect
 // after a restart only. A file that cannot be used changes nothing, and neither does one that lacks keys of the active
 // configuration: it may have been truncated where it can still be parsed.
-func (a activeConfig) reload(files fileFlags, n reloadable, log *logrus.Logger) activeConfig {
+//
+// An error says that a file could not be read for the moment; nothing has changed then.
+func (a activeConfig) reload(files fileFlags, n reloadable, log *logrus.Logger) (activeConfig, error) {
 	config, err := platform.Load(files.getenv)
+	if transient.Is(err) {
+		return a, err
+	}
 	if err == nil {
 		err = a.platform.CheckComplete(config)
 	}
 	if err != nil {
 		log.WithError(err).Error("cannot reload the configuration; keeping the active one")
-		return a
+		return a, nil
 	}
 	operator, err := operatorfile.Read(files.Operator)
+	if transient.Is(err) {
+		return a, err
+	}
 	if err != nil {
 		log.WithError(err).Error("cannot reload the operator's file; keeping the active configuration")
-		return a
+		return a, nil
 	}
 	if a.platform.SettingsChanged(config) {
 		if err := n.Reconfigure(config.Deployment); err != nil {
 			log.WithError(err).Error("cannot apply the new settings; keeping the active configuration")
-			return a
+			return a, nil
 		}
 	}
 	operator.Log.Apply(log)
@@ -59,5 +69,19 @@
 	line.Info("reloaded the configuration")
 	merged := *a.operator
 	merged.Log = operator.Log
-	return activeConfig{a.platform.Merged(config), &merged}
+	return activeConfig{a.platform.Merged(config), &merged}, nil
+}
+
+// reloadInterval is the time until a reload is tried again that was put off.
+const reloadInterval = 50 * time.Millisecond
+
+// reloadOrPutOff reloads. Where a file cannot be read for the moment, which is logged at a level, it returns a channel that says when to try
+// again; nil otherwise.
+func (a activeConfig) reloadOrPutOff(files fileFlags, n reloadable, log *logrus.Logger, level logrus.Level) (activeConfig, <-chan time.Time) {
+	reloaded, err := a.reload(files, n, log)
+	if err == nil {
+		return reloaded, nil
+	}
+	log.WithError(err).Log(level, "cannot read the configuration; retrying")
+	return a, time.After(reloadInterval)
 }
--- a/cmd/mintspring/reload_test.go
+++ b/cmd/mintspring/reload_test.go
@@ -50,7 +50,11 @@
 		log := logrus.New()
 		log.SetOutput(&out)
 		node := &fakeNode{}
-		got := activeConfig{active, &operatorfile.File{}}.reload(fileFlags{Config: file}, node, log).platform
+		reloaded, err := activeConfig{active, &operatorfile.File{}}.reload(fileFlags{Config: file}, node, log)
+		if err != nil {
+			t.Error(err)
+		}
+		got := reloaded.platform
 		settingsChange := strings.Contains(c.new, "900")
 		if applied := len(node.deployments) == 1; applied != settingsChange || (got.Deployment.Limits.Classes[0].LatencyObjective == 0.9) != settingsChange {
 			t.Errorf("%q in place of %q: %d changes of settings, now %+v", c.new, c.old, len(node.deployments), got.Deployment.Limits.Classes)
--- a/cmd/mintspring/run.go
+++ b/cmd/mintspring/run.go
@@ -14,11 +14,15 @@
 	"mintspring/internal/config/platform"
 	"mintspring/internal/node"
 	"mintspring/internal/node/admin"
+	"mintspring/internal/transient"
 )
 
 // gcPercent is the garbage collector's target: the heap is small, and one core serves requests and collects.
 const gcPercent = 400
 
+// startPatience is how long the start goes on where system calls fail that may succeed in a moment.
+const startPatience = 5 * time.Second
+
 // addressPatience is how long the node waits for an address: after a kill the predecessor may hold it still.
 const addressPatience = 2 * time.Second
 
@@ -28,11 +32,7 @@
 func (r *runCmd) Run() error {
 	// Signals are caught from the first moment on: a hangup that is not caught ends the process.
 	signals := catchSignals()
-	config, err := platform.Load(r.getenv)
-	if err != nil {
-		return err
-	}
-	operator, err := operatorfile.Read(r.Operator)
+	config, operator, err := r.load()
 	if err != nil {
 		return err
 	}
@@ -62,7 +62,8 @@
 	served := make(chan error, 1)
 	go func() { served <- n.Serve(clients) }()
 	active := activeConfig{config, operator}
-	var stopped <-chan struct{} // nil: the node serves
+	var stopped <-chan struct{}      // nil: the node serves
+	var reloadAgain <-chan time.Time // nil: the last reload was not put off
 	for {
 		select {
 		case err := <-served:
@@ -71,7 +72,9 @@
 			}
 			served = nil // the stop has closed the listener
 		case <-signals.hangups:
-			active = active.reload(r.fileFlags, n, log)
+			active, reloadAgain = active.reloadOrPutOff(r.fileFlags, n, log, logrus.WarnLevel)
+		case <-reloadAgain:
+			active, reloadAgain = active.reloadOrPutOff(r.fileFlags, n, log, logrus.DebugLevel)
 		case s := <-signals.stops:
 			if stopped == nil {
 				log.WithField("signal", s.signal.String()).Info("stopping")
@@ -84,6 +87,18 @@
 	}
 }
 
+// load reads both files of the configuration.
+func (r *runCmd) load() (config *platform.Config, operator *operatorfile.File, err error) {
+	err = transient.Retry(startPatience, func() (err error) {
+		if config, err = platform.Load(r.getenv); err != nil {
+			return err
+		}
+		operator, err = operatorfile.Read(r.Operator)
+		return err
+	})
+	return config, operator, err
+}
+
 // newLogger returns a log as the operator's file wants it, with the first lines about that file.
 func newLogger(operator *operatorfile.File) *logrus.Logger {
 	log := logrus.New()
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -82,6 +82,8 @@
 	successorDivisor = 4
 	// descriptorSlack is by how many descriptors the two processes may be wrong about each other while messages are on their way.
 	descriptorSlack = 8
+	// listenRetryInterval is the time between two attempts to listen for a successor.
+	listenRetryInterval = 50 * time.Millisecond
 	// readyPollInterval is the time between two looks at whether a successor can serve.
 	readyPollInterval = 5 * time.Millisecond
 )
@@ -147,10 +149,24 @@
 	n.log.Info("took over from the predecessor")
 }
 
+// listenForSuccessor has successors reach this process. Where that is not possible for the moment, it is tried again until it is.
 func (n *Node) listenForSuccessor() {
-	if err := n.handover.dir.Listen(n); err != nil {
-		n.log.WithError(err).Warn("cannot listen for a successor")
+	err := n.handover.dir.Listen(n)
+	if err == nil {
+		return
 	}
+	n.log.WithError(err).Warn("cannot listen for a successor; retrying")
+	go func() { // ends with the first success, or with the node
+		for err != nil {
+			select {
+			case <-n.quit:
+				return
+			case <-time.After(listenRetryInterval):
+				err = n.handover.dir.Listen(n)
+			}
+		}
+		n.log.Info("listening for a successor")
+	}()
 }
 
 // shareLimits leaves descriptors to the other process, and half of the memory.
--- a/internal/node/hotrestart/channel_test.go
+++ b/internal/node/hotrestart/channel_test.go
@@ -110,7 +110,7 @@
 	if err != nil || first == nil {
 		t.Fatalf("joined %+v, %v", first, err)
 	}
-	time.AfterFunc(5*joinRetryDelay, first.Channel().Close) // it dies, and only then may another one take over
+	time.AfterFunc(100*time.Millisecond, first.Channel().Close) // it dies, and only then may another one take over
 	second, err := openDir(t, path).Join()
 	if err != nil || second == nil {
 		t.Fatalf("joined %+v, %v", second, err)
--- a/internal/node/hotrestart/dir.go
+++ b/internal/node/hotrestart/dir.go
@@ -11,6 +11,7 @@
 	"sync"
 
 	"mintspring/internal/node/exclusion"
+	"mintspring/internal/transient"
 )
 
 // Names of the files in the directory.
@@ -43,7 +44,11 @@
 
 // LoadExclusions reads the stored exclusions; without a file they are empty.
 func (d *Dir) LoadExclusions() (state exclusion.State, err error) {
-	text, err := os.ReadFile(filepath.Join(d.dir, exclusionsFile))
+	var text []byte
+	err = transient.Retry(busyPatience, func() (err error) {
+		text, err = os.ReadFile(filepath.Join(d.dir, exclusionsFile))
+		return err
+	})
 	if errors.Is(err, os.ErrNotExist) {
 		return exclusion.State{}, nil
 	}
--- a/internal/node/hotrestart/handover.go
+++ b/internal/node/hotrestart/handover.go
@@ -10,13 +10,13 @@
 	"path/filepath"
 	"strconv"
 	"time"
-)
 
-const (
-	acceptRetryDelay = 5 * time.Millisecond // after a failed accept
-	joinRetryDelay   = 20 * time.Millisecond
+	"mintspring/internal/transient"
 )
 
+// acceptRetryDelay is the pause after a failed accept.
+const acceptRetryDelay = 5 * time.Millisecond
+
 // Handover is a successor's channel that is up, with the state to start from.
 type Handover struct {
 	State   State
@@ -25,21 +25,24 @@
 }
 
 // Join connects to the process that serves, if there is one, and asks for its state. It returns nil and no error if there
-// is none. A process that cannot have a successor yet is asked again, for busyPatience at most. Start has to be called once the node at
-// this end exists.
-func (d *Dir) Join() (*Handover, error) {
-	for deadline := time.Now().Add(busyPatience); ; time.Sleep(joinRetryDelay) {
-		handover, err := d.joinOnce()
-		if !errors.Is(err, ErrBusy) || time.Now().After(deadline) {
-			return handover, err
-		}
-	}
+// is none. A process that cannot have a successor yet is asked again, for busyPatience at most, and so is one that cannot be reached for
+// want of something on this machine. Start has to be called once the node at this end exists.
+func (d *Dir) Join() (handover *Handover, err error) {
+	mayPass := func(err error) bool { return errors.Is(err, ErrBusy) || transient.Is(err) }
+	err = transient.RetryIf(busyPatience, mayPass, func() (err error) {
+		handover, err = d.joinOnce()
+		return err
+	})
+	return handover, err
 }
 
 func (d *Dir) joinOnce() (*Handover, error) {
 	path, release := d.socketPath(socketFile)
 	defer release()
 	conn, err := net.DialTimeout("unix", path, ioTimeout)
+	if transient.Is(err) {
+		return nil, fmt.Errorf("connecting to the predecessor: %w", err)
+	}
 	if err != nil {
 		return nil, nil //nolint:nilerr // no process is there, or none listens any more
 	}
