--- a/internal/testbed/faultsearch/soak.go
+++ b/internal/testbed/faultsearch/soak.go
@@ -83,6 +83,8 @@
 	"calls=connect,errno=EADDRNOTAVAIL,from=2s,for=700ms,every=2s",
 	"calls=socket,errno=EMFILE,from=2s,for=700ms,every=2s",
 	"calls=connect,errno=ENETUNREACH,from=2s,for=700ms,every=2s",
+	"calls=connect+socket,errno=ENFILE,for=400ms,every=2s", // also as a process starts
+	"calls=open,errno=EMFILE,path=node-,for=300ms,every=1s",
 	"calls=read+write,errno=short,share=0.2",
 	"calls=read+write,errno=EINTR,share=0.05",
 	"calls=wait,errno=EINTR,share=0.05",
