--- a/cmd/mintspring/systemfaults_test.go
+++ b/cmd/mintspring/systemfaults_test.go
@@ -61,6 +61,27 @@
 	}
 }
 
+// Clients notice nothing of a handover in which messages between the processes cannot be sent, or received, for the moment. The first one once
+// ended the channel, and the connections of all clients that were left.
+func TestHandoverWhileMessagesFail(t *testing.T) {
+	skipUntraceable(t)
+	for _, plan := range []string{"calls=sendmsg,errno=ENOBUFS,share=0.3", "calls=recvmsg,errno=ENOMEM,share=0.2", "calls=read+write,errno=EINTR,share=0.1"} {
+		t.Run(plan, func(t *testing.T) {
+			t.Parallel()
+			n := newTestNode(t)
+			n.faults = plan
+			current := n.start()
+			current.waitForReply("status", "OK")
+			load := n.startLoad(20)
+			time.Sleep(50 * time.Millisecond)
+			successor := n.start()
+			successor.waitForReply("status", "OK")
+			current.signal(syscall.SIGTERM, 2500*time.Millisecond)
+			load.stop(t)
+		})
+	}
+}
+
 // A configuration that cannot be opened for a moment after SIGHUP is read as soon as it can be. It was once kept back until the next signal.
 func TestReloadWhileOpenFails(t *testing.T) {
 	skipUntraceable(t)
--- a/internal/testbed/syscalltrace/faults.go
+++ b/internal/testbed/syscalltrace/faults.go
@@ -56,6 +56,8 @@
 	"server-write": {numbers: []uint64{syscall.SYS_WRITE}, target: outgoingSocket, pathArg: -1, shortens: true},
 	"recvfrom":     {numbers: []uint64{syscall.SYS_RECVFROM}, target: anySocket, pathArg: -1},
 	"sendto":       {numbers: []uint64{syscall.SYS_SENDTO}, target: anySocket, pathArg: -1},
+	"sendmsg":      {numbers: []uint64{syscall.SYS_SENDMSG}, target: anySocket, pathArg: -1},
+	"recvmsg":      {numbers: []uint64{syscall.SYS_RECVMSG}, target: anySocket, pathArg: -1},
 	"wait":         {numbers: []uint64{syscall.SYS_EPOLL_PWAIT, syscall.SYS_EPOLL_WAIT}, pathArg: -1},
 	"sync":         {numbers: []uint64{syscall.SYS_FSYNC, syscall.SYS_FDATASYNC}, pathArg: -1},
 	"open":         {numbers: []uint64{syscall.SYS_OPENAT}, pathArg: 1},
