Hot restart: a message that fails for the moment does not end the channel

Cause: Channel.write and reader.fill ended the channel with the first error of sendmsg or recvmsg, and the rest of the clients were closed in place of handed over; a connection whose descriptor had been lost ended it too.

--- a/internal/node/hotrestart/channel.go
+++ b/internal/node/hotrestart/channel.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"mintspring/internal/transient"
 )
 
 // Channel is one end of the channel. Its methods may be called from several goroutines.
@@ -63,24 +65,30 @@
 	return nil
 }
 
-// write writes all of b, with oob beside its first bytes. It is called with mu held.
+// write writes all of b, with oob beside its first bytes. Where the system has no buffer for the moment, it tries again. It is called with mu
+// held.
 func (c *Channel) write(b, oob []byte) error {
-	if err := c.conn.SetWriteDeadline(time.Now().Add(ioTimeout)); err != nil {
+	deadline := time.Now().Add(ioTimeout)
+	if err := c.conn.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
 	for len(b) > 0 {
-		var n int
-		var err error
-		if oob != nil {
-			n, _, err = c.conn.WriteMsgUnix(b, oob, nil)
-			oob = nil
-		} else {
-			n, err = c.conn.Write(b)
-		}
+		n := 0
+		err := transient.Retry(time.Until(deadline), func() (err error) {
+			if oob != nil {
+				n, _, err = c.conn.WriteMsgUnix(b, oob, nil)
+			} else {
+				n, err = c.conn.Write(b)
+			}
+			if n > 0 { // the rest is written next
+				return nil
+			}
+			return err
+		})
 		if err != nil {
 			return err
 		}
-		b = b[n:]
+		b, oob = b[n:], nil
 	}
 	return nil
 }
@@ -157,7 +165,7 @@
 	case kindClient:
 		conn, err := r.nextClient()
 		if err != nil {
-			return err
+			return nil // its descriptor was lost for want of one here; the connections behind it are not
 		}
 		c.handler.AdoptClient(conn, len(body) > 0 && body[0] == 1)
 	}
--- a/internal/node/hotrestart/reader.go
+++ b/internal/node/hotrestart/reader.go
@@ -7,6 +7,8 @@
 	"net"
 	"os"
 	"syscall"
+
+	"mintspring/internal/transient"
 )
 
 const (
@@ -58,7 +60,11 @@
 func (r *reader) fill() error {
 	oob := make([]byte, syscall.CmsgSpace(maxFDsPerRead*4))
 	chunk := make([]byte, readChunkBytes)
-	n, oobn, _, _, err := r.conn.ReadMsgUnix(chunk, oob)
+	var n, oobn int
+	err := transient.Retry(ioTimeout, func() (err error) {
+		n, oobn, _, _, err = r.conn.ReadMsgUnix(chunk, oob)
+		return err
+	})
 	if oobn > 0 {
 		r.fds = append(r.fds, parseFDs(oob[:oobn])...)
 	}
@@ -87,14 +93,18 @@
 }
 
 // nextClient makes a connection of the next descriptor.
-func (r *reader) nextClient() (net.Conn, error) {
+func (r *reader) nextClient() (conn net.Conn, err error) {
 	if len(r.fds) == 0 {
 		return nil, fmt.Errorf("%w: a connection without its descriptor", errMalformed)
 	}
 	f := os.NewFile(uintptr(r.fds[0]), "client")
 	r.fds = r.fds[1:]
 	defer f.Close() //nolint:errcheck // the connection has a duplicate
-	return net.FileConn(f)
+	err = transient.Retry(replyTimeout, func() (err error) {
+		conn, err = net.FileConn(f)
+		return err
+	})
+	return conn, err
 }
 
 // close closes the connection, and descriptors for which no message came.
--- a/internal/transient/transient.go
+++ b/internal/transient/transient.go
@@ -22,17 +22,17 @@
 	return slices.ContainsFunc(errnos[:], func(errno error) bool { return errors.Is(err, errno) })
 }
 
-// Retry makes a call, and makes it again as long as its error may be over in a moment, until the patience is over. It returns the last error.
+// Retry makes a call, and makes it again as long as its error may be over in a moment, for so long from the first failure on. It returns the
+// last error.
 func Retry(patience time.Duration, call func() error) error {
 	return RetryIf(patience, Is, call)
 }
 
 // RetryIf is Retry for errors of the caller's choice.
 func RetryIf(patience time.Duration, mayPass func(error) bool, call func() error) error {
-	for deadline := time.Now().Add(patience); ; time.Sleep(retryInterval) {
-		err := call()
-		if !mayPass(err) || time.Now().After(deadline) {
-			return err
-		}
+	err := call() // may have waited for long
+	for deadline := time.Now().Add(patience); mayPass(err) && time.Now().Before(deadline); err = call() {
+		time.Sleep(retryInterval)
 	}
+	return err
 }
