--- a/internal/node/admin/admin_test.go
+++ b/internal/node/admin/admin_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -37,12 +38,18 @@
 
 // startServer starts a server that ends with the test, and returns its address.
 func startServer(t testing.TB, h Handler) (addr string) {
+	t.Helper()
+	addr, _ = startClosableServer(t, h)
+	return addr
+}
+
+func startClosableServer(t testing.TB, h Handler) (addr string, s *Server) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Server{Handler: h, OnPanic: func(p any) { t.Errorf("panic: %v", p) }}
+	s = &Server{Handler: h, OnPanic: func(p any) { t.Errorf("panic: %v", p) }}
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(ln) }()
 	t.Cleanup(func() {
@@ -51,7 +58,7 @@
 			t.Error(err)
 		}
 	})
-	return ln.Addr().String()
+	return ln.Addr().String(), s
 }
 
 func startRecordingServer(t testing.TB) (addr string, h recordingHandler) {
@@ -170,3 +177,44 @@
 		}
 	})
 }
+
+// slowHandler takes its time for a status.
+type slowHandler struct {
+	recordingHandler
+	begun chan struct{}
+	done  *atomic.Bool
+}
+
+func (h slowHandler) Status() (string, error) {
+	close(h.begun)
+	time.Sleep(150 * time.Millisecond)
+	h.done.Store(true)
+	return "status", nil
+}
+
+// A process ends when its port is closed: by then a call that was being carried out has its reply. A caller that has sent nothing, and one that
+// has sent half a call, delay nobody.
+func TestCloseWaitsForCalls(t *testing.T) {
+	h := slowHandler{recordingHandler{make(chan string, 9)}, make(chan struct{}), &atomic.Bool{}}
+	addr, server := startClosableServer(t, h)
+	dial(t, addr)
+	if _, err := io.WriteString(dial(t, addr), "stat"); err != nil {
+		t.Fatal(err)
+	}
+	caller := dial(t, addr)
+	if _, err := io.WriteString(caller, "status\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-h.begun
+	start := time.Now()
+	server.Close()
+	if !h.done.Load() {
+		t.Error("the port is closed before its call is carried out")
+	}
+	if took := time.Since(start); took > ReplyTimeout/2 {
+		t.Errorf("it took %v", took)
+	}
+	if reply, err := io.ReadAll(caller); err != nil || string(reply) != "OK status\n" {
+		t.Errorf("the reply is %q, %v", reply, err)
+	}
+}
