Admin port: a process ends when the calls that have come are answered

Cause: run returned over calls that were being carried out; Close stopped the listener and waited for nothing. Change: Close waits for calls that are carried out or have come, for 1 s at most. Callers that have sent no whole call delay nothing.

--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 	"unicode/utf8"
+
+	"mintspring/internal/node/sockstate"
 )
 
 // Handler carries out calls. What it returns is sent to the caller, an error as the reason of a refusal. Its methods are
@@ -37,8 +39,10 @@
 	maxDrainBytes  = 64 << 10         // read after a reply, so that closing the connection does not discard it
 )
 
-// acceptRetryDelay is the pause after a failed accept.
-const acceptRetryDelay = 5 * time.Millisecond
+const (
+	acceptRetryDelay  = 5 * time.Millisecond // after a failed accept
+	closePollInterval = time.Millisecond     // between two looks at whether all calls have their reply
+)
 
 // Server serves the port. Each connection has a goroutine, which ends with it.
 type Server struct {
@@ -55,6 +59,7 @@
 type session struct {
 	conn      net.Conn
 	executing bool // its call is complete, and its reply is not sent yet
+	replied   bool
 }
 
 // Serve accepts connections until the server is closed.
@@ -81,13 +86,27 @@
 	}
 }
 
-// Close stops the listener. Calls that are being carried out still get their reply.
+// Close stops the listener, and returns when calls that have come have their reply, after ReplyTimeout at the latest: the process may end
+// then.
 func (s *Server) Close() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.closed = true; s.listener != nil {
 		_ = s.listener.Close() // it may be closed already
 	}
+	s.mu.Unlock()
+	for deadline := time.Now().Add(ReplyTimeout); s.owesReply() && time.Now().Before(deadline); {
+		time.Sleep(closePollInterval)
+	}
+}
+
+// owesReply reports whether a call is being carried out, or has come and was not read yet.
+func (s *Server) owesReply() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.sessions, func(c *session) bool {
+		unread, _ := sockstate.Peek(c.conn)
+		return c.executing || unread && !c.replied
+	})
 }
 
 // add makes room for a session by closing another, so that callers who connect and send nothing do not lock others out.
@@ -110,10 +129,16 @@
 	}
 }
 
-func (s *Server) setExecuting(c *session, executing bool) {
+func (s *Server) setExecuting(c *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.executing = true
+}
+
+func (s *Server) setReplied(c *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.executing = executing
+	c.executing, c.replied = false, true
 }
 
 // handle serves one connection.
@@ -130,13 +155,13 @@
 	if err != nil && !errors.Is(err, errBadLine) {
 		return // the caller is gone, or has sent nothing
 	}
-	s.setExecuting(c, true)
+	s.setExecuting(c)
 	reply := s.reply(line, err)
 	_ = c.conn.SetDeadline(time.Now().Add(ReplyTimeout)) // on a connection that is closed the write fails
 	if _, err := io.WriteString(c.conn, reply); err != nil {
 		return
 	}
-	s.setExecuting(c, false) // it may make room for others now
+	s.setReplied(c) // it may make room for others now
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()                            // the caller may be gone
 		_, _ = io.CopyN(io.Discard, tcp, maxDrainBytes) // what the caller sends beyond its call is of no use
