Test: a rolling restart on failing disks; soak: writes that fail while classes change

A disk that fails under running consensus replicas had no test among real processes: EIO at syncs and renames for a second in every four holds (2 of 2).

--- a/cmd/mintspring/rollingrestart_test.go
+++ b/cmd/mintspring/rollingrestart_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -147,6 +148,7 @@
 	servers   *testNode
 	list      *serverList
 	discovery string
+	faults    string   // plan of failing system calls of the nodes; empty: none
 	members   []string // addresses in the group; three initial ones, and one that is added later
 	nodes     []*testNode
 	processes []*nodeProcess
@@ -158,9 +160,9 @@
 	idleLooks    [2]int // how often in a row a server had received nothing
 }
 
-func newCoordinatedFleet(t *testing.T) *coordinatedFleet {
+func newCoordinatedFleet(t *testing.T, faults string) *coordinatedFleet {
 	t.Helper()
-	f := &coordinatedFleet{t: t, servers: newTestNode(t), members: reserveUDP(t, 4), stop: make(chan struct{})}
+	f := &coordinatedFleet{t: t, faults: faults, servers: newTestNode(t), members: reserveUDP(t, 4), stop: make(chan struct{})}
 	t.Cleanup(func() { close(f.stop) })
 	resp, err := http.Get("http://" + f.servers.discovery)
 	if err != nil {
@@ -194,6 +196,7 @@
 func (f *coordinatedFleet) startNode(i int) {
 	f.t.Helper()
 	n := newTestNode(f.t)
+	n.faults = f.faults
 	n.discovery, n.guarantees = f.discovery, `,"WarmWithin":300000,"StartCapacity":0.5,"FallMultiple":4,"TipAfter":2000000`
 	n.writeOperatorFile(fmt.Sprintf(`[consensus]
 name = "c"
@@ -361,8 +364,21 @@
 // other. The node that coordinates is killed while the first server is excluded; another goes on where it stopped. By what the
 // servers saw, both were never excluded at once, and each was once. Then a member rejoins after the loss of its directory,
 // another is added and one is removed, and the group goes on with the new one.
-func TestRollingRestart(t *testing.T) {
-	f := newCoordinatedFleet(t)
+func TestRollingRestart(t *testing.T) { checkRollingRestart(newCoordinatedFleet(t, "")) }
+
+// The same, while the directories of the group fail for a second in every four, at every member: the group goes on between the faults, and
+// nothing of its plan is lost.
+func TestRollingRestartOnFailingDisks(t *testing.T) {
+	skipUntraceable(t)
+	f := newCoordinatedFleet(t, "calls=sync+rename,errno=EIO,path=council,from=2s,for=1s,every=4s")
+	checkRollingRestart(f)
+	if !slices.ContainsFunc(f.processes, func(p *nodeProcess) bool { return strings.Contains(p.log.String(), "the first call of rename+sync fails") }) {
+		t.Error("no call has failed")
+	}
+}
+
+func checkRollingRestart(f *coordinatedFleet) {
+	f.t.Helper()
 	f.rollingRestart()
 	f.replaceFirstMember()
 	f.startNode(3)
@@ -370,7 +386,7 @@
 	f.changeMembers(`voters="3(0) 4(0) 1(1)"`, func() error { return (&removeReplicaCmd{f.processes[2].adminAddr, 2}).Run() })
 	f.processes[1].signal(syscall.SIGKILL, time.Second)
 	f.processes[0].signal(syscall.SIGKILL, time.Second) // two of three voters are left
-	eventually(t, 30*time.Second, func() error {
+	eventually(f.t, 30*time.Second, func() error {
 		text, err := callAdmin(f.processes[2].adminAddr, "roll show")
 		if err == nil && !strings.Contains(text, "done s0,s1") {
 			err = fmt.Errorf("the plan is %s", text)
--- a/internal/testbed/faultsearch/soak.go
+++ b/internal/testbed/faultsearch/soak.go
@@ -20,19 +20,20 @@
 
 // Sizes and times of a soak run. It is played with real processes, several at a time.
 const (
-	soakSettle     = 1500 * time.Millisecond
-	soakLength     = 9 * time.Second
-	soakFirstFault = 300 * time.Millisecond
-	soakLastFault  = 5500 * time.Millisecond
-	soakHoldUp     = 150 * time.Millisecond // the longest that the protocol's page allows for
-	soakKeys       = 200
-	soakValueBytes = 80
-	soakHorizon    = 4 * time.Second // what a stop, and the start after it, take together at most
-	soakStandby    = 4800 * time.Millisecond
-	lastStandby    = 1500 * time.Millisecond // when it begins at the latest, so that its end is seen too
-	lastTakeover   = 4500 * time.Millisecond
-	soakStartup    = 80 * time.Millisecond // about what a successor takes until it serves
-	operationsIn   = 3                     // one run in so many has operators that do more than stop nodes
+	soakSettle         = 1500 * time.Millisecond
+	soakLength         = 9 * time.Second
+	soakFirstFault     = 300 * time.Millisecond
+	soakLastFault      = 5500 * time.Millisecond
+	soakHoldUp         = 150 * time.Millisecond // the longest that the protocol's page allows for
+	soakKeys           = 200
+	soakValueBytes     = 80
+	soakHorizon        = 4 * time.Second // what a stop, and the start after it, take together at most
+	soakStandby        = 4800 * time.Millisecond
+	lastStandby        = 1500 * time.Millisecond // when it begins at the latest, so that its end is seen too
+	lastTakeover       = 4500 * time.Millisecond
+	soakOriginFailures = 0.3
+	soakStartup        = 80 * time.Millisecond // about what a successor takes until it serves
+	operationsIn       = 3                     // one run in so many has operators that do more than stop nodes
 )
 
 // signalPauses are the times between two signals of a series.
@@ -188,7 +189,12 @@
 		}
 	}
 	if s.IntN(2) == 0 {
-		add("retune_node", max(soakFirstFault, at+between(-time.Second, time.Second)), ms(1500+2000*s.Float64()))
+		retuneAt := max(soakFirstFault, at+between(-time.Second, time.Second))
+		add("retune_node", retuneAt, ms(1500+2000*s.Float64()))
+		x.Steps = append(x.Steps, experiment.Step{ // writes fail that may be repeated before, and not after
+			Time: tomlfile.Duration(retuneAt).Round(time.Millisecond), Action: []string{"errors", "resets"}[s.IntN(2)], Server: "origin",
+			Value: soakOriginFailures, Duration: tomlfile.Duration(soakStandby),
+		})
 	}
 	for range s.IntN(3) {
 		add([]string{"hangup_node", "spoil_node"}[s.IntN(2)], max(soakFirstFault, at+between(-time.Second, time.Second)), 0)
