--- a/cmd/mintspring/rollingrestart_test.go
+++ b/cmd/mintspring/rollingrestart_test.go
@@ -372,7 +372,9 @@
 	skipUntraceable(t)
 	f := newCoordinatedFleet(t, "calls=sync+rename,errno=EIO,path=council,from=2s,for=1s,every=4s")
 	checkRollingRestart(f)
-	if !slices.ContainsFunc(f.processes, func(p *nodeProcess) bool { return strings.Contains(p.log.String(), "the first call of rename+sync fails") }) {
+	if !slices.ContainsFunc(f.processes, func(p *nodeProcess) bool {
+		return strings.Contains(p.log.String(), "the first call of rename+sync fails")
+	}) {
 		t.Error("no call has failed")
 	}
 }
