Hot restart: exclusions are saved as soon as the system lets it

Cause: Dir.SaveExclusions tried once. Change: it tries for 0.5 s where the errno may pass; the answer is owed within a second.

--- a/internal/node/hotrestart/dir.go
+++ b/internal/node/hotrestart/dir.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"time"
 
 	"mintspring/internal/node/exclusion"
 	"mintspring/internal/transient"
@@ -20,6 +21,9 @@
 	exclusionsFile = "maintenance.json"
 )
 
+// savePatience is how long exclusions are tried to be saved: the call that changed them owes its answer within a second.
+const savePatience = 500 * time.Millisecond
+
 // maxSocketPath is a safe length for the address of a Unix socket; the kernel takes 107 bytes.
 const maxSocketPath = 99
 
@@ -76,10 +80,13 @@
 	// Both processes of an overlap write here, so each has a temporary file of its own.
 	name := filepath.Join(d.dir, exclusionsFile)
 	temp := name + "." + strconv.Itoa(os.Getpid())
-	if err := os.WriteFile(temp, text, 0o600); err != nil {
-		return fmt.Errorf("storing the exclusions: %w", err)
-	}
-	if err := os.Rename(temp, name); err != nil {
+	err = transient.Retry(savePatience, func() error {
+		if err := os.WriteFile(temp, text, 0o600); err != nil {
+			return err
+		}
+		return os.Rename(temp, name)
+	})
+	if err != nil {
 		return fmt.Errorf("storing the exclusions: %w", err)
 	}
 	d.lastWritten = number
