--- a/cmd/mintspring/systemfaults_test.go
+++ b/cmd/mintspring/systemfaults_test.go
@@ -121,3 +121,23 @@
 	n.start().waitForReply("status", "OK")
 	n.checkExcluded(0)
 }
+
+// A server is left out by both processes of a handover, also where the one that is told cannot save that. The other one was once not told.
+func TestUnsavedExclusionReachesTheOtherProcess(t *testing.T) {
+	skipUntraceable(t)
+	n := newTestNode(t)
+	current := n.start()
+	current.waitForReply("status", "OK")
+	n.faults = "calls=open,errno=ENOSPC,path=maintenance.json,from=1s"
+	startedAt := time.Now()
+	successor := n.start()
+	successor.waitForReply("status", "OK")
+	time.Sleep(time.Until(startedAt.Add(1100 * time.Millisecond)))
+	if _, err := callAdmin(successor.adminAddr, "maint-on s0"); err == nil {
+		t.Error("the call says that the exclusion is saved")
+	}
+	n.checkExcluded(0)
+	if !strings.Contains(current.log.String(), "maintenance exclusions changed") {
+		t.Error("the other process does not know of the exclusion")
+	}
+}
