--- a/cmd/mintspring/hotrestart_test.go
+++ b/cmd/mintspring/hotrestart_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -303,3 +304,23 @@
 		t.Errorf("after the last process: %+v, %v", s, err)
 	}
 }
+
+// A configuration that is replaced while a successor starts, which has read the one before and may not be signalled yet, is in force once it
+// has taken over. It was once read at the next SIGHUP only.
+func TestConfigurationReplacedDuringTakeover(t *testing.T) {
+	skipUntraceable(t)
+	n := newTestNode(t)
+	current := n.start()
+	current.waitForReply("status", "OK")
+	n.faults = "calls=socket,errno=ENFILE,for=1s" // which holds it up behind its configuration
+	successor := n.start()
+	time.Sleep(500 * time.Millisecond)
+	text, err := os.ReadFile(successor.configFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	writeFile(t, successor.configFile, strings.Replace(string(text), `"MaxExecutions":4`, `"MaxExecutions":3`, 1))
+	successor.waitForReply("status", "OK")
+	current.signal(syscall.SIGTERM, 2*time.Second)
+	successor.log.WaitFor(t, "reloaded the configuration")
+}
