Run: a successor reads its configuration again once it has taken over

Cause: a process reads its file before it is ready, and a signal until then goes to its predecessor. Change: once it has taken over, it reads the file again and reloads where the text is another one.

--- a/cmd/mintspring/reload.go
+++ b/cmd/mintspring/reload.go
@@ -72,6 +72,16 @@
 	return activeConfig{a.platform.Merged(config), &merged}, nil
 }
 
+// reloadIfReplaced reloads where the file is another one than the active configuration was read from. A process that takes over has read its
+// file before it was ready, and a signal since then went to its predecessor.
+func (a activeConfig) reloadIfReplaced(files fileFlags, n reloadable, log *logrus.Logger) (activeConfig, <-chan time.Time) {
+	config, err := platform.Load(files.getenv)
+	if err == nil && config.SameFile(a.platform) {
+		return a, nil
+	}
+	return a.reloadOrPutOff(files, n, log, logrus.WarnLevel)
+}
+
 // reloadInterval is the time until a reload is tried again that was put off.
 const reloadInterval = 50 * time.Millisecond
 
--- a/cmd/mintspring/run.go
+++ b/cmd/mintspring/run.go
@@ -62,7 +62,8 @@
 	served := make(chan error, 1)
 	go func() { served <- n.Serve(clients) }()
 	active := activeConfig{config, operator}
-	var stopped <-chan struct{}      // nil: the node serves
+	var stopped <-chan struct{} // nil: the node serves
+	takenOver := n.TakenOver()
 	var reloadAgain <-chan time.Time // nil: the last reload was not put off
 	for {
 		select {
@@ -73,6 +74,9 @@
 			served = nil // the stop has closed the listener
 		case <-signals.hangups:
 			active, reloadAgain = active.reloadOrPutOff(r.fileFlags, n, log, logrus.WarnLevel)
+		case <-takenOver:
+			takenOver = nil
+			active, reloadAgain = active.reloadIfReplaced(r.fileFlags, n, log)
 		case <-reloadAgain:
 			active, reloadAgain = active.reloadOrPutOff(r.fileFlags, n, log, logrus.DebugLevel)
 		case s := <-signals.stops:
--- a/internal/config/platform/reload.go
+++ b/internal/config/platform/reload.go
@@ -1,6 +1,9 @@
 package platform
 
-import "reflect"
+import (
+	"bytes"
+	"reflect"
+)
 
 // RestartRequired returns the names of the fields that differ in another configuration and take effect after a restart
 // only. The known endpoint list and the seed matter at a start alone, and the settings are taken over.
@@ -41,3 +44,6 @@
 	merged.Deployment.ConnectTimeout = c.Deployment.ConnectTimeout
 	return &merged
 }
+
+// SameFile reports whether two configurations were read from the same text.
+func (c *Config) SameFile(other *Config) bool { return bytes.Equal(c.raw, other.raw) }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -33,7 +33,8 @@
 // handover is the relation to the other process of the node, while one takes over from the other. Both together keep to the limits of
 // one node.
 type handover struct {
-	dir *hotrestart.Dir // nil: there is no hot restart. Set before Serve
+	dir       *hotrestart.Dir // nil: there is no hot restart. Set before Serve
+	takenOver chan struct{}   // closed once this process has taken over
 
 	mu      sync.Mutex          // guards channel and phase; held while descriptors are lent, so that none are lent to a lost process
 	channel *hotrestart.Channel // nil: there is no other process
@@ -147,8 +148,12 @@
 	n.life.SetPredecessor(false)
 	n.frontend.ResumeAccept()
 	n.log.Info("took over from the predecessor")
+	close(n.handover.takenOver)
 }
 
+// TakenOver returns a channel that is closed once this process has taken over from another one. For a process that has started alone it never is.
+func (n *Node) TakenOver() <-chan struct{} { return n.handover.takenOver }
+
 // listenForSuccessor has successors reach this process. Where that is not possible for the moment, it is tried again until it is.
 func (n *Node) listenForSuccessor() {
 	err := n.handover.dir.Listen(n)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,6 +84,7 @@
 		inbox:        newInbox(),
 		shutdown:     newShutdown(),
 		quit:         make(chan struct{}),
+		handover:     handover{takenOver: make(chan struct{})},
 	}
 	n.inflight = inflight.New(inflight.Dispatcher[*upstream.Attempt](dispatcher{n}))
 	n.descriptors = newDescriptorBudget(&config)
