--- a/cmd/mintspring/hotrestart_test.go
+++ b/cmd/mintspring/hotrestart_test.go
@@ -309,6 +309,7 @@
 // has taken over. It was once read at the next SIGHUP only.
 func TestConfigurationReplacedDuringTakeover(t *testing.T) {
 	skipUntraceable(t)
+	t.Parallel()
 	n := newTestNode(t)
 	current := n.start()
 	current.waitForReply("status", "OK")
--- a/cmd/mintspring/rollingrestart_test.go
+++ b/cmd/mintspring/rollingrestart_test.go
@@ -370,6 +370,7 @@
 // nothing of its plan is lost.
 func TestRollingRestartOnFailingDisks(t *testing.T) {
 	skipUntraceable(t)
+	t.Parallel()
 	f := newCoordinatedFleet(t, "calls=sync+rename,errno=EIO,path=council,from=2s,for=1s,every=4s")
 	checkRollingRestart(f)
 	if !slices.ContainsFunc(f.processes, func(p *nodeProcess) bool {
--- a/cmd/mintspring/systemfaults_test.go
+++ b/cmd/mintspring/systemfaults_test.go
@@ -44,6 +44,7 @@
 // its state.
 func TestSuccessorWhileConnectsFail(t *testing.T) {
 	skipUntraceable(t)
+	t.Parallel()
 	n := newTestNode(t)
 	current := n.start()
 	current.waitForReply("status", "OK")
@@ -85,6 +86,7 @@
 // A configuration that cannot be opened for a moment after SIGHUP is read as soon as it can be. It was once kept back until the next signal.
 func TestReloadWhileOpenFails(t *testing.T) {
 	skipUntraceable(t)
+	t.Parallel()
 	n := newTestNode(t)
 	n.faults = "calls=open,errno=ENFILE,path=config.json,from=1s,for=1s"
 	startedAt := time.Now()
@@ -107,6 +109,7 @@
 // with an error, and the server left out by this process only.
 func TestExclusionWhileOpenFails(t *testing.T) {
 	skipUntraceable(t)
+	t.Parallel()
 	n := newTestNode(t)
 	n.faults = "calls=open,errno=EMFILE,path=maintenance.json,from=1s,for=300ms"
 	startedAt := time.Now()
@@ -125,6 +128,7 @@
 // A server is left out by both processes of a handover, also where the one that is told cannot save that. The other one was once not told.
 func TestUnsavedExclusionReachesTheOtherProcess(t *testing.T) {
 	skipUntraceable(t)
+	t.Parallel()
 	n := newTestNode(t)
 	current := n.start()
 	current.waitForReply("status", "OK")
