--- a/internal/testbed/processrunner/noderunner.go
+++ b/internal/testbed/processrunner/noderunner.go
@@ -119,11 +119,16 @@
 	return n.writeConfig()
 }
 
-// writeConfig writes the node's configuration. Called with its mutex held, or before the node is started.
+// writeConfig replaces the node's configuration in one step: a process may be reading it. Called with its mutex held, or before the node is
+// started.
 func (n *nodeRunner) writeConfig() error {
 	text, err := json.MarshalIndent(n.config, "", " ")
+	temp := n.configFile() + ".new"
 	if err == nil {
-		err = os.WriteFile(n.configFile(), text, 0o644)
+		err = os.WriteFile(temp, text, 0o644)
+	}
+	if err == nil {
+		err = os.Rename(temp, n.configFile())
 	}
 	if err != nil {
 		return fmt.Errorf("writing the configuration of node %d: %w", n.index, err)
