--- a/internal/testbed/fakes/fakes_test.go
+++ b/internal/testbed/fakes/fakes_test.go
@@ -255,3 +255,31 @@
 		t.Errorf("after a restart: %+v", s)
 	}
 }
+
+// A connection that entered the queue of an address in the moment in which that became unreachable is reset when it is back, as all are:
+// the server does not take what was sent on it, so long ago.
+func TestQueuedConnectionIsResetOnceReachable(t *testing.T) {
+	fleet, cache, _ := startFleet(t)
+	l := cache.listeners[0]
+	stopAccepting(l.tcpListener)
+	time.Sleep(acceptStopDelay)
+	c, err := net.Dial("tcp", cache.Addr(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, getCommand("k", "late")); err != nil {
+		t.Fatal(err)
+	}
+	cache.SetBlackholed(true, 0)
+	cache.SetBlackholed(false)
+	if err := readError(t, c, soon); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection: %v", err)
+	}
+	if all := fleet.Executions(); len(all) > 0 {
+		t.Errorf("%d executions", len(all))
+	}
+	if text, err := exchange(t, cache.Addr(0), getCommand("k", "q")); !strings.Contains(text, "k|0|") {
+		t.Errorf("a new connection: %q, %v", text, err)
+	}
+}
--- a/internal/testbed/invariants/invariants_test.go
+++ b/internal/testbed/invariants/invariants_test.go
@@ -87,6 +87,15 @@
 	return e
 }
 
+// killedLaterEvidence is an attempt that was not answered, whose node was killed 100 ms after its deadline and the slack, and which had to wait
+// for responses before its own for some time beyond its deadline.
+func killedLaterEvidence(waited float64) Evidence {
+	e := downEvidence(0)
+	e.Attempts[0].ExtraSlack = waited
+	e.Downtimes[0].From, e.Downtimes[0].To = 1101, 1500
+	return e
+}
+
 // endedAttempt is an attempt whose connection a node ended without a response, some time after it was sent.
 func endedAttempt(after float64, change func(*ClientAttempt)) Evidence {
 	return attemptEvidence(attempt(Idempotent, withOutcome(Unanswered), func(a *ClientAttempt) {
@@ -201,6 +210,8 @@
 		"origin, all together":    {Evidence{Collapses: []Collapse{{"origin", true, 0.1}}}, ""},
 		"crash":                   {Evidence{Crashes: []string{"node 1: signal"}}, "rule 0: a node crashed"},
 		"node killed meanwhile":   {downEvidence(0), ""},
+		"killed after its time":   {killedLaterEvidence(0), "rule 1: request q was never answered"},
+		"killed while it waited":  {killedLaterEvidence(100), ""},
 		"another node was killed": {downEvidence(1), "rule 1"},
 		"node told to end":        {stoppedEvidence(), "rule 1: request q was never answered"},
 		"crossed the end":         {endedAttempt(crossingLimit+40, nil), ""},
