Testbed: queued connections are reset, and requests wait in order for their answers

Also, an attempt that was sent again kept the end of its first connection, by which a second one without an answer could have been excused. Change: connections in the queue of an address that is back are reset, as open ones are; a request without an answer may wait for those before it on its connection, up to their deadlines and no longer; each try of an attempt begins without the end of the one before, which is stricter.

--- a/internal/testbed/fakes/listener.go
+++ b/internal/testbed/fakes/listener.go
@@ -116,7 +116,6 @@
 		stopAccepting(tcpListener)
 	} else {
 		l.closeFillers()
-		setBacklog(tcpListener, backlog)
 	}
 	l.mu.Unlock()
 	if blackholed {
@@ -124,10 +123,25 @@
 		return
 	}
 	l.resetConnections()
+	resetQueue(tcpListener)
+	setBacklog(tcpListener, backlog)
 	_ = tcpListener.SetDeadline(time.Time{}) // fails only if it was closed meanwhile, which ends the loop
 	go l.acceptLoop(tcpListener)
 }
 
+// resetQueue resets the connections that entered the queue of a listener as it stopped accepting.
+func resetQueue(tcpListener *net.TCPListener) {
+	_ = tcpListener.SetDeadline(time.Now().Add(acceptStopDelay)) // fails only if it is closed, which ends the loop too
+	for {
+		queued, err := tcpListener.AcceptTCP()
+		if err != nil {
+			return
+		}
+		_ = queued.SetLinger(0) // fails only on a connection that is broken already
+		_ = queued.Close()      // nothing was sent on it
+	}
+}
+
 // stopAccepting ends the accept loop of a listener that stays open, and leaves no room in its queue.
 func stopAccepting(tcpListener *net.TCPListener) {
 	_ = tcpListener.SetDeadline(time.Unix(1, 0)) // fails only if it is closed, which ends the loop too
--- a/internal/testbed/processrunner/loadgenerator.go
+++ b/internal/testbed/processrunner/loadgenerator.go
@@ -136,13 +136,14 @@
 // the end of a connection that the node closed between two commands.
 func (l *loadGenerator) sendOnce(r *experiment.GeneratedRequest, attempt *invariants.ClientAttempt, cmd *command, isFirst bool) (answer response, sendAgain bool) {
 	node, c, err := l.clients.get(!isFirst)
-	if err != nil { // an attempt that crossed the end of a connection is left as that
-		return response{}, true // the node is dead, the machine is short of ports, or clients hold all that they may
+	if err != nil { // the node is dead, the machine is short of ports, or clients hold all that they may
+		return response{}, true
 	}
 	defer l.clients.release(node)
 	timeoutMs := l.experiment.AttemptTimeoutMs(r.Class)
 	x, err := c.roundTrip(cmd, time.Now().Add(msDuration(timeoutMs+clientGraceMs(l.experiment))))
-	attempt.Node, attempt.FromOpenConnection = servermodel.NodeID(node), false
+	attempt.Node = servermodel.NodeID(node)
+	attempt.FromOpenConnection, attempt.ConnEndedAt, attempt.EndedBy = false, 0, "" // of the connection before
 	if x.sentMs == 0 {
 		c.close()
 		l.clients.markFailed(node)
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -159,19 +159,30 @@
 	return responses
 }
 
-// receive records the responses to a batch, in its order, until all are there or the connection has ended.
+// waitInOrder gives requests that have no response the time for which each has to wait for those before it, up to their deadlines.
+func waitInOrder(unanswered []pendingRequest, waitedUntilMs float64) {
+	for i := range unanswered {
+		a := &unanswered[i].attempt
+		a.ExtraSlack = max(0, waitedUntilMs-a.Deadline)
+		waitedUntilMs = max(waitedUntilMs, a.Deadline)
+	}
+}
+
+// receive records the responses to a batch, in its order, until all are there or the connection has ended. The time for which a request has to
+// wait for those before it does not count.
 func (p *persistentClient) receive(batch []pendingRequest, responses <-chan timedResponse, leaves bool) {
 	waitedUntilMs := 0.0 // for the responses before
 	for i := range batch {
 		a := &batch[i].attempt
 		answer := <-responses
 		if answer.err != nil {
+			waitInOrder(batch[i:], waitedUntilMs)
 			p.connectionEnded(batch[i:], answer, leaves)
 			return
 		}
 		p.conn.reused = true
 		a.Outcome, a.AnsweredAt = answer.Outcome, answer.atMs
-		a.ExtraSlack = max(0, waitedUntilMs-a.Deadline) // the time for which it had to wait for those before does not count
+		a.ExtraSlack = max(0, waitedUntilMs-a.Deadline)
 		a.WrongKey = answer.Outcome == invariants.Completed && !experiment.IsValueOf(answer.Value, batch[i].generated.Key)
 		waitedUntilMs = a.AnsweredAt
 	}
