Read once more: one way to a socket's descriptor, stages of admin calls, a lost descriptor's test

From reading the change: three functions of sockstate opened a descriptor in the same way; an admin call's two flags were one state; a refused successor was closed twice over; a connection without its descriptor had no test (it fails where the channel ends for it); two pairs of tests set up the same. Behaviour unchanged.

--- a/cmd/mintspring/hotrestart_test.go
+++ b/cmd/mintspring/hotrestart_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -316,11 +315,7 @@
 	n.faults = "calls=socket,errno=ENFILE,for=1s" // which holds it up behind its configuration
 	successor := n.start()
 	time.Sleep(500 * time.Millisecond)
-	text, err := os.ReadFile(successor.configFile)
-	if err != nil {
-		t.Fatal(err)
-	}
-	writeFile(t, successor.configFile, strings.Replace(string(text), `"MaxExecutions":4`, `"MaxExecutions":3`, 1))
+	successor.rewriteConfig(`"MaxExecutions":4`, `"MaxExecutions":3`)
 	successor.waitForReply("status", "OK")
 	current.signal(syscall.SIGTERM, 2*time.Second)
 	successor.log.WaitFor(t, "reloaded the configuration")
--- a/cmd/mintspring/nodeprocess_test.go
+++ b/cmd/mintspring/nodeprocess_test.go
@@ -238,6 +238,16 @@
 	return p
 }
 
+// rewriteConfig replaces a part of the process's configuration.
+func (p *nodeProcess) rewriteConfig(old, replacement string) {
+	p.t.Helper()
+	text, err := os.ReadFile(p.configFile)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	writeFile(p.t, p.configFile, strings.Replace(string(text), old, replacement, 1))
+}
+
 // kill ends the process at the end of a test, and logs what it has logged if the test has failed.
 func (p *nodeProcess) kill() {
 	_ = p.Process.Kill() // it may have exited
--- a/cmd/mintspring/systemfaults_test.go
+++ b/cmd/mintspring/systemfaults_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"os"
 	"runtime"
 	"strings"
 	"syscall"
@@ -17,6 +16,17 @@
 	}
 }
 
+// startUntilFault starts a process with a plan of system calls that fail from its first second on, and returns a moment after that.
+func (n *testNode) startUntilFault(plan string) *nodeProcess {
+	n.t.Helper()
+	n.faults = plan
+	startedAt := time.Now()
+	p := n.start()
+	p.waitForReply("status", "OK")
+	time.Sleep(time.Until(startedAt.Add(1100 * time.Millisecond)))
+	return p
+}
+
 // System calls that fail for a moment as a process starts delay it, and do not end it: for want of a descriptor it could once neither read its
 // configuration nor listen, and exited.
 func TestStartWhileSystemCallsFail(t *testing.T) {
@@ -88,16 +98,8 @@
 	skipUntraceable(t)
 	t.Parallel()
 	n := newTestNode(t)
-	n.faults = "calls=open,errno=ENFILE,path=config.json,from=1s,for=1s"
-	startedAt := time.Now()
-	p := n.start()
-	p.waitForReply("status", "OK")
-	time.Sleep(time.Until(startedAt.Add(1300 * time.Millisecond)))
-	text, err := os.ReadFile(p.configFile)
-	if err != nil {
-		t.Fatal(err)
-	}
-	writeFile(t, p.configFile, strings.Replace(string(text), `"MaxExecutions":4`, `"MaxExecutions":3`, 1))
+	p := n.startUntilFault("calls=open,errno=ENFILE,path=config.json,from=1s,for=1s")
+	p.rewriteConfig(`"MaxExecutions":4`, `"MaxExecutions":3`)
 	if err := p.Process.Signal(syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
@@ -111,11 +113,7 @@
 	skipUntraceable(t)
 	t.Parallel()
 	n := newTestNode(t)
-	n.faults = "calls=open,errno=EMFILE,path=maintenance.json,from=1s,for=300ms"
-	startedAt := time.Now()
-	p := n.start()
-	p.waitForReply("status", "OK")
-	time.Sleep(time.Until(startedAt.Add(1100 * time.Millisecond)))
+	p := n.startUntilFault("calls=open,errno=EMFILE,path=maintenance.json,from=1s,for=300ms")
 	if _, err := callAdmin(p.adminAddr, "maint-on s0"); err != nil {
 		t.Error(err)
 	}
@@ -132,11 +130,7 @@
 	n := newTestNode(t)
 	current := n.start()
 	current.waitForReply("status", "OK")
-	n.faults = "calls=open,errno=ENOSPC,path=maintenance.json,from=1s"
-	startedAt := time.Now()
-	successor := n.start()
-	successor.waitForReply("status", "OK")
-	time.Sleep(time.Until(startedAt.Add(1100 * time.Millisecond)))
+	successor := n.startUntilFault("calls=open,errno=ENOSPC,path=maintenance.json,from=1s")
 	if _, err := callAdmin(successor.adminAddr, "maint-on s0"); err == nil {
 		t.Error("the call says that the exclusion is saved")
 	}
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -49,7 +49,7 @@
 	Handler Handler
 	OnPanic func(any) // nil, or called with what a call has panicked with
 
-	mu       sync.Mutex // guards the fields below, and the sessions' executing
+	mu       sync.Mutex // guards the fields below, and the sessions' stages
 	listener net.Listener
 	closed   bool
 	sessions []*session // the oldest first
@@ -57,11 +57,19 @@
 
 // session is one connection.
 type session struct {
-	conn      net.Conn
-	executing bool // its call is complete, and its reply is not sent yet
-	replied   bool
+	conn  net.Conn
+	stage sessionStage
 }
 
+// sessionStage is how far a call has come.
+type sessionStage uint8
+
+const (
+	reading   sessionStage = iota
+	executing              // the call is complete, and its reply is not sent yet
+	replied
+)
+
 // Serve accepts connections until the server is closed.
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
@@ -104,8 +112,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.ContainsFunc(s.sessions, func(c *session) bool {
+		if c.stage != reading {
+			return c.stage == executing
+		}
 		unread, _ := sockstate.Peek(c.conn)
-		return c.executing || unread && !c.replied
+		return unread
 	})
 }
 
@@ -114,7 +125,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.sessions) >= MaxConnections {
-		i := max(0, slices.IndexFunc(s.sessions, func(o *session) bool { return !o.executing }))
+		i := max(0, slices.IndexFunc(s.sessions, func(o *session) bool { return o.stage != executing }))
 		_ = s.sessions[i].conn.Close() // which ends its goroutine
 		s.sessions = slices.Delete(s.sessions, i, i+1)
 	}
@@ -129,16 +140,10 @@
 	}
 }
 
-func (s *Server) setExecuting(c *session) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c.executing = true
-}
-
-func (s *Server) setReplied(c *session) {
+func (s *Server) setStage(c *session, stage sessionStage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.executing, c.replied = false, true
+	c.stage = stage
 }
 
 // handle serves one connection.
@@ -155,13 +160,13 @@
 	if err != nil && !errors.Is(err, errBadLine) {
 		return // the caller is gone, or has sent nothing
 	}
-	s.setExecuting(c)
+	s.setStage(c, executing)
 	reply := s.reply(line, err)
 	_ = c.conn.SetDeadline(time.Now().Add(ReplyTimeout)) // on a connection that is closed the write fails
 	if _, err := io.WriteString(c.conn, reply); err != nil {
 		return
 	}
-	s.setReplied(c) // it may make room for others now
+	s.setStage(c, replied) // it may make room for others now
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()                            // the caller may be gone
 		_, _ = io.CopyN(io.Discard, tcp, maxDrainBytes) // what the caller sends beyond its call is of no use
--- a/internal/node/hotrestart/channel_test.go
+++ b/internal/node/hotrestart/channel_test.go
@@ -126,6 +126,22 @@
 	h.recordingHandler.SuccessorReady()
 }
 
+// A connection whose descriptor was lost on its way costs none behind it.
+func TestClientWithoutDescriptor(t *testing.T) {
+	_, successor, down, _ := joinedPair(t, t.TempDir())
+	if err := down.send(kindClient, []byte{1}, noFD); err != nil {
+		t.Fatal(err)
+	}
+	_, server := loopbackConn(t)
+	if !down.PassClient(server, false) {
+		t.Fatal("the connection was not passed")
+	}
+	successor.waitFor(t, "client has sent false")
+	if len(successor.lost) > 0 {
+		t.Errorf("the predecessor counts as lost: %v", <-successor.lost)
+	}
+}
+
 // TestReadyIsAcknowledged: AnnounceReady returns when the predecessor knows, because whoever learns that the successor
 // serves may stop the predecessor at once. A predecessor that is gone, or of a version that never acknowledges, delays
 // nobody for long.
--- a/internal/node/hotrestart/handover.go
+++ b/internal/node/hotrestart/handover.go
@@ -155,7 +155,7 @@
 		select {
 		case busy <- struct{}{}:
 		default:
-			go refuseNow(conn) // another successor is about to take over
+			go refuse(conn) // another successor is about to take over
 			continue
 		}
 		go func() {
@@ -174,8 +174,10 @@
 		return
 	}
 	state, err := h.SuccessorJoined(c)
+	if errors.Is(err, ErrBusy) {
+		c.sendBusy()
+	}
 	if err != nil {
-		refuse(conn, err)
 		r.close()
 		return
 	}
@@ -185,22 +187,17 @@
 	c.readLoop(r)
 }
 
-// refuseNow has a successor ask again.
-func refuseNow(conn *net.UnixConn) {
+// refuse has a successor ask again.
+func refuse(conn *net.UnixConn) {
 	r := &reader{conn: conn}
 	if readHello(conn, r) == nil { // closing before that, its hello would fail
-		refuse(conn, ErrBusy)
+		newChannel(nil, conn).sendBusy()
 	}
 	r.close()
 }
 
-// refuse closes the connection of a successor that gets no state, and tells it to ask again after ErrBusy.
-func refuse(conn *net.UnixConn, cause error) {
-	if errors.Is(cause, ErrBusy) {
-		_ = newChannel(nil, conn).send(kindBusy, nil, noFD) // else it finds the connection closed
-	}
-	_ = conn.Close() // the successor sees the end either way
-}
+// sendBusy has the successor at the other end ask again. If it cannot be sent, that one finds the channel closed.
+func (c *Channel) sendBusy() { _ = c.send(kindBusy, nil, noFD) }
 
 func readHello(conn *net.UnixConn, r *reader) error {
 	if err := conn.SetReadDeadline(time.Now().Add(joinTimeout)); err != nil {
--- a/internal/node/sockstate/sockstate.go
+++ b/internal/node/sockstate/sockstate.go
@@ -21,11 +21,7 @@
 	if !ok {
 		return false, false
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false, true
-	}
-	err = raw.Control(func(fd uintptr) {
+	err := control(tcp, func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		readable = n > 0
@@ -36,17 +32,11 @@
 
 // HasPending reports whether a connection waits to be accepted. Of a listener other than TCP it reports that none does.
 func HasPending(listener net.Listener) (pending bool) {
-	tcp, ok := listener.(interface {
-		SyscallConn() (syscall.RawConn, error)
-	})
+	tcp, ok := listener.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	err = raw.Control(func(fd uintptr) {
+	err := control(tcp, func(fd uintptr) {
 		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
 		n, err := unix.Poll(poll, 0)
 		pending = n > 0 || errors.Is(err, unix.EINTR) // the caller asks again
@@ -72,11 +62,7 @@
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = raw.Control(func(fd uintptr) {
+	err := control(tcp, func(fd uintptr) {
 		var info [tcpInfoBytes]byte
 		size := uint32(len(info))
 		_, _, errno := syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
@@ -91,3 +77,12 @@
 	})
 	return ended || err != nil
 }
+
+// control calls a function with the descriptor of a connection or a listener, which stays open meanwhile. The error says that it is closed.
+func control(conn syscall.Conn, f func(fd uintptr)) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(f)
+}
