--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -212,6 +212,11 @@
 	case fleet.Reject, fleet.Abort:
 		trace.answers++
 		h.checkAnswer(trace, d)
+		if d.RetryAfter > 0 && (!h.limits.RetryAfter || d.RetryAfter > h.limits.MaxRetryAfter) {
+			h.violated("the client is to come back after %v ms", d.RetryAfter)
+		}
+	case fleet.Probe, fleet.Tell:
+		h.violated("action %d, which no limit permits", d.Action)
 	case fleet.Cancel:
 		if !h.limits.Cancellation {
 			h.violated("cancelled where that is not permitted")
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -74,6 +75,60 @@
 	tc.expectPrefix(tc.request("KV.SET", "k", "2", "c=pay,d=100", "v"), "-ERR")
 }
 
+// Servers that drop requests with a few ms left without a word are no outliers for that: each gets its share of those that follow.
+func TestRequestsWithLittleTimeEjectNoServer(t *testing.T) {
+	const servers, brief, usual = 3, 90, 120
+	var served sync.Map // by server
+	tc := newTestCluster(t, servers, func(c redcon.Conn, key, id string) {
+		if strings.HasPrefix(key, "brief") {
+			return
+		}
+		served.Store(c.NetConn().LocalAddr().String(), true)
+		serveHit(c, key, id)
+	}, echoOrigin)
+	for i := range brief {
+		tc.expectPrefix(tc.request("KV.GET", fmt.Sprint("brief", i), fmt.Sprint("b", i), fmt.Sprint("c=read,d=", 1+i%5)), "-")
+	}
+	for i := range usual {
+		tc.expectPrefix(tc.request("KV.GET", fmt.Sprint("key", i), fmt.Sprint(i), "c=read,d=500"), "hit")
+	}
+	used := 0
+	served.Range(func(any, any) bool { used++; return true })
+	if used != servers {
+		t.Errorf("%d of %d servers are used", used, servers)
+	}
+}
+
+// A value of no length from the origin is complete at the end of its connection in order, and at no other: a reset after any byte, the last
+// one too, fails the request.
+func TestResetIsNoEndOfAValue(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\n\r\nvalue"
+	cuts := make(chan int, 1)
+	tc := newTestCluster(t, 1, serveMiss, func(rw http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(rw).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		cut := <-cuts
+		writeString(conn, response[:min(cut, len(response))])
+		time.Sleep(2 * time.Millisecond) // until the node has read it
+		if cut <= len(response) {
+			_ = conn.(*net.TCPConn).SetLinger(0) // fails only on a connection that is broken already
+		}
+		closeQuietly(conn)
+	})
+	for cut := range len(response) + 2 {
+		cuts <- cut
+		got := tc.request("KV.SET", "k", fmt.Sprint(cut), "c=pay,d=500", "v")
+		if cut <= len(response) {
+			tc.expectPrefix(got, "-ERR")
+		} else {
+			tc.expectPrefix(got, "value")
+		}
+	}
+}
+
 // panickingEvent is an event whose handling panics.
 type panickingEvent struct{ request *exchange.Exchange }
 
