Keep descriptors for a predecessor's requests, and let attempts wait for one

Cause, two: reportDescriptors lent the successor every descriptor that was not in use at that moment, and a third stayed reserved for clients, of whom a predecessor gets no more; and a dial that failed for want of a descriptor failed the waiting attempt, so that all four attempts were used up within 4 ms.

Change: a predecessor keeps a descriptor for each waiting command, a quarter of the limit at most (fdlimit.Budget.Retire); attempts whose dial fails because of this machine wait for a released connection, a sixteenth of their timeout at most, with one dial each 5 ms.

--- a/cmd/mintspring/nodeprocess_test.go
+++ b/cmd/mintspring/nodeprocess_test.go
@@ -124,6 +124,7 @@
 	faultPlan       string          // plan of failing system calls of processes that are started from now on; empty: none
 	extraGuarantees string          // more JSON fields of Guarantees, each after a comma
 	timeoutMs       int             // timeout of requests, in ms
+	sockets         int             // limit on file descriptors
 	serviceTime     time.Duration   // time that a cache server takes for a request; set before the first request
 	received        [2]atomic.Int64 // requests, by cache server
 	executions      sync.Map        // number of executions, an *atomic.Int64, by request id
@@ -131,7 +132,7 @@
 
 func newTestNode(t *testing.T) *testNode {
 	t.Helper()
-	n := &testNode{t: t, dir: t.TempDir(), timeoutMs: 1200, serviceTime: time.Millisecond}
+	n := &testNode{t: t, dir: t.TempDir(), timeoutMs: 1200, sockets: 1024, serviceTime: time.Millisecond}
 	ln := n.listen()
 	n.addr = ln.Addr().String()
 	var err error
@@ -221,6 +222,7 @@
 	text := strings.NewReplacer(
 		"127.0.0.1:1\"", n.addr+`","admin":"`+adminAddr+`"`,
 		"127.0.0.1:2", n.discovery,
+		`"sockets":1024`, fmt.Sprintf(`"sockets":%d`, n.sockets),
 		`"known":{"revision":41,"complete":true,"members":[{"id":"s"}]},`, "",
 		`"SloTime":1000,"StatementTimeout":2000}]`, `"Effect":"pure","SloTime":`+strconv.Itoa(n.timeoutMs/3)+`000,"StatementTimeout":`+strconv.Itoa(n.timeoutMs)+`000,"Importance":1}],
 		"PolicyLimits":{"MaxExecutions":4,"ConnectTimeout":250000},"Quantum":5000,"Guarantees":{"StopSendingWithin":500000`+n.extraGuarantees+`}`,
--- a/internal/node/clients/conn.go
+++ b/internal/node/clients/conn.go
@@ -216,6 +216,13 @@
 	return c.state.hasPending()
 }
 
+// pendingCommands returns how many commands wait for their replies.
+func (c *conn) pendingCommands() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.state.replies)
+}
+
 // hasUnanswered reports whether a request that was read has no response yet.
 func (c *conn) hasUnanswered() bool {
 	c.mu.Lock()
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -231,6 +231,16 @@
 	return len(s.conns)
 }
 
+// PendingCommands returns how many commands of all clients wait for their replies.
+func (s *Server) PendingCommands() (count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		count += c.pendingCommands()
+	}
+	return count
+}
+
 // Adopt serves a connection that another process of the node has handed over. If the client has sent a request to that process, this
 // process does not limit how long the client may be silent.
 func (s *Server) Adopt(netConn net.Conn, requested bool) {
--- a/internal/node/connpool/conn.go
+++ b/internal/node/connpool/conn.go
@@ -26,8 +26,16 @@
 // Waiter is the pool's state of one attempt. The owner embeds it in its own attempt type.
 type Waiter struct {
 	waitingSince float64
+	maxLocalWait float64 // ms
 }
 
+// maxLocalWaitFraction is the fraction of its timeout for which an attempt may wait while this machine cannot open connections. A request
+// that is given up after eight such attempts, the most that there are, has used half of its time.
+const maxLocalWaitFraction = 1.0 / 16
+
+// LimitLocalWait sets how long an attempt with the given timeout, in ms, may wait while this machine cannot open connections.
+func (w *Waiter) LimitLocalWait(timeout float64) { w.maxLocalWait = timeout * maxLocalWaitFraction }
+
 // PoolWaiter returns the pool's state of an attempt that embeds it.
 func (w *Waiter) PoolWaiter() *Waiter { return w }
 
--- a/internal/node/connpool/pool.go
+++ b/internal/node/connpool/pool.go
@@ -23,8 +23,15 @@
 
 	lastResponseAt float64
 	nextTickAt     float64 // when the scheduled Tick is due; 0: no Tick is scheduled
+
+	localFailure bool    // the last dial failed because of this machine
+	dialAgainAt  float64 // when localFailure is set: no connection is dialed before
 }
 
+// localRetryInterval is the time in ms between two dials while dials fail because of this machine, for instance for lack of file
+// descriptors. Only one connection is dialed at a time then.
+const localRetryInterval = 5
+
 // New returns a pool without a target. It admits no attempts before SetTarget.
 func New[C Connection, A Attempt](policy *Policy, counters *Counters, owner Owner[C, A]) *Pool[C, A] {
 	return &Pool[C, A]{Policy: policy, counters: counters, owner: owner}
@@ -127,8 +134,17 @@
 	if !p.available || len(p.waiters) == 0 && !p.Policy.prewarmEnabled() {
 		return math.Inf(1)
 	}
+	switch {
+	case p.localFailure && p.Dialing > 0:
+		return math.Inf(1)
+	case p.localFailure && now < p.dialAgainAt:
+		return p.dialAgainAt
+	}
 	p.evictCoolingDown()
 	n, retryAt := p.Policy.planDials(now, p.State())
+	if p.localFailure {
+		n = min(n, 1)
+	}
 	for range n {
 		p.Dialing++
 		p.owner.Dial(p.addr)
@@ -173,6 +189,7 @@
 // DialSucceeded adds a connection that the owner has opened.
 func (p *Pool[C, A]) DialSucceeded(now float64, conn C) {
 	p.Dialing--
+	p.localFailure = false
 	p.Policy.prewarmPause = 0
 	p.counters.Opened.Add(1)
 	conn.PoolConn().OpenedAt = now
@@ -185,9 +202,11 @@
 func (p *Pool[C, A]) DialFailed(now, startedAt float64, attempted bool) (failed []A) {
 	p.Dialing--
 	p.Policy.pausePrewarming(now)
-	if attempted {
-		p.Policy.recordDialFailure(now, p.openConns(), p.lastResponseAt >= startedAt)
+	if !attempted {
+		return p.dialFailedLocally(now)
 	}
+	p.localFailure = false
+	p.Policy.recordDialFailure(now, p.openConns(), p.lastResponseAt >= startedAt)
 	n := min(1, len(p.waiters))
 	if p.openConns()+p.Dialing == 0 {
 		n = len(p.waiters)
@@ -198,6 +217,22 @@
 	return failed
 }
 
+// dialFailedLocally pauses dials that fail because of this machine. Attempts wait until another one releases its connection or a later dial
+// succeeds: a retry would fail at once for the same reason. It removes and returns the attempts that have waited for as long as they may (Waiter.LimitLocalWait).
+func (p *Pool[C, A]) dialFailedLocally(now float64) (failed []A) {
+	p.localFailure, p.dialAgainAt = true, now+localRetryInterval
+	p.waiters = slices.DeleteFunc(p.waiters, func(attempt A) bool {
+		waiter := attempt.PoolWaiter()
+		expired := now-waiter.waitingSince >= waiter.maxLocalWait
+		if expired {
+			failed = append(failed, attempt)
+		}
+		return expired
+	})
+	p.Dispatch(now)
+	return failed
+}
+
 // Responded records the response to the attempt on a connection and releases the connection. rejected means that the server rejected
 // the attempt because the server is full; last means that the connection accepts no further requests.
 func (p *Pool[C, A]) Responded(now float64, conn C, rejected, last bool) {
--- a/internal/node/connpool/pool_test.go
+++ b/internal/node/connpool/pool_test.go
@@ -231,3 +231,49 @@
 		}
 	})
 }
+
+// While dials fail because of this machine, attempts wait for connections that others release, and fail when they have waited for a sixteenth
+// of their timeout. They once failed with each dial, and all attempts of a request within milliseconds.
+func TestAttemptsWaitWhileDialsFailLocally(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &testOwner{t: t, now: 1000, closed: map[*testConn]int{}}
+		o.pool = New(NewPolicy(Config{Cooldown: 2}, 1, 0.5), &Counters{}, Owner[*testConn, *testAttempt](o))
+		o.pool.SetTarget(o.now, "a", true)
+		newAttempt := func() *testAttempt {
+			a := &testAttempt{}
+			a.LimitLocalWait(160)
+			o.pool.Acquire(o.now, a)
+			return a
+		}
+		first := newAttempt()
+		o.dialing--
+		c := &testConn{Conn: Conn{Addr: "a"}}
+		o.pool.DialSucceeded(o.now, c)
+		second, third := newAttempt(), newAttempt()
+		for o.dialing > 0 {
+			o.dialing--
+			o.markEnded(o.pool.DialFailed(o.now, o.now, false))
+		}
+		if second.ended || third.ended {
+			t.Fatal("an attempt failed with the first dial")
+		}
+		o.now += localRetryInterval
+		o.runTicks()
+		if o.dialing != 1 {
+			t.Fatalf("%d dials after the first ones have failed", o.dialing)
+		}
+		c.attempt, first.ended = nil, true
+		o.pool.Responded(o.now, c, false, false)
+		o.now += o.pool.Policy.config.Cooldown
+		o.runTicks()
+		if second.conn != c {
+			t.Fatal("the attempt that waited longest has not got the connection that was released")
+		}
+		o.now += 10
+		o.dialing--
+		o.markEnded(o.pool.DialFailed(o.now, o.now, false))
+		if !third.ended {
+			t.Fatal("an attempt waits for longer than it may")
+		}
+	})
+}
--- a/internal/node/fdlimit/fdlimit.go
+++ b/internal/node/fdlimit/fdlimit.go
@@ -32,9 +32,10 @@
 
 	mu         sync.Mutex // guards the fields below; not held while an evictor runs
 	available  int
-	clientHeld int // held by clients
-	held       int // held by clients and servers
-	lent       int // descriptors left to another process of the node
+	clientHeld int  // held by clients
+	held       int  // held by clients and servers
+	lent       int  // descriptors left to another process of the node
+	retiring   bool // another process of the node accepts the clients (Retire)
 	evictors   []evictor
 }
 
@@ -111,7 +112,7 @@
 		return &refusal{evictClients: true, evictors: b.evictors}
 	case owner == Client && b.available <= 0:
 		return &refusal{evictClients: true, evictServers: true, evictors: b.evictors}
-	case owner == Server && b.available <= max(0, b.clientReserve-b.clientHeld):
+	case owner == Server && b.available <= b.unusedClientReserve():
 		// Unused descriptors of the reserve for clients are not available to servers.
 		return &refusal{evictClients: b.clientHeld > b.clientReserve, evictServers: true, evictors: b.evictors}
 	}
@@ -119,6 +120,14 @@
 	return nil
 }
 
+// unusedClientReserve returns how many of the available descriptors are reserved for clients. The caller holds mu.
+func (b *Budget) unusedClientReserve() int {
+	if b.retiring {
+		return 0
+	}
+	return max(0, b.clientReserve-b.clientHeld)
+}
+
 // acquireLocked counts an acquired descriptor. The caller holds mu.
 func (b *Budget) acquireLocked(owner Owner) {
 	b.available--
@@ -146,10 +155,27 @@
 	return b.held
 }
 
-// Lend leaves count descriptors to another process of the node. The count replaces that of earlier calls.
+// Lend leaves count descriptors to another process of the node. The count replaces that of earlier calls, and of Retire.
 func (b *Budget) Lend(count int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.retiring = false
+	b.setLent(count)
+}
+
+// Retire leaves descriptors to another process of the node, which accepts the clients from now on: all but those that are held, and up to
+// keep more, with which connections to servers may still be opened. What was lent before stays lent. Retire returns how many descriptors
+// connections of this process may hold.
+func (b *Budget) Retire(keep int) (usable int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retiring = true
+	b.setLent(b.lent + max(0, b.available-keep))
+	return b.held + max(0, b.available)
+}
+
+// setLent sets the number of descriptors that are lent. The caller holds mu.
+func (b *Budget) setLent(count int) {
 	b.available += b.lent - count
 	b.lent = count
 }
--- a/internal/node/fdlimit/fdlimit_test.go
+++ b/internal/node/fdlimit/fdlimit_test.go
@@ -85,6 +85,35 @@
 	}
 }
 
+// TestRetire: a process that has handed its clients over keeps some descriptors for connections to servers, and none that it has left to the
+// other process comes back. It once kept none.
+func TestRetire(t *testing.T) {
+	b := New(300, 0)
+	for range 40 {
+		b.Acquire(Client)
+	}
+	b.Lend(75)
+	if usable := b.Retire(10); usable != 50 {
+		t.Errorf("%d descriptors may be held, %d are", usable, b.Held())
+	}
+	if got := acquireAll(b, Server); got != 10 {
+		t.Errorf("servers got %d more descriptors", got)
+	}
+	for range 20 {
+		b.Release(Client)
+	}
+	if usable := b.Retire(5); usable != 35 {
+		t.Errorf("%d descriptors may be held after 20 of 50 were released", usable)
+	}
+	if usable := b.Retire(100); usable != 35 {
+		t.Errorf("%d descriptors may be held: some have come back", usable)
+	}
+	b.Lend(0)
+	if got := acquireAll(b, Server); b.Held() != 276-80 {
+		t.Errorf("%d descriptors are held, %d of them acquired once the process was alone again", b.Held(), got)
+	}
+}
+
 func TestLimits(t *testing.T) {
 	for _, c := range []struct{ limit, extraReserved, want, clientTarget int }{{300, 0, 300, 75}, {300, 16, 300, 75}, {40, 16, 40, 7}, {0, 0, 1 << 16, 16383}} {
 		if b := New(c.limit, c.extraReserved); b.Limit() != c.want || b.ClientTarget() != c.clientTarget {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -79,7 +79,8 @@
 const (
 	// descriptorReportInterval is the time between two messages to the other process about the descriptors that this process holds.
 	descriptorReportInterval = 20 * time.Millisecond
-	// successorDivisor gives the successor 1/successorDivisor of the descriptors until it serves.
+	// successorDivisor gives the successor 1/successorDivisor of the descriptors until it serves. From then on the predecessor keeps at most
+	// as many for the connections that its remaining requests need.
 	successorDivisor = 4
 	// descriptorSlack is the number of descriptors by which the counts of the two processes may differ while reports are on their way.
 	descriptorSlack = 8
@@ -141,7 +142,7 @@
 		}
 	}
 	n.handover.markSuccessorServing()
-	n.lendDescriptors(channel, held+descriptorSlack) // once readiness is announced, the predecessor takes no further descriptors
+	n.lendDescriptors(channel, held+descriptorSlack+n.retirementReserve()) // until the predecessor reports what it needs
 	if err := channel.AnnounceReady(); err != nil {
 		n.log.WithError(err).Warn("cannot announce readiness to the predecessor")
 	}
@@ -198,23 +199,42 @@
 	}
 }
 
-// reportDescriptors sends the number of descriptors that this process holds, every descriptorReportInterval, until the channel is lost.
+// reportDescriptors sends the number of descriptors that this process holds or may still acquire beside a successor that serves, every
+// descriptorReportInterval, until the channel is lost.
 func (n *Node) reportDescriptors(channel *hotrestart.Channel) {
 	for ; ; time.Sleep(descriptorReportInterval) {
-		held := n.descriptors.Held()
-		current, phase := n.handover.otherProcess()
-		if current != channel {
+		usable := n.retireDescriptors(channel)
+		if current, _ := n.handover.otherProcess(); current != channel {
 			return
 		}
-		if phase == successorServing {
-			n.lendDescriptors(channel, n.descriptors.Limit()-held) // what this process releases goes to the successor: this process takes no more
-		}
-		if channel.ReportDescriptors(held) != nil {
+		if channel.ReportDescriptors(usable) != nil {
 			return
 		}
 	}
 }
 
+// retireDescriptors leaves to a successor that serves the descriptors that this process does not need. It returns how many this process
+// holds or may still acquire.
+func (n *Node) retireDescriptors(channel *hotrestart.Channel) (usable int) {
+	if current, phase := n.handover.otherProcess(); current != channel || phase != successorServing {
+		return n.descriptors.Held()
+	}
+	pending := n.frontend.PendingCommands()
+	if pending == 0 {
+		n.upstreams.CloseUnused()
+	}
+	n.handover.mu.Lock()
+	defer n.handover.mu.Unlock()
+	if n.handover.channel != channel { // it was lost meanwhile
+		return n.descriptors.Held()
+	}
+	return n.descriptors.Retire(min(pending, n.retirementReserve()))
+}
+
+// retirementReserve returns how many descriptors a predecessor may keep for connections to servers that it has not opened yet. Requests of
+// clients that are never between two stay with it, and need connections for attempts, retries and the origin.
+func (n *Node) retirementReserve() int { return n.descriptors.Limit() / successorDivisor }
+
 // SuccessorJoined returns the state for a successor that has connected. If the state cannot be exported in time, the successor is refused,
 // because without the state it would serve with neither exclusions nor servers. While the predecessor of this process is still running,
 // SuccessorJoined returns ErrBusy, which tells the successor to wait: three processes could not keep to the limits of one node, and not all
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -92,6 +92,14 @@
 
 var responseNames = [...]string{exchange.Completed: "completed", exchange.Rejected: "rejected", exchange.Aborted: "aborted"}
 
+// logFailure logs an attempt that got no response at level debug. The line "request finished" has its result only.
+func (n *Node) logFailure(attempt *upstream.Attempt, failure *exchange.AttemptError) {
+	if !n.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	n.log.WithError(failure).WithFields(logrus.Fields{"id": string(attempt.Request.ID), "attempt": attempt.Number}).Debug("attempt failed")
+}
+
 // logRequest logs one released request at level debug, with its attempts: the line "traffic" has only totals. The key is logged as a hash.
 func (n *Node) logRequest(now float64, entry *inflightEntry) {
 	if !n.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
