Fakes: a server that refuses keeps connections it has not accepted yet

TestConnections failed 5 of 600 times (twelve processes at once): a connection that the fake server had not accepted yet was reset when it began to refuse, although open connections are to stay; and the server could still count a connection that its client had closed, so that the fourth of five was the refused one and the fifth was let in.

The first is a fault of the fake: closing its listener now accepts what waits in the queue first.

--- a/internal/testbed/fakes/fakes_test.go
+++ b/internal/testbed/fakes/fakes_test.go
@@ -196,6 +196,7 @@
 	}
 	testBlackhole(t, cache, c)
 	testRestart(t, fleet, cache)
+	waitForNoConnections(t, cache) // one that the server still counted would make the fourth the refused one, and let the fifth in
 	for range 5 {
 		open(t, cache, 1)
 	}
@@ -207,6 +208,22 @@
 	t.Error("no connection beyond the limit is recorded as refused")
 }
 
+// waitForNoConnections waits until the server has noticed the end of all its connections.
+func waitForNoConnections(t *testing.T, s *Server) {
+	t.Helper()
+	for deadline := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
+		s.fleet.mu.Lock()
+		connections := s.fleet.cluster.Servers[s.model.ID].Connections
+		s.fleet.mu.Unlock()
+		if connections == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the server counts %d connections", connections)
+		}
+	}
+}
+
 // testBlackhole makes a server unreachable for node 0, which has the open connection c.
 func testBlackhole(t *testing.T, cache *Server, c net.Conn) {
 	t.Helper()
--- a/internal/testbed/fakes/listener.go
+++ b/internal/testbed/fakes/listener.go
@@ -69,8 +69,12 @@
 	return nil
 }
 
-// close stops accepting connections. With reset it also resets the open ones, as the kernel does when a process dies.
+// close stops accepting connections. Without reset, connections that have been established stay open, also those that wait to be accepted.
+// With reset all are reset, as the kernel does when a process dies.
 func (l *listener) close(reset bool) {
+	if !reset {
+		l.acceptQueue()
+	}
 	l.mu.Lock()
 	if l.tcpListener != nil {
 		_ = l.tcpListener.Close() // the accept loop ends even if this reports an error
@@ -84,6 +88,26 @@
 	}
 }
 
+// acceptQueue ends the accept loop and accepts the connections that wait in the queue, which closing the listener would reset.
+func (l *listener) acceptQueue() {
+	l.mu.Lock()
+	tcpListener, blackholed := l.tcpListener, l.blackholed
+	l.mu.Unlock()
+	if tcpListener == nil || blackholed {
+		return
+	}
+	_ = tcpListener.SetDeadline(time.Unix(1, 0)) // fails only if it is closed, which ends the loop too
+	time.Sleep(acceptStopDelay)
+	_ = tcpListener.SetDeadline(time.Now().Add(acceptStopDelay))
+	for {
+		netConn, err := tcpListener.AcceptTCP()
+		if err != nil {
+			return
+		}
+		l.serve(netConn)
+	}
+}
+
 // closeFillers closes the connections that keep the accept queue full. Called with the lock held.
 func (l *listener) closeFillers() {
 	for _, c := range l.fillers {
@@ -191,12 +215,17 @@
 			}
 			return
 		}
-		accepted := l.server.fleet.admitConnection(l.server, l.node)
-		c := newConn(l, netConn, !accepted)
-		l.mu.Lock()
-		l.conns[c] = struct{}{}
-		l.mu.Unlock()
-		go c.writeLoop() // both goroutines end when the connection is closed
-		go c.readLoop()
+		l.serve(netConn)
 	}
 }
+
+// serve serves an accepted connection.
+func (l *listener) serve(netConn *net.TCPConn) {
+	accepted := l.server.fleet.admitConnection(l.server, l.node)
+	c := newConn(l, netConn, !accepted)
+	l.mu.Lock()
+	l.conns[c] = struct{}{}
+	l.mu.Unlock()
+	go c.writeLoop() // both goroutines end when the connection is closed
+	go c.readLoop()
+}
