Consensus: send messages that do not fit into a datagram in fragments

A replica that is behind by a state of 60 KiB or more never caught up: sendMessage dropped the message without a log line, each time.

--- a/internal/cluster/consensus/replica/handle.go
+++ b/internal/cluster/consensus/replica/handle.go
@@ -29,6 +29,10 @@
 	switch d.payload[0] {
 	case kindConsensus:
 		_ = r.core.Step(d.payload[1:]) // Step has dropped the message if it returns an error
+	case kindFragment:
+		if message := r.assembler.add(d.from, d.payload); message != nil {
+			_ = r.core.Step(message) // as above
+		}
 	case kindCommand:
 		r.handleCommand(d)
 	case kindReplaceReplica:
@@ -127,7 +131,11 @@
 		return // no address is configured for the replica
 	}
 	b, err := consensus.EncodeMessage(m)
-	if err != nil || len(b) >= maxDatagramSize {
+	if err != nil {
+		return
+	}
+	if len(b) >= maxDatagramSize {
+		r.sendFragments(b, r.peerAddrs[number-1])
 		return
 	}
 	r.send(append([]byte{kindConsensus}, b...), r.peerAddrs[number-1])
--- a/internal/cluster/consensus/replica/message.go
+++ b/internal/cluster/consensus/replica/message.go
@@ -12,9 +12,10 @@
 )
 
 // The first byte of a datagram is its kind. In a consensus datagram, a message encoded by consensus.EncodeMessage follows, which includes a checksum.
-// In all other datagrams, the CRC-32C of kind and body follows, big-endian, and then the body: the type named beside the kind, as JSON.
+// A fragment has a header and a part of such a message. In all other datagrams, the CRC-32C of kind and body follows, big-endian, and then the body: the type named beside the kind, as JSON.
 const (
 	kindConsensus        = 'R'
+	kindFragment         = 'F' // see fragment.go
 	kindCommand          = 'C' // commandMessage
 	kindResult           = 'A' // resultMessage
 	kindReplaceReplica   = 'T' // consensus.ReplicaID
@@ -23,7 +24,7 @@
 
 const (
 	headerSize        = 5          // bytes before the body of a datagram: kind and checksum
-	maxDatagramSize   = 60 << 10   // bytes; the replica drops consensus messages that would exceed it
+	maxDatagramSize   = 60 << 10   // bytes; larger consensus messages are sent in fragments
 	socketBufferBytes = 1024 << 10 // receive buffer of the socket in the kernel
 )
 
--- a/internal/cluster/consensus/replica/replica.go
+++ b/internal/cluster/consensus/replica/replica.go
@@ -65,6 +65,12 @@
 	peerAddrs []netip.AddrPort
 	clock     *clock.Clock
 
+	assembler assembler // of fragments that are received
+
+	fragmentsMu       sync.Mutex // guards the next two fields; goroutines that send fragments use them too
+	sendingFragments  map[netip.AddrPort]bool
+	lastMessageNumber uint32 // of a message sent in fragments
+
 	pending          map[uint64]pendingCommand // commands passed to the core, by the request ID that Propose was given
 	lastRequestID    uint64
 	lastLoggedVoters string
