Consensus: refuse replica numbers above 15, which stood for other replicas

consensus remove 17 removed replica 1: an ID is the generation times 16 plus the number, and the number was not checked. The admin call and the client check it now, and a leader rejects a removal that names a generation, as an earlier client sends it. The operator's file always had 15 members at most, so stored data stay readable. TestMembershipChangeOfTooLargeNumberIsRefused was red for all three commands.

--- a/internal/cluster/consensus/membership.go
+++ b/internal/cluster/consensus/membership.go
@@ -11,9 +11,20 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// replicaIDBase is the multiplier of the generation in a ReplicaID. Replica numbers range from 1 to replicaIDBase-1.
+// replicaIDBase is the multiplier of the generation in a ReplicaID. Replica numbers range from 1 to MaxReplicaNumber.
 const replicaIDBase = 16
 
+// MaxReplicaNumber is the largest number of a replica. A larger one would stand for another replica in a ReplicaID.
+const MaxReplicaNumber = replicaIDBase - 1
+
+// CheckReplicaNumber returns an error if no replica can have a number.
+func CheckReplicaNumber(number int) error {
+	if number < 1 || number > MaxReplicaNumber {
+		return fmt.Errorf("replica number %d is not between 1 and %d", number, MaxReplicaNumber)
+	}
+	return nil
+}
+
 // ReplicaID combines a replica's number, from 1, with its generation, which counts how often the replica was replaced. A replica that has lost its
 // data directory no longer knows its votes. It must not vote under its old ID again, because it could vote twice in one term.
 type ReplicaID uint64
--- a/internal/cluster/consensus/replica/client.go
+++ b/internal/cluster/consensus/replica/client.go
@@ -58,16 +58,25 @@
 // ReplaceReplica asks all replicas to let a replica that has lost its data directory rejoin in a new generation. The leader proposes the change and
 // logs whether the proposal was accepted.
 func (c *Client) ReplaceReplica(number, generation int) error {
+	if err := consensus.CheckReplicaNumber(number); err != nil {
+		return err
+	}
 	return c.broadcast(kindReplaceReplica, consensus.NewReplicaID(number, generation))
 }
 
 // AddReplica asks all replicas to add a replica to the group. The leader proposes the change and logs whether the proposal was accepted.
 func (c *Client) AddReplica(number, generation int) error {
+	if err := consensus.CheckReplicaNumber(number); err != nil {
+		return err
+	}
 	return c.broadcast(kindChangeMembership, membershipMessage{ID: consensus.NewReplicaID(number, generation)})
 }
 
 // RemoveReplica asks all replicas to remove a replica from the group. The leader proposes the change and logs whether the proposal was accepted.
 func (c *Client) RemoveReplica(number int) error {
+	if err := consensus.CheckReplicaNumber(number); err != nil {
+		return err
+	}
 	return c.broadcast(kindChangeMembership, membershipMessage{ID: consensus.NewReplicaID(number, 0), Remove: true})
 }
 
--- a/internal/cluster/consensus/replica/fragment_test.go
+++ b/internal/cluster/consensus/replica/fragment_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mintspring/internal/cluster"
+	"mintspring/internal/cluster/consensus"
 	"mintspring/internal/cluster/consensus/storage"
 	"mintspring/internal/cluster/lease"
 	"mintspring/internal/testbed/faultrounds"
@@ -84,6 +85,23 @@
 	}
 }
 
+// A request to remove a replica whose number does not fit into an ID, as an earlier version of the client sends it, removes none. It once
+// removed replica 1 in place of 17.
+func TestRemovalWithGenerationIsRejected(t *testing.T) {
+	relay, addrs := startSingleReplicaGroup(t)
+	c, err := NewClient(addrs[1], []string{relay.Addr(1, 0)}, 1, func(uint64, lease.Result) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.RemoveReplica(17); err == nil {
+		t.Error("the client accepts replica number 17")
+	}
+	if checkRemoval(consensus.ReplicaID(17)) == nil || checkRemoval(consensus.NewReplicaID(7, 0)) != nil {
+		t.Error("removals are not told apart by their generation")
+	}
+}
+
 // sendUntilAnswered repeats a command until a result arrives.
 func sendUntilAnswered(t *testing.T, c *Client, requestID uint64, command lease.Command, results <-chan uint64) {
 	t.Helper()
--- a/internal/cluster/consensus/replica/handle.go
+++ b/internal/cluster/consensus/replica/handle.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 
@@ -12,6 +13,8 @@
 	"mintspring/internal/cluster/lease"
 )
 
+var errRemoveGeneration = errors.New("a replica is removed whatever its generation, and this message names one")
+
 // handleReceived handles a datagram and all others that are already queued, so that their updates share one sync.
 func (r *Replica) handleReceived(d datagram) {
 	for {
@@ -71,12 +74,25 @@
 		return
 	}
 	if m.Remove {
-		r.logProposal(m.ID, "remove", r.core.RemoveReplica(m.ID.Number()))
+		err := checkRemoval(m.ID)
+		if err == nil {
+			err = r.core.RemoveReplica(m.ID.Number())
+		}
+		r.logProposal(m.ID, "remove", err)
 		return
 	}
 	r.logProposal(m.ID, "add", r.core.AddReplica(m.ID))
 }
 
+// checkRemoval returns an error if a replica to remove has a generation. Its number did not fit into the ID then, which an earlier version
+// of the client does not check.
+func checkRemoval(id consensus.ReplicaID) error {
+	if id.Generation() != 0 {
+		return errRemoveGeneration
+	}
+	return nil
+}
+
 // logProposal logs that a membership change was proposed, or why it was rejected.
 func (r *Replica) logProposal(id consensus.ReplicaID, change string, err error) {
 	log := r.log.WithFields(logrus.Fields{"change": change, "target": id.Number(), "generation": id.Generation()})
--- a/internal/node/maintenance_test.go
+++ b/internal/node/maintenance_test.go
@@ -133,3 +133,15 @@
 		t.Errorf("calls %v still wait for a result", calls)
 	}
 }
+
+// A change of a member whose number is too large is refused. The number once stood for another member: the removal of 17 removed 1.
+func TestMembershipChangeOfTooLargeNumberIsRefused(t *testing.T) {
+	for command, args := range map[string][]string{"take-in": {"17", "1"}, "add": {"16", "0"}, "drop": {"17"}} {
+		if change, err := parseMembershipChange(command, args); err == nil {
+			t.Errorf("%s %v is %+v", command, args, change)
+		}
+	}
+	if change, err := parseMembershipChange("drop", []string{"15"}); err != nil || change.member != 15 {
+		t.Errorf("the largest number: %+v, %v", change, err)
+	}
+}
--- a/internal/node/maintenancecommands.go
+++ b/internal/node/maintenancecommands.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"mintspring/internal/cluster/consensus"
 	"mintspring/internal/cluster/lease"
 	"mintspring/internal/cluster/rollingrestart"
 )
@@ -161,6 +162,9 @@
 	if numberErr != nil || generationErr != nil || change.member < 1 || change.generation < minGeneration {
 		return membershipChange{}, fmt.Errorf("%q are no member's number and generation", args)
 	}
+	if err := consensus.CheckReplicaNumber(change.member); err != nil {
+		return membershipChange{}, err
+	}
 	return change, nil
 }
 
