Soak: clients with hundreds of commands on the way; read on at the end of a stop

The soak's clients had five commands on the way at most and did not find requests lost in transit.

A request in flight had its response 0.15 s before the bound, the connection ended with what was in the ring buffer, and the rest was dropped. Such a connection is read for 0.1 s more, and commands that were paused behind others are rejected from the start of that stage. TestStopAnswersCommandsBehindLateResponse fails without it (64 of 2,000).

--- a/internal/node/clients/closing.go
+++ b/internal/node/clients/closing.go
@@ -102,6 +102,10 @@
 // the client had written before it saw the first rejections has arrived by then.
 const inputPause = 20 * time.Millisecond
 
+// maxEndInput is how long a connection on which requests are rejected is read on once the lifecycle wants it ended and its requests have their
+// responses. What has arrived by then, behind a request that took long, is rejected in this time.
+const maxEndInput = 100 * time.Millisecond
+
 // tryDrain closes the connection or hands it over if the lifecycle asks for that and nothing is in flight, and reports whether it did.
 // The reader calls it when no part of a command has been read. Bytes that have arrived but are not read yet are served first. Closing
 // takes two steps: the writer shuts down the sending side after the last reply, and the reader drops the bytes that the client sends
@@ -139,11 +143,6 @@
 	c.rejecting = c.inputMode() >= lifecycle.RejectInput && (c.rejecting || requestsBehind)
 }
 
-// mustEnd reports whether the connection has to end although its client may not have paused. Requests without a response come first.
-func (c *conn) mustEnd() bool {
-	return c.rejecting && c.inputMode() == lifecycle.EndInput && !c.hasUnanswered()
-}
-
 // pauseEnds returns the time at which the client will have paused if nothing arrives until then, and false if that does not matter now.
 func (c *conn) pauseEnds() (time.Time, bool) {
 	if !c.rejecting {
@@ -188,7 +187,7 @@
 		if finished && !now.Before(deadline) {
 			break
 		}
-		c.setReadDeadline(c.lingerReadDeadline(now.Add(timeout), deadline))
+		c.setReadDeadline(earlier(now.Add(timeout), deadline))
 		_, err := io.CopyN(io.Discard, c.net, lingerChunk)
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			break
@@ -200,14 +199,6 @@
 	c.close()
 }
 
-// lingerReadDeadline returns the earlier of two times, of which the second may be zero.
-func (c *conn) lingerReadDeadline(next, deadline time.Time) time.Time {
-	if deadline.IsZero() || next.Before(deadline) {
-		return next
-	}
-	return deadline
-}
-
 // writerFinished reports whether nothing more will be written.
 func (c *conn) writerFinished() bool {
 	c.mu.Lock()
--- a/internal/node/clients/pipelineclosing_test.go
+++ b/internal/node/clients/pipelineclosing_test.go
@@ -42,6 +42,31 @@
 	}
 }
 
+// Commands behind a request that has its response only when the stop cannot wait any longer are answered too. They were once dropped: seed 406
+// of the soak.
+func TestStopAnswersCommandsBehindLateResponse(t *testing.T) {
+	h := newHarness(t)
+	c := h.dial()
+	c.send(pipeline(fullPipeline))
+	var inFlight []*exchange.Exchange
+	for range maxPipelined {
+		inFlight = append(inFlight, h.nextRequest())
+	}
+	state := h.server.Lifecycle
+	state.FinishStop()
+	h.server.DrainConns()
+	time.Sleep(5 * time.Millisecond)
+	state.EndInput()
+	h.server.DrainConns()
+	time.Sleep(5 * time.Millisecond)
+	for _, x := range inFlight {
+		x.Respond(exchange.Response{Value: []byte("v")})
+	}
+	if replies, err := c.readReplies(); err != nil || len(replies) != fullPipeline {
+		t.Errorf("%d of %d commands have a reply, %v", len(replies), fullPipeline, err)
+	}
+}
+
 // A client that never pauses is rejected at the end of a stop, and its connection ends between two replies when the stop cannot wait any
 // longer. How much it sends after that does not matter: the node once reset the connection after 256 KiB.
 func TestConnectionOfBusyClientEndsInOrder(t *testing.T) {
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -27,6 +27,8 @@
 	// be silent for any time.
 	deadline         time.Time
 	deadlineExtended bool // the deadline has been extended since the last complete command
+	// endBy is when the connection ends even if its client does not pause (lifecycle.EndInput). Zero: that is not due yet.
+	endBy time.Time
 }
 
 // lateReadTime is how long the deadline of a command is extended to read bytes that have arrived before it.
@@ -73,9 +75,10 @@
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		c.close()
 		return false
-	case c.consumeDrainRequest(), r.clientPaused():
+	case c.consumeDrainRequest(), r.clientPaused(), r.endIsDue():
 		return !r.tryEnd() // nothing was read
 	case c.tryResume():
+		c.updateRejecting(true) // as in fill
 	case r.extendDeadline():
 		return true
 	default:
@@ -111,7 +114,7 @@
 
 // tryEnd closes the connection or hands it over if the lifecycle asks for that, and reports whether it did.
 func (r *commandReader) tryEnd() bool {
-	if r.conn.mustEnd() {
+	if r.endIsDue() {
 		r.endInput()
 		return true
 	}
@@ -134,6 +137,7 @@
 // fill reads once, or returns at once if commands that were read before may be processed now. The rest of a rejected command is dropped.
 func (r *commandReader) fill() error {
 	if r.conn.tryResume() {
+		r.conn.updateRejecting(true) // these commands are behind others
 		return nil
 	}
 	r.conn.setInputDeadline(r.readDeadline())
@@ -146,13 +150,35 @@
 	return err
 }
 
-// readDeadline returns the deadline of the next read, which is also when the client will have paused.
+// endIsDue reports whether the connection has to end although its client may not have paused. Requests without a response come first.
+func (r *commandReader) endIsDue() bool {
+	c := r.conn
+	if !c.rejecting || c.inputMode() != lifecycle.EndInput || c.hasUnanswered() {
+		r.endBy = time.Time{}
+		return false
+	}
+	now := time.Now()
+	if r.endBy.IsZero() {
+		r.endBy = now.Add(maxEndInput)
+	}
+	return !now.Before(r.endBy)
+}
+
+// readDeadline returns the deadline of the next read: that of the command, or an earlier time at which the connection may end.
 func (r *commandReader) readDeadline() time.Time {
-	pauseEnds, relevant := r.conn.pauseEnds()
-	if relevant && r.in.Len() == 0 && r.skip == 0 && (r.deadline.IsZero() || pauseEnds.Before(r.deadline)) {
-		return pauseEnds
+	deadline := earlier(r.deadline, r.endBy)
+	if pauseEnds, relevant := r.conn.pauseEnds(); relevant && r.in.Len() == 0 && r.skip == 0 {
+		return earlier(deadline, pauseEnds)
+	}
+	return deadline
+}
+
+// earlier returns the earlier of two times, of which zero ones do not count.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
 	}
-	return r.deadline
+	return a
 }
 
 // processCommands processes the complete commands in the ring buffer. It reports whether it accepted any, and why it stopped.
@@ -233,7 +259,7 @@
 	c := r.conn
 	r.deadlineExtended = r.deadlineExtended && !accepted
 	c.updateRejecting(accepted)
-	if c.mustEnd() {
+	if r.endIsDue() {
 		r.endInput()
 		return false
 	}
--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -149,6 +149,7 @@
 	FlagRetries         bool              `toml:"mark_retries"` // retries carry a flag that marks them as retries
 	RetryAlways         bool              `toml:"insist"`       // deduplicated requests are retried after any failure, even after their deduplication window
 	PersistentClients   int               `toml:"persistent"`   // clients for each node, in addition to the rate, that use one connection for as long as it is open
+	BurstClients        int               `toml:"bursts"`       // clients for each node, in addition to the rate, that write hundreds of commands at once
 	EarlyCloseShare     float64           `toml:"leave"`        // share of the persistent clients' requests during which the client closes its connection
 	WarmCaches          bool              `toml:"warm"`         // caches hold the most popular keys at the start, except those with EmptyCache
 }
--- a/internal/testbed/experiment/validate.go
+++ b/internal/testbed/experiment/validate.go
@@ -106,6 +106,8 @@
 		return x.FieldErrorf("load.connections", "%q is neither %s nor %s", x.Load.Connections, keepConnections, dropConnections)
 	case x.Load.PersistentClients < 0 || !isShare(x.Load.EarlyCloseShare):
 		return x.FieldErrorf("load", "persistent must not be below 0, and leave must be from 0 to 1")
+	case x.Load.BurstClients < 0:
+		return x.FieldErrorf("load.bursts", "must not be below 0")
 	case x.Load.AttemptTimeoutShare <= 0 || x.Load.AttemptTimeoutShare > 1:
 		return x.FieldErrorf("load.try_share", "%v is not above 0 and at most 1", x.Load.AttemptTimeoutShare)
 	}
--- a/internal/testbed/faultsearch/soak.go
+++ b/internal/testbed/faultsearch/soak.go
@@ -11,12 +11,13 @@
 	"mintspring/internal/testbed/experiment"
 )
 
-// PCG streams of soak runs, of their operators' actions and of their system call faults. They keep the random numbers of each
+// PCG streams of soak runs, of their operators' actions, of their system call faults and of their clients that write bursts. They keep the random numbers of each
 // independent of others with the same seed.
 const (
 	soakStream      = 37
 	operationStream = 38
 	syscallStream   = 39
+	burstStream     = 40
 )
 
 // Sizes and times of a soak run. Several runs with real processes share a machine.
@@ -35,6 +36,7 @@
 	originFailureShare = 0.3
 	floodConnections   = 300                   // more connections than a node has descriptors
 	successorStartup   = 80 * time.Millisecond // approximate time from a successor's start until it serves
+	maxBurstClients    = 2                     // for each node
 	operationsOdds     = 3                     // one in this many runs has operations beyond stopping nodes
 )
 
@@ -57,6 +59,8 @@
 		Settle: tomlfile.Duration(soakSettle), Length: tomlfile.Duration(soakLength),
 	}
 	s.soakFleet(x)
+	bursts := sampler{rand.New(rand.NewPCG(seed, burstStream))}
+	x.Load.BurstClients = bursts.IntN(maxBurstClients + 1)
 	operations := sampler{rand.New(rand.NewPCG(seed, operationStream))}
 	hasOperations := operations.IntN(operationsOdds) == 0
 	for node := range x.Nodes.Count {
--- a/internal/testbed/processrunner/loadgenerator.go
+++ b/internal/testbed/processrunner/loadgenerator.go
@@ -81,6 +81,20 @@
 	}
 }
 
+// startBurstClients starts burst clients for each node, every second of which reads slowly. They run until the given time.
+func (l *loadGenerator) startBurstClients(seed uint64, until time.Time) {
+	for nodeIndex, addr := range l.clients.addrs {
+		for clientIndex := range l.experiment.Load.BurstClients {
+			number := seed + burstSeedOffset + uint64(nodeIndex<<clientIndexBits+clientIndex)
+			b := &burstClient{
+				load: l, node: servermodel.NodeID(nodeIndex), addr: addr, readSlow: (nodeIndex+clientIndex)%2 == 1,
+				traffic: experiment.NewTrafficGenerator(l.experiment, number), random: rand.New(rand.NewPCG(seed, number)),
+			}
+			l.running.Go(func() { b.run(until) })
+		}
+	}
+}
+
 // runRequest sends a request and, if its request class allows them, its retries.
 func (l *loadGenerator) runRequest(r *experiment.GeneratedRequest) {
 	for {
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -184,9 +184,8 @@
 			return
 		}
 		p.conn.reused = true
-		a.Outcome, a.AnsweredAt = answer.Outcome, answer.atMs
+		recordResponse(&batch[i], answer.response, answer.atMs)
 		a.ExtraSlack = max(0, blockedUntilMs-a.Deadline)
-		a.WrongKey = answer.Outcome == invariants.Completed && !experiment.IsValueOf(answer.Value, batch[i].generated.Key)
 		blockedUntilMs = a.AnsweredAt
 	}
 	if len(batch) == cap(responses) { // otherwise the background reader still uses the buffer
@@ -194,6 +193,12 @@
 	}
 }
 
+// recordResponse records the response to a request.
+func recordResponse(r *pendingRequest, answer response, atMs float64) {
+	r.attempt.Outcome, r.attempt.AnsweredAt = answer.Outcome, atMs
+	r.attempt.WrongKey = answer.Outcome == invariants.Completed && !experiment.IsValueOf(answer.Value, r.generated.Key)
+}
+
 // connectionEnded records the end of the connection, or the client's early disconnect, for the unanswered requests.
 func (p *persistentClient) connectionEnded(unanswered []pendingRequest, end timedResponse, leavesEarly bool) {
 	timedOut := errors.Is(end.err, os.ErrDeadlineExceeded)
--- a/internal/testbed/processrunner/run.go
+++ b/internal/testbed/processrunner/run.go
@@ -67,7 +67,7 @@
 	clients := newClientPool(nodes.addrs(), x.Nodes.FailureDetectionDelay.Duration(), x.Nodes.TrafficWeights)
 	defer clients.close()
 	if x.Load.PersistentClients > 0 {
-		clients.limitInUse(x.Nodes.Sockets, x.Load.PersistentClients)
+		clients.limitInUse(x.Nodes.Sockets, x.Load.PersistentClients+x.Load.BurstClients)
 	}
 	load := newLoadGenerator(x, clients, seed)
 	x.WarmKeys(load.traffic.Keys, func(index int, keys []string) { fleet.WarmCache(fleet.Servers()[index], keys) })
@@ -112,6 +112,7 @@
 	background.Go(func() { sampleUntil(ctx, run, fleet, nodes) })
 	background.Go(func() { scenarioErr = scenario.playTimeline(ctx, measureFrom) })
 	load.startPersistentClients(seed, measureTo)
+	load.startBurstClients(seed, measureTo)
 	loadDone := make(chan struct{})
 	go func() { // ends with the load, even if the run is cancelled
 		defer close(loadDone)
