Data directories: an identity file that a crash cut short no longer stops a member

A process that died while it created the data directory of idempotency records or of the consensus group left an empty or truncated identity: the directory was rejected as corrupt until an operator removed it. CreateDir writes the file under another name and links it; a directory of idempotency records with nothing but an unreadable identity is created anew with its new incarnation, so that the member catches up.

--- /dev/null
+++ b/internal/cluster/idempotency/storage/crash_test.go
@@ -0,0 +1,42 @@
+package storage
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"mintspring/internal/cluster/idempotency"
+)
+
+// A data directory whose creation was interrupted, so that its identity file is empty or cut short, is created anew with the next
+// incarnation. It was once rejected as corrupt, and the member stored nothing until an operator removed it.
+func TestOpenAfterInterruptedCreation(t *testing.T) {
+	complete := testDir(t)
+	s, _ := openStore(t, complete)
+	s.Close()
+	identity := readFile(t, filepath.Join(complete, identityFileName))
+	for size := range len(identity) {
+		dir := testDir(t)
+		if err := os.MkdirAll(dir, dirPermissions); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, identityFileName), identity[:size], filePermissions); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Open(dir, testOwner, testIncarnation+1, testLimits, idempotency.NewStoredState())
+		if err != nil {
+			t.Fatalf("with %d bytes of its identity: %v", size, err)
+		}
+		if s.Incarnation() != testIncarnation+1 {
+			t.Errorf("with %d bytes of its identity the directory has incarnation %d", size, s.Incarnation())
+		}
+		s.Close()
+	}
+	// A directory with segments has lost its identity, and is not created anew.
+	if err := os.WriteFile(filepath.Join(complete, identityFileName), nil, filePermissions); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(complete, testOwner, testIncarnation+1, testLimits, idempotency.NewStoredState()); err == nil {
+		t.Error("a directory with segments and without an identity was opened")
+	}
+}
--- a/internal/cluster/idempotency/storage/storage.go
+++ b/internal/cluster/idempotency/storage/storage.go
@@ -146,6 +146,12 @@
 
 func (s *Store) open(owner Owner, newIncarnation idempotency.StorageIncarnation, state *idempotency.StoredState) error {
 	id, err := readIdentity(s.dir)
+	if errors.Is(err, recordlog.ErrCorrupt) && s.isCreationUnfinished() {
+		err = os.Remove(filepath.Join(s.dir, identityFileName))
+		if err == nil {
+			err = fs.ErrNotExist
+		}
+	}
 	if errors.Is(err, fs.ErrNotExist) {
 		id, err = identity{owner, newIncarnation, false}, s.createEmpty(owner, newIncarnation)
 	}
@@ -162,6 +168,14 @@
 	return s.load(state)
 }
 
+// isCreationUnfinished reports whether the directory has nothing but an identity file that cannot be read: a process died while it created
+// the directory. A new identity loses nothing then, and with its incarnation the member has to catch up.
+func (s *Store) isCreationUnfinished() bool {
+	names, err := segmentNames(s.dir)
+	_, markErr := os.Stat(filepath.Join(s.dir, markFileName))
+	return err == nil && len(names) == 0 && errors.Is(markErr, fs.ErrNotExist)
+}
+
 // createEmpty creates the data directory of a member that has to catch up. It fails if there are segments without an identity file, because
 // they are the remains of a damaged data directory.
 func (s *Store) createEmpty(owner Owner, newIncarnation idempotency.StorageIncarnation) error {
--- a/internal/state/recordlog/files.go
+++ b/internal/state/recordlog/files.go
@@ -1,6 +1,8 @@
 package recordlog
 
 import (
+	"errors"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -12,13 +14,27 @@
 	filePermissions = 0o600
 )
 
+// unfinishedSuffix is the suffix of the name of a file that CreateDir is writing.
+const unfinishedSuffix = ".unfinished"
+
 // CreateDir creates a directory if it does not exist, and in it a file with these contents. Both are synced. It is an error if the file
-// exists.
+// exists. The file never exists with a part of its contents, also if the process dies meanwhile.
 func CreateDir(dir, fileName string, contents []byte) error {
 	if err := os.MkdirAll(dir, dirPermissions); err != nil {
 		return err
 	}
-	if err := WriteNewFile(filepath.Join(dir, fileName), contents); err != nil {
+	name := filepath.Join(dir, fileName)
+	unfinished := name + unfinishedSuffix
+	if err := os.Remove(unfinished); err != nil && !errors.Is(err, fs.ErrNotExist) { // a process that died may have left one
+		return err
+	}
+	if err := WriteNewFile(unfinished, contents); err != nil {
+		return err
+	}
+	if err := os.Link(unfinished, name); err != nil { // unlike a rename, this replaces no file
+		return errors.Join(err, os.Remove(unfinished))
+	}
+	if err := os.Remove(unfinished); err != nil {
 		return err
 	}
 	return SyncDir(dir)
--- a/internal/state/recordlog/files_test.go
+++ b/internal/state/recordlog/files_test.go
@@ -60,3 +60,24 @@
 		t.Error(err)
 	}
 }
+
+// CreateDir succeeds after a process that died while it wrote the file, and a failed call leaves nothing behind. The file itself was once
+// written in place, and stayed empty after a crash.
+func TestCreateDirAfterCrash(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "file"+unfinishedSuffix), []byte("con"), filePermissions); err != nil {
+		t.Fatal(err)
+	}
+	if err := CreateDir(dir, "file", []byte("contents")); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := os.ReadFile(filepath.Join(dir, "file")); err != nil || string(got) != "contents" {
+		t.Errorf("%q, %v", got, err)
+	}
+	if err := CreateDir(dir, "file", []byte("other")); !errors.Is(err, os.ErrExist) {
+		t.Errorf("created twice: %v", err)
+	}
+	if files, err := os.ReadDir(dir); err != nil || len(files) != 1 {
+		t.Errorf("%d files, %v", len(files), err)
+	}
+}
