Idempotency storage: delete segments that a crash has left below the mark

A process that died after it had recorded that segments are not needed, and before it deleted them, left them for good; they counted toward no limit of the disk. They are deleted when the directory is opened. TestOpenDeletesExpiredSegments failed before.

--- a/internal/cluster/idempotency/storage/crash_test.go
+++ b/internal/cluster/idempotency/storage/crash_test.go
@@ -40,3 +40,30 @@
 		t.Error("a directory with segments and without an identity was opened")
 	}
 }
+
+// Segments that a process has left, which died after it had recorded that they are not needed, are deleted when the directory is opened. They
+// once stayed for good and counted toward no limit.
+func TestOpenDeletesExpiredSegments(t *testing.T) {
+	dir := testDir(t)
+	s, _ := openStore(t, dir)
+	if err := s.Append(testEntries(20), nil); err != nil {
+		t.Fatal(err)
+	}
+	expired := s.segmentPath(s.segmentNumber)
+	contents := readFile(t, expired)
+	if err := s.Rewrite(testEntries(20), nil); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	if err := os.WriteFile(expired, contents, filePermissions); err != nil {
+		t.Fatal(err)
+	}
+	reopened, state := openStore(t, dir)
+	defer reopened.Close()
+	if len(state.Records) != 20 {
+		t.Errorf("%d records", len(state.Records))
+	}
+	if _, err := os.Stat(expired); !os.IsNotExist(err) {
+		t.Errorf("the expired segment is still there: %v", err)
+	}
+}
--- a/internal/cluster/idempotency/storage/read.go
+++ b/internal/cluster/idempotency/storage/read.go
@@ -91,7 +91,8 @@
 	mark      syncMark
 	state     *idempotency.StoredState
 	segments  []segment
-	validSize int64 // the size of the last segment, without a truncated record at its end
+	expired   []string // names of segments that a process has left that died before it deleted them
+	validSize int64    // the size of the last segment, without a truncated record at its end
 }
 
 // readSegments reads all segments of a data directory into state.
@@ -112,7 +113,8 @@
 			return nil, fmt.Errorf("%s: %w", dir, err)
 		}
 		if number <= previous {
-			continue // the process died before it deleted this expired segment
+			r.expired = append(r.expired, name)
+			continue
 		}
 		if firstUnknown := mark.firstSegment == 0 && previous == 0; !firstUnknown && number != previous+1 {
 			return nil, r.missingSegmentError(previous + 1)
--- a/internal/cluster/idempotency/storage/write.go
+++ b/internal/cluster/idempotency/storage/write.go
@@ -33,6 +33,11 @@
 	if s.markFile, err = os.OpenFile(filepath.Join(s.dir, markFileName), os.O_CREATE|os.O_RDWR, filePermissions); err != nil {
 		return err
 	}
+	for _, name := range r.expired {
+		if err := os.Remove(filepath.Join(s.dir, name)); err != nil {
+			return fmt.Errorf("remove an expired segment: %w", err)
+		}
+	}
 	s.segmentStartedAt = s.Now()
 	if len(r.segments) == 0 {
 		return s.startSegment(1, nil)
