Idempotency storage: sync a truncation before the next segment records the size

After a crash in the middle of a record the segment is truncated, which was not synced. The next segment records its size; after a second crash the bytes may come back, the sizes differ, and the directory is rejected as corrupt although nothing promised is lost. TestTruncationIsSynced records the synced files: none when opened and the new segment first in a recovery before; the truncated one first now.

--- a/internal/cluster/idempotency/storage/crash_test.go
+++ b/internal/cluster/idempotency/storage/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"mintspring/internal/cluster/idempotency"
@@ -67,3 +68,49 @@
 		t.Errorf("the expired segment is still there: %v", err)
 	}
 }
+
+// syncRecorder syncs files and records their base names.
+type syncRecorder struct{ names []string }
+
+func (r *syncRecorder) sync(f *os.File) error {
+	r.names = append(r.names, filepath.Base(f.Name()))
+	return f.Sync()
+}
+
+// A truncation is synced before the next segment records the size of the truncated one. Otherwise a crash could bring the bytes back, and the
+// directory would be rejected as corrupt.
+func TestTruncationIsSynced(t *testing.T) {
+	dir := testDir(t)
+	s, _ := openStore(t, dir)
+	if err := s.Append(testEntries(20), nil); err != nil {
+		t.Fatal(err)
+	}
+	segment := s.segmentPath(s.segmentNumber)
+	s.Close()
+	f, err := os.OpenFile(segment, os.O_APPEND|os.O_WRONLY, filePermissions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.WriteString("part of a record"); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var recorder syncRecorder
+	reopened, err := openWithSync(dir, testOwner, testIncarnation, testLimits, idempotency.NewStoredState(), recorder.sync)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reopened.Close()
+	if !slices.Contains(recorder.names, filepath.Base(segment)) {
+		t.Errorf("synced when opened: %v", recorder.names)
+	}
+	recorder.names = nil
+	if err := reopened.Recover(testEntries(20), nil); err != nil {
+		t.Fatal(err)
+	}
+	if len(recorder.names) < 2 || recorder.names[0] != filepath.Base(segment) {
+		t.Errorf("synced in a recovery: %v, want the truncated segment first", recorder.names)
+	}
+}
--- a/internal/cluster/idempotency/storage/storage.go
+++ b/internal/cluster/idempotency/storage/storage.go
@@ -126,6 +126,13 @@
 // newIncarnation, and the member has to catch up. The error matches ErrInUse, ErrWrongOwner or recordlog.ErrCorrupt if one of them is the
 // cause.
 func Open(dir string, owner Owner, newIncarnation idempotency.StorageIncarnation, limits Limits, state *idempotency.StoredState) (*Store, error) {
+	return openWithSync(dir, owner, newIncarnation, limits, state, (*os.File).Sync)
+}
+
+// openWithSync is Open with a function that syncs files.
+func openWithSync(
+	dir string, owner Owner, newIncarnation idempotency.StorageIncarnation, limits Limits, state *idempotency.StoredState, syncFile func(*os.File) error,
+) (*Store, error) {
 	if err := os.MkdirAll(dir, dirPermissions); err != nil {
 		return nil, fmt.Errorf("create data directory: %w", err)
 	}
@@ -136,7 +143,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("lock data directory: %w", err)
 	}
-	s := &Store{dir: dir, limits: limits, lockFile: lockFile, Sync: (*os.File).Sync, Now: time.Now}
+	s := &Store{dir: dir, limits: limits, lockFile: lockFile, Sync: syncFile, Now: time.Now}
 	if err := s.open(owner, newIncarnation, state); err != nil {
 		s.Close()
 		return nil, err
--- a/internal/cluster/idempotency/storage/write.go
+++ b/internal/cluster/idempotency/storage/write.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	if r.validSize < last.size {
-		if err := s.segmentFile.Truncate(r.validSize); err != nil {
+		if err := s.truncateSegment(r.validSize); err != nil {
 			return fmt.Errorf("remove a truncated record: %w", err)
 		}
 	}
@@ -62,6 +62,15 @@
 	return err
 }
 
+// truncateSegment truncates the open segment and syncs it. The next segment records its size: if the bytes came back after a crash, the
+// directory would be rejected as corrupt.
+func (s *Store) truncateSegment(size int64) error {
+	if err := s.segmentFile.Truncate(size); err != nil {
+		return err
+	}
+	return s.Sync(s.segmentFile)
+}
+
 // syncTail rewrites and syncs the records that were read after the last synced one. If a sync of the previous process has failed, the
 // operating system may discard the pages that it could not write, and a second sync without a new write succeeds although the data is lost.
 func (s *Store) syncTail(r *segmentReader) error {
@@ -124,7 +133,7 @@
 		return ErrFull
 	}
 	// The bytes after the last synced record may be a truncated record.
-	if err := s.segmentFile.Truncate(s.segmentSize); err != nil {
+	if err := s.truncateSegment(s.segmentSize); err != nil {
 		return err
 	}
 	if _, err := s.segmentFile.Seek(s.segmentSize, io.SeekStart); err != nil {
