Rolling restart: apply a plan to servers that are listed after it

A plan that a node got before its endpoint list was applied to no server, and not again until its next step: the node went on sending to a server that was being restarted. It is applied to each server as it is listed. TestPlanBeforeEndpointListExcludesServers failed before (state ready).

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -130,7 +130,7 @@
 	if s.entry.Flavor != discovery.OriginFlavor {
 		endpoint.State = n.exclusions.EffectiveState(s.entry.ID, endpoint.State)
 		if n.maintenance != nil {
-			endpoint = n.maintenance.applyExclusions(s.entry.ID, endpoint)
+			endpoint = n.maintenance.applyExclusions(now, s.entry.ID, endpoint)
 		}
 	}
 	s.endpoint.ServerStarted(endpoint.StartedAt)
--- a/internal/node/maintenance.go
+++ b/internal/node/maintenance.go
@@ -169,9 +169,12 @@
 	}
 }
 
-// applyExclusions applies the exclusions of the plan to the endpoint of a cache server.
-func (t *maintenanceTask) applyExclusions(id string, endpoint fleet.Endpoint) fleet.Endpoint {
+// applyExclusions applies the exclusions of the plan to the endpoint of a cache server. The plan may have come before the server was listed.
+func (t *maintenanceTask) applyExclusions(now float64, id string, endpoint fleet.Endpoint) fleet.Endpoint {
 	t.excluded.MarkListed(id)
+	if slices.Contains(t.plan.Excluded(), id) {
+		_, _ = t.excluded.Exclude(id, now) // fails only for a server that was never listed
+	}
 	endpoint.StartedAt = t.excluded.StartedAt(id, endpoint.StartedAt)
 	endpoint.State = t.excluded.EffectiveState(id, endpoint.State)
 	return endpoint
--- a/internal/node/maintenance_test.go
+++ b/internal/node/maintenance_test.go
@@ -10,7 +10,9 @@
 
 	"mintspring/internal/cluster/consensus/storage"
 	"mintspring/internal/cluster/lease"
+	"mintspring/internal/cluster/rollingrestart"
 	"mintspring/internal/config/operatorfile"
+	"mintspring/internal/fleet"
 	"mintspring/internal/testbed/loopback"
 	"mintspring/internal/testbed/reservedport"
 )
@@ -134,6 +136,40 @@
 	}
 }
 
+// A rolling restart's plan that a node gets before its endpoint list excludes the servers that are listed later. It was once applied to the
+// servers listed at that moment only, so that the node went on sending to a server that was being restarted.
+func TestPlanBeforeEndpointListExcludesServers(t *testing.T) {
+	tc := newTestCluster(t, 1, serveHit, echoOrigin, silentConsensusGroup(t))
+	plan, err := rollingrestart.NewPlan([]string{"s7"}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if step, due := plan.Advance(1, 1000, func(string) rollingrestart.ServerStatus { return rollingrestart.ServerStatus{Listed: true} }); !due {
+		t.Fatalf("step %q", step)
+	}
+	tc.node.inbox.post(consensusReply{1, lease.Result{OK: true, Revision: 1, Progress: plan.Encode()}})
+	tc.listUpdates <- `{"revision":2,"complete":false,"members":[` + entry("s7", tc.startCache(), "box") + `]}`
+	var state fleet.State
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		listed := false
+		tc.onLoop(func(now float64) {
+			var id fleet.ServerID
+			if id, listed = tc.node.serverTable.SlotByID["s7"]; listed {
+				state = tc.node.effectiveEndpoint(now, id).State
+			}
+		})
+		if listed {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the server is not listed")
+		}
+	}
+	if state != fleet.Draining {
+		t.Errorf("a server that the plan excludes is in state %v", state)
+	}
+}
+
 // A change of a member whose number is too large is refused. The number once stood for another member: the removal of 17 removed 1.
 func TestMembershipChangeOfTooLargeNumberIsRefused(t *testing.T) {
 	for command, args := range map[string][]string{"take-in": {"17", "1"}, "add": {"16", "0"}, "drop": {"17"}} {
