Takeover: keep a pending reload, and notice a replaced operator's file

A successor that retried a reload, since its file could not be opened for a moment, forgot the retry when it took over; and it compared the platform's file only, so that an operator's file replaced while it started was read at the next SIGHUP. TestReloadAtTakeover failed in both.

--- a/cmd/mintspring/reload.go
+++ b/cmd/mintspring/reload.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -72,16 +73,24 @@
 	return activeConfig{a.platform.Merged(config), &merged}, nil
 }
 
-// reloadIfChanged reloads if the configuration file has changed since the active configuration was read. A process that takes over has read
-// the file before it was ready, and a SIGHUP sent in between went to its predecessor.
-func (a activeConfig) reloadIfChanged(files fileFlags, n reloadTarget, log *logrus.Logger) (activeConfig, <-chan time.Time) {
+// reloadIfChanged reloads if one of the files has changed since the active configuration was read. A process that takes over has read them
+// before it was ready, and a SIGHUP sent in between went to its predecessor. pendingRetry is the channel of a retry that is due because a
+// SIGHUP reached this process; it stays if nothing has changed.
+func (a activeConfig) reloadIfChanged(
+	files fileFlags, n reloadTarget, log *logrus.Logger, pendingRetry <-chan time.Time,
+) (activeConfig, <-chan time.Time) {
 	config, err := platform.Load(files.getenv)
-	if err == nil && config.SameFile(a.platform) {
-		return a, nil
+	if err == nil && config.SameFile(a.platform) && a.isOperatorFileUnchanged(files) {
+		return a, pendingRetry
 	}
 	return a.reloadOrScheduleRetry(files, n, log, logrus.WarnLevel)
 }
 
+func (a activeConfig) isOperatorFileUnchanged(files fileFlags) bool {
+	operator, err := operatorfile.Read(files.Operator)
+	return err == nil && reflect.DeepEqual(operator, a.operator)
+}
+
 // reloadRetryInterval is the time until a reload is retried after a transient error.
 const reloadRetryInterval = 50 * time.Millisecond
 
--- a/cmd/mintspring/reload_test.go
+++ b/cmd/mintspring/reload_test.go
@@ -4,6 +4,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -71,3 +72,31 @@
 		}
 	}
 }
+
+// TestReloadAtTakeover checks that a process that takes over reads the files again if one of them has changed, and otherwise keeps a retry that
+// is pending. A changed operator's file was once passed over, and a pending retry was forgotten.
+func TestReloadAtTakeover(t *testing.T) {
+	dir := t.TempDir()
+	files := fileFlags{Config: filepath.Join(dir, "config.json"), Operator: filepath.Join(dir, "operator.toml")}
+	writeFile(t, files.Config, validConfig)
+	writeFile(t, files.Operator, "[log]\nlevel = \"info\"\n")
+	platformConfig, err := loadConfig(t, validConfig)
+	if err != nil {
+		t.Fatal(err)
+	}
+	operator, err := operatorfile.Read(files.Operator)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	log := logrus.New()
+	log.SetOutput(&out)
+	active, pending := activeConfig{platformConfig, operator}, make(<-chan time.Time)
+	if _, retry := active.reloadIfChanged(files, &fakeNode{}, log, pending); retry != pending || out.Len() > 0 {
+		t.Errorf("nothing has changed, the pending retry is kept: %v, logged %q", retry == pending, out.String())
+	}
+	writeFile(t, files.Operator, "[log]\nlevel = \"debug\"\n")
+	if reloaded, retry := active.reloadIfChanged(files, &fakeNode{}, log, pending); retry != nil || log.GetLevel() != logrus.DebugLevel {
+		t.Errorf("after a change of the operator's file the level is %v, %+v", log.GetLevel(), reloaded.operator.Log)
+	}
+}
--- a/cmd/mintspring/run.go
+++ b/cmd/mintspring/run.go
@@ -77,7 +77,7 @@
 			active, reloadRetry = active.reloadOrScheduleRetry(r.fileFlags, n, log, logrus.WarnLevel)
 		case <-takenOver:
 			takenOver = nil
-			active, reloadRetry = active.reloadIfChanged(r.fileFlags, n, log)
+			active, reloadRetry = active.reloadIfChanged(r.fileFlags, n, log, reloadRetry)
 		case <-reloadRetry:
 			active, reloadRetry = active.reloadOrScheduleRetry(r.fileFlags, n, log, logrus.DebugLevel)
 		case s := <-signals.stops:
