--- a/cmd/mintspring/reload_test.go
+++ b/cmd/mintspring/reload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -100,3 +101,19 @@
 		t.Errorf("after a change of the operator's file the level is %v, %+v", log.GetLevel(), reloaded.operator.Log)
 	}
 }
+
+// TestReloadReportsChangedPeers checks that changed addresses of peers, which take effect only after a restart, are logged. They were once
+// neither taken nor reported.
+func TestReloadReportsChangedPeers(t *testing.T) {
+	active, err := loadConfig(t, validConfig)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed, err := loadConfig(t, strings.Replace(validConfig, `"seed"`, `"peer_listen":"127.0.0.1:7","peers":["127.0.0.1:7"],"seed"`, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if names := active.RestartRequired(changed); !slices.Equal(names, []string{"peer_listen", "peers"}) {
+		t.Errorf("these need a restart: %v", names)
+	}
+}
--- a/internal/config/platform/reload.go
+++ b/internal/config/platform/reload.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"reflect"
+	"slices"
 )
 
 // RestartRequired returns the names of the fields that differ in another configuration and take effect only after a restart.
@@ -17,6 +18,8 @@
 		{"name", c.Name != other.Name},
 		{"listen", c.Listen != other.Listen},
 		{"admin", c.Admin != other.Admin},
+		{"peer_listen", c.PeerListen != other.PeerListen},
+		{"peers", !slices.Equal(c.Peers, other.Peers)},
 		{"limits", c.Limits != other.Limits},
 		{"settings.PolicyLimits.ConnIdle", d.ConnIdleTimeout != o.ConnIdleTimeout},
 		{"settings.PolicyLimits.ConnectTimeout", d.ConnectTimeout != o.ConnectTimeout},
