--- a/internal/node/fingerprint.go
+++ b/internal/node/fingerprint.go
@@ -50,6 +50,12 @@
 	}
 )
 
+// policyFingerprint returns the policy hash in the snapshot files of a node with these settings.
+func policyFingerprint(deployment settings.Deployment) uint64 {
+	effective := EffectiveDeployment(deployment)
+	return policyHash(&effective)
+}
+
 // policyHash identifies the settings under which the state in a snapshot was learned. The seed and the zone are left out: the seed is new
 // at each start, and the zone is compared by its name.
 func policyHash(deployment *settings.Deployment) uint64 {
--- a/internal/node/reconfigure.go
+++ b/internal/node/reconfigure.go
@@ -33,6 +33,9 @@
 	deployment.Limits.Seed, deployment.Limits.Subscribe = n.deployment.Limits.Seed, n.deployment.Limits.Subscribe
 	deployment.ConnIdleTimeout, deployment.ConnectTimeout = n.deployment.ConnIdleTimeout, n.deployment.ConnectTimeout
 	n.deployment = deployment
+	if n.snapshots != nil {
+		n.snapshots.config.PolicyFingerprint = policyFingerprint(deployment) // the next start has these settings
+	}
 	// Requests that arrived under the previous settings may still be in flight.
 	n.serverTable.Retention = max(n.serverTable.Retention, SlotRetention(&deployment))
 	limits := deployment.Limits
--- a/internal/node/snapshots_test.go
+++ b/internal/node/snapshots_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -219,3 +220,22 @@
 	}
 	n.Stop(0, time.Second)
 }
+
+// A snapshot taken after a reload is trusted by a node that starts with the new settings. It once carried the hash of the settings at the start
+// of the process, so that the next start distrusted it.
+func TestSnapshotAfterReloadIsTrusted(t *testing.T) {
+	tc := newTestCluster(t, 1, serveHit, echoOrigin)
+	n := tc.startSnapshotNode(t.TempDir())
+	defer n.Stop(0, 100*time.Millisecond)
+	changed := tc.node.deployment
+	changed.Limits.Classes = slices.Clone(changed.Limits.Classes)
+	changed.Limits.Classes[0].LatencyObjective++
+	if err := n.Reconfigure(changed); err != nil {
+		t.Fatal(err)
+	}
+	section := &operatorfile.Snapshot{HalfLife: 600e9, MaxAge: 3600e9}
+	want := SnapshotConfig("n0", EffectiveDeployment(changed), section).PolicyFingerprint
+	if got := n.currentSnapshot(t).PolicyFingerprint; got != want {
+		t.Errorf("the snapshot has hash %x, and the next start expects %x", got, want)
+	}
+}
