Decisions: an attempt whose value no other could have is not replaced

A streamed idempotent write had its attempt cancelled 0.19 s after its upload began while the origin answered others, and was aborted after three; or was hedged without its value. reviewAttempt took an upload for an attempt on a lost connection.

--- a/decide/health.go
+++ b/decide/health.go
@@ -193,7 +193,8 @@
 func (n *Node) reviewAttempt(req *fleet.Request) fleet.Decision {
 	attempt, class := &req.Attempts[req.NumAttempts-1], &n.limits.classes[req.Class]
 	s, nextReview := n.servers[attempt.Server], n.now+class.objective/8
-	if !class.mayHedgeOrCancel || req.InFlight != 1 || attempt.Result != fleet.Pending || attempt.Cancelled ||
+	valueTaken := req.Uploading || req.ValueConsumed // no other attempt could have the value
+	if valueTaken || !class.mayHedgeOrCancel || req.InFlight != 1 || attempt.Result != fleet.Pending || attempt.Cancelled ||
 		req.NumAttempts >= class.maxAttempts || nextReview >= req.Deadline-n.limits.deadlineMargin {
 		return fleet.Decision{Action: fleet.Hold}
 	}
--- a/internal/node/inflight/inflight.go
+++ b/internal/node/inflight/inflight.go
@@ -78,6 +78,7 @@
 	}
 	request := entry.Request
 	request.ArrivedAt, request.Deadline = at, at+x.Timeout
+	request.ValueConsumed = x.Body != nil && x.Body.Consumed()
 	t.Policy.UploadDone(now, request)
 	var none A
 	for i := range request.Attempts[:request.NumAttempts] {
