Decisions: a write is hedged at the origin, never at a cache

While the origin was half busy or more, a silent attempt of an idempotent write was hedged at a cache server, though writes go to the origin, which drops the copies. TestWriteIsNotHedgedAtCache failed before (second attempt at a cache after 187 ms).

--- a/decide/health.go
+++ b/decide/health.go
@@ -205,8 +205,8 @@
 	if n.hedgeBudget < 1 || !connectionLost && !silent {
 		return n.hold(req, nextReview)
 	}
-	target := n.origin // another cache seldom has the key; the origin always does
-	if target == nil || n.originLimit.utilization(n) >= 0.5 {
+	target := n.origin // another cache seldom has the key; the origin always does, and writes go there
+	if target == nil || !req.Write && n.originLimit.utilization(n) >= 0.5 {
 		target = n.pickCache(req)
 	}
 	if (target == nil || target == s || target.expectedLatency(n) >= age/2) && (!connectionLost || n.limits.hedging) {
--- a/decide/upload_test.go
+++ b/decide/upload_test.go
@@ -45,3 +45,23 @@
 		}
 	}
 }
+
+// A write is hedged at the origin or not at all, also while the origin is busy. It was once hedged at a cache, which only stores.
+func TestWriteIsNotHedgedAtCache(t *testing.T) {
+	const origin fleet.ServerID = 4
+	h := newHarness(testLimits())
+	h.listServers(int(origin))
+	h.node.hedgeBudget = 10
+	write := h.request(idempotentClass, 5, true, 2000)
+	for key := fleet.Key(100); h.now < harnessStart+1500; key++ {
+		other := h.request(idempotentClass, key, true, clientTimeout)
+		h.advance(5)
+		h.hit(other, 0)
+	}
+	for _, a := range write.attempts {
+		if a.server != origin {
+			t.Errorf("attempts %+v", write.attempts)
+		}
+	}
+	h.expectNoViolation(t)
+}
