Connection pool: a shorter cooldown takes effect at once

Connections that cool down were taken as sorted by the end of their cooldown after it had become shorter: one that was ready waited for those before it, and an attempt for it. They are inserted in order. TestShorterCooldownTakesEffectAtOnce failed before.

--- a/internal/node/connpool/pool.go
+++ b/internal/node/connpool/pool.go
@@ -16,7 +16,7 @@
 
 	addr        string
 	available   bool // attempts may be sent to the server
-	coolingDown []C  // unused, and not to be reused before ReadyAt; by ascending ReadyAt, unless the cooldown was lowered meanwhile
+	coolingDown []C  // unused, and not to be reused before ReadyAt; by ascending ReadyAt
 	idle        []C  // unused and ready; the most recently used or opened last
 	inUse       []C  // with an attempt in flight; unordered
 	waiters     []A  // in order of arrival
--- a/internal/node/connpool/pool_test.go
+++ b/internal/node/connpool/pool_test.go
@@ -277,3 +277,30 @@
 		}
 	})
 }
+
+// After the cooldown has become shorter, a connection is used as soon as its own cooldown is over. It once waited for those before it.
+func TestShorterCooldownTakesEffectAtOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &testOwner{t: t, now: 1000, closed: map[*testConn]int{}}
+		o.pool = New(NewPolicy(Config{Cooldown: 500}, 1, 0.5), &Counters{}, Owner[*testConn, *testAttempt](o))
+		o.pool.SetTarget(o.now, "a", true)
+		var conns []*testConn
+		for range 2 {
+			o.pool.Acquire(o.now, &testAttempt{})
+			c := &testConn{Conn: Conn{Addr: "a"}}
+			o.pool.DialSucceeded(o.now, c)
+			conns = append(conns, c)
+		}
+		for _, c := range conns {
+			c.attempt = nil
+			o.pool.Responded(o.now, c, false, false)
+			o.pool.Policy.config.Cooldown = 2
+		}
+		o.now += 2
+		next := &testAttempt{}
+		o.pool.Acquire(o.now, next)
+		if next.conn != conns[1] {
+			t.Fatal("the attempt does not get the connection whose cooldown is over")
+		}
+	})
+}
--- a/internal/node/connpool/unused.go
+++ b/internal/node/connpool/unused.go
@@ -40,13 +40,17 @@
 func (p *Pool[C, A]) coolDown(conn C) {
 	c := conn.PoolConn()
 	c.ReadyAt = c.IdleSince + p.Policy.cooldown()
-	p.coolingDown = append(p.coolingDown, conn)
+	at := len(p.coolingDown)
+	for at > 0 && p.coolingDown[at-1].PoolConn().ReadyAt > c.ReadyAt { // the cooldown has become shorter
+		at--
+	}
+	p.coolingDown = slices.Insert(p.coolingDown, at, conn)
 	if p.Policy.Suspected() && len(p.coolingDown) > maxCoolingDown {
 		p.closeNextReady()
 	}
 }
 
-// closeNextReady closes the first of the cooling connections, which would usually become ready first.
+// closeNextReady closes the first of the cooling connections, which would become ready first.
 func (p *Pool[C, A]) closeNextReady() {
 	p.CloseConn(p.coolingDown[0])
 	p.coolingDown = slices.Delete(p.coolingDown, 0, 1)
