--- a/internal/testbed/processrunner/standalone.go
+++ b/internal/testbed/processrunner/standalone.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"syscall"
 	"time"
@@ -59,6 +60,9 @@
 		if len(command) == 0 {
 			continue
 		}
+		if err := checkFree(n.addr); err != nil {
+			return err
+		}
 		if err := n.start(); err != nil {
 			return err
 		}
@@ -69,6 +73,16 @@
 	return nil
 }
 
+// checkFree returns an error if an address cannot be listened on. Otherwise a node that already serves there would be taken for the one that
+// is started, which cannot listen and exits.
+func checkFree(addr string) error {
+	listener, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return fmt.Errorf("a node cannot serve at %s: %w", addr, err)
+	}
+	return listener.Close()
+}
+
 // prepareNode sets up a node's configuration, empty data directory and log, and an address if it has none.
 func (s *StandaloneFleet) prepareNode(n *nodeRunner, seed uint64) (err error) {
 	if n.addr == "" {
