Decisions: tests that find the two mutants which passed all others

The bound of a hold in enforce (changed to never) and the objective by which a write in time widens the origin's window (left out) passed all tests. TestHeldRequestIsDueAtItsDeadline and TestWriteWithinItsObjectiveWidensOriginWindow each fail with their mutant, and nothing else does.

--- a/decide/origin_test.go
+++ b/decide/origin_test.go
@@ -164,3 +164,22 @@
 		}
 	}
 }
+
+// A write that takes longer than a read may, and no longer than the objective of its class, widens the origin's window. The limit of reads in its
+// place once passed all tests.
+func TestWriteWithinItsObjectiveWidensOriginWindow(t *testing.T) {
+	for _, tt := range []struct {
+		took  float64
+		wider bool
+	}{{classObjective / 2, true}, {classObjective - 1, true}, {classObjective + 1, false}} {
+		h := newHarness(testLimits())
+		h.listServers(4)
+		h.node.originLimit.window = 2
+		write := h.request(deduplicatedClass, 5, true, clientTimeout)
+		h.advance(tt.took)
+		h.endAttempt(write, 0, fleet.Completed, fleet.CacheUnknown)
+		if window := h.node.originLimit.window; (window > 2) != tt.wider {
+			t.Errorf("after a write of %v ms the window is %v", tt.took, window)
+		}
+	}
+}
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -150,3 +150,28 @@
 		})
 	}
 }
+
+// A request that enforce holds, since it has an attempt in flight and may have no other, is decided on again at its deadline and no later. A
+// change of that bound once passed all tests.
+func TestHeldRequestIsDueAtItsDeadline(t *testing.T) {
+	h := newHarness(testLimits())
+	h.listServers(3)
+	h.node.limits.hedging = false
+	req := newRead(&h.slab, h.now, 5)
+	req.NumAttempts, req.InFlight = 1, 1
+	req.Attempts[0] = fleet.Attempt{Server: 1, Result: fleet.Pending}
+	h.node.enforce(req, h.node.send(req, h.node.servers[0]))
+	if ref, _ := h.node.NextDue(req.Deadline - 1); ref == req.Ref {
+		t.Error("the request is due before its deadline")
+	}
+	for now := req.Deadline; ; now++ {
+		ref, wait := h.node.NextDue(now)
+		if ref == req.Ref {
+			return
+		}
+		if wait > 0 {
+			t.Fatal("the request is not due at its deadline")
+		}
+		h.node.Route(now, nil) // the node's own maintenance
+	}
+}
