Tests: TestStaleConnectionsAreClosed no longer races with its own connections

The test took it for granted that each of its five requests has a connection of its own. If a response comes before another dial has ended, the connection that is opened last has been idle for a shorter time than the one that turns out stale, which the pool does not close; and the server of the test went by its own clock.

--- a/internal/node/upstream/pooling_test.go
+++ b/internal/node/upstream/pooling_test.go
@@ -125,13 +125,21 @@
 // If a server drops idle connections without closing them, only one attempt fails, not one for each idle connection. The failure is
 // marked as stale.
 func TestStaleConnectionsAreClosed(t *testing.T) {
+	const conns = 5
+	var dropped atomic.Bool    // the server has dropped the connections that are open now
+	var arrived sync.WaitGroup // the first requests; they are answered when each has its own connection
+	arrived.Add(conns)
 	h := newHarness(t, func(c net.Conn) {
-		for idleSince := time.Now(); ; idleSince = time.Now() {
+		for isNew := dropped.Load(); ; {
 			s := read(c)
 			if s == "" {
 				return
 			}
-			if time.Since(idleSince) > 100*time.Millisecond {
+			if !dropped.Load() {
+				arrived.Done()
+				arrived.Wait()
+			}
+			if dropped.Load() && !isNew {
 				_ = c.(*net.TCPConn).SetLinger(0) // closing then resets the connection
 				closeConn(c)
 				return
@@ -139,13 +147,14 @@
 			write(c, s)
 		}
 	})
-	for range 5 {
+	for range conns {
 		h.send("q", 1000)
 	}
-	for range 5 {
+	for range conns {
 		h.expectResult("each on its own connection", fleet.Completed)
 	}
 	time.Sleep(120 * time.Millisecond)
+	dropped.Store(true)
 	h.send("q", 1000)
 	if completion := h.nextCompletion(); completion.Failure == nil || !completion.Failure.Stale ||
 		completion.Failure.Outcome() != fleet.Reset {
