--- a/internal/node/reconfigure_test.go
+++ b/internal/node/reconfigure_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"bufio"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -101,3 +103,39 @@
 		t.Errorf("beside requests of 9 s slots are kept for %.0f ms", reduced)
 	}
 }
+
+// A request that was written before a reload made its class idempotent, and is read after it, was written as one that must not be repeated: it
+// is executed once at the most. It waits unread behind other commands of its client.
+func TestUnreadRequestKeepsItsClass(t *testing.T) {
+	release := make(chan struct{})
+	var sales atomic.Int64
+	tc := newTestCluster(t, 2, func(c redcon.Conn, _, _ string) {
+		<-release
+		c.WriteRaw([]byte("-ERR failed\r\n"))
+	}, func(rw http.ResponseWriter, req *http.Request) {
+		if strings.HasPrefix(req.URL.Path, "/sale") {
+			sales.Add(1)
+		}
+		rw.WriteHeader(http.StatusInternalServerError)
+	})
+	c := tc.dial()
+	const ahead = 64 // as many as a connection has in flight
+	for i := range ahead {
+		writeBytes(c, command("KV.GET", "held", fmt.Sprint("ahead", i), "c=read,d=900"))
+	}
+	writeBytes(c, command("KV.SET", "sale", "late", "c=pay,d=900", "v"))
+	time.Sleep(50 * time.Millisecond)
+	tc.reconfigure(`"Name":"pay","Effect":"side_effect"`, `"Name":"pay","Effect":"pure"`)
+	close(release)
+	for in := bufio.NewReader(c); sales.Load() < 2; {
+		if err := c.SetReadDeadline(time.Now().Add(500 * time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := in.ReadString('\n'); err != nil {
+			break
+		}
+	}
+	if n := sales.Load(); n > 1 {
+		t.Errorf("the request was executed %d times", n)
+	}
+}
--- a/internal/testbed/invariants/checker.go
+++ b/internal/testbed/invariants/checker.go
@@ -251,7 +251,8 @@
 	switch {
 	case earlier.Outcome.NeverRan() && earlier.EndedAt <= x.FirstByte:
 	case attempt.Semantics == NonIdempotent:
-		c.report(ruleEffects, "non-idempotent request %s was sent again though an execution may have run", attempt.ID)
+		c.report(ruleEffects, "non-idempotent request %s was sent again though an execution may have run: to node %d at %.0f, by that one to servers %.0f and %.0f ms later",
+			attempt.ID, attempt.Node, attempt.Sent, earlier.FirstByte-attempt.Sent, x.FirstByte-attempt.Sent)
 		return false
 	case x.FirstByte > earlier.FirstByte+attempt.DedupWindow+c.slack:
 		c.report(ruleEffects, "deduplicated request %s was sent again after its deduplication window", attempt.ID)
