Clients: a request that a reload overtakes unread keeps the stricter effect

A connection with unprocessed input at a reload goes by the replaced configuration too until that is processed; of two effects the stricter one binds.

--- a/internal/node/clients/conn.go
+++ b/internal/node/clients/conn.go
@@ -36,9 +36,10 @@
 	rejecting       bool      // requests are rejected without being forwarded (lifecycle.RejectInput); owned by the reader
 	lastInputAt     time.Time // when bytes were last read; owned by the reader
 
-	mu    sync.Mutex // guards state
-	cond  sync.Cond  // signals that state has changed
-	state sharedState
+	mu       sync.Mutex // guards state and retained
+	retained []retainedConfig
+	cond     sync.Cond // signals that state has changed
+	state    sharedState
 }
 
 func (s *Server) newConn(netConn net.Conn, requested bool) *conn {
--- a/internal/node/clients/dispatch.go
+++ b/internal/node/clients/dispatch.go
@@ -28,7 +28,7 @@
 	case "QUIT":
 		c.reply("+OK\r\n", true)
 	case "KV.GET", "KV.SET":
-		request, err := s.Config().parseRequest(args, arrivedAt, reserved != nil)
+		request, err := c.parseRequest(args, arrivedAt, reserved != nil)
 		if err != nil {
 			c.replyError(err.Error(), false)
 			return
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -269,6 +269,9 @@
 		return false
 	}
 	r.in.ReleaseIfEmpty()
+	if r.in.Len() == 0 && r.skip == 0 {
+		c.dropRetainedConfigs()
+	}
 	if c.closeMode() >= lifecycle.CloseWhenIdle {
 		c.requestDrain()
 	}
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -94,8 +94,20 @@
 	return counts
 }
 
-// SetConfig sets the configuration for requests that arrive from now on. It must have been called before Serve.
-func (s *Server) SetConfig(config *Config) { s.config.Store(config) }
+// SetConfig sets the configuration for requests that arrive from now on. It must have been called before Serve. Connections with unprocessed
+// input go by the replaced configuration too, until that input is processed.
+func (s *Server) SetConfig(config *Config) {
+	replaced := s.config.Swap(config)
+	if replaced == nil {
+		return
+	}
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.retainConfig(replaced, now)
+	}
+}
 
 // Config returns the current configuration.
 func (s *Server) Config() *Config { return s.config.Load() }
--- a/internal/node/clients/upload.go
+++ b/internal/node/clients/upload.go
@@ -105,7 +105,7 @@
 		c.replyError(tooLargeMessage, false)
 		return r.discardCommand(size), true
 	}
-	request, err := c.server.Config().parseRequest(append(args, nil), c.server.Clock.Now(), false)
+	request, err := c.parseRequest(append(args, nil), c.server.Clock.Now(), false)
 	if err != nil {
 		c.replyError(err.Error(), false)
 		return r.discardCommand(size), true
