--- a/internal/node/clients/closing.go
+++ b/internal/node/clients/closing.go
@@ -102,9 +102,12 @@
 // the client had written before it saw the first rejections has arrived by then.
 const inputPause = 20 * time.Millisecond
 
-// maxEndInput is how long a connection on which requests are rejected is read on once the lifecycle wants it ended and its requests have their
-// responses. What has arrived by then, behind a request that took long, is rejected in this time.
-const maxEndInput = 100 * time.Millisecond
+// How long a connection on which requests are rejected is read on once its requests have their responses and its client does not pause. What
+// has arrived behind a request that took long is rejected in this time.
+const (
+	maxRejectInput = time.Second
+	maxEndInput    = 100 * time.Millisecond // with lifecycle.EndInput
+)
 
 // tryDrain closes the connection or hands it over if the lifecycle asks for that and nothing is in flight, and reports whether it did.
 // The reader calls it when no part of a command has been read. Bytes that have arrived but are not read yet are served first. Closing
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -27,7 +27,7 @@
 	// be silent for any time.
 	deadline         time.Time
 	deadlineExtended bool // the deadline has been extended since the last complete command
-	// endBy is when the connection ends even if its client does not pause (lifecycle.EndInput). Zero: that is not due yet.
+	// endBy is when the connection ends even if its client does not pause. Zero: requests are forwarded, or one has no response yet.
 	endBy time.Time
 }
 
@@ -153,14 +153,15 @@
 // endIsDue reports whether the connection has to end although its client may not have paused. Requests without a response come first.
 func (r *commandReader) endIsDue() bool {
 	c := r.conn
-	if !c.rejecting || c.inputMode() != lifecycle.EndInput || c.hasUnanswered() {
+	if !c.rejecting || c.hasUnanswered() {
 		r.endBy = time.Time{}
 		return false
 	}
-	now := time.Now()
-	if r.endBy.IsZero() {
-		r.endBy = now.Add(maxEndInput)
+	now, limit := time.Now(), maxRejectInput
+	if c.inputMode() == lifecycle.EndInput {
+		limit = maxEndInput
 	}
+	r.endBy = earlier(r.endBy, now.Add(limit))
 	return !now.Before(r.endBy)
 }
 
