Clients: a request that is read only after its client has left is not handled

Traced: accepts fail for 0.3 s there; a client connects, writes its request and closes after 62 ms, and when its connection is accepted at last the first read returns the request, which was forwarded before the next read showed the end. TestRequestOfClientThatHasLeftIsNotHandled failed before. The violation says when client and execution ended and began.

--- a/internal/node/clients/pipelineclosing_test.go
+++ b/internal/node/clients/pipelineclosing_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mintspring/internal/node/exchange"
+	"mintspring/internal/node/sockstate"
 )
 
 // pipeline returns commands whose requests have consecutive IDs.
@@ -206,3 +207,25 @@
 		c.disconnect()
 	}
 }
+
+// A request that is read only after its client has left is not handled. It was once forwarded: accepts had failed for a while, and the connection had
+// waited in the backlog.
+func TestRequestOfClientThatHasLeftIsNotHandled(t *testing.T) {
+	h := newHarness(t)
+	c, clientEnd := unreadConn(h)
+	if _, err := io.WriteString(clientEnd, command("KV.GET", "k", "1", testExtra)[1:]); err != nil {
+		t.Fatal(err)
+	}
+	if err := clientEnd.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for !sockstate.EndedByPeer(c.net) {
+		time.Sleep(time.Millisecond)
+	}
+	r := newCommandReader(c)
+	for r.readAndProcess() {
+	}
+	if handled := len(h.requests); handled > 0 || c.state.phase != phaseClosed {
+		t.Errorf("%d requests were handled, the connection is in phase %d", handled, c.state.phase)
+	}
+}
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -143,6 +143,9 @@
 	r.conn.setInputDeadline(r.readDeadline())
 	if r.skip == 0 {
 		_, err := r.in.ReadOnce(r.socket)
+		if err == nil && sockstate.EndedByPeer(r.conn.net) {
+			return io.EOF // the client left while these bytes waited to be read, for instance in the accept backlog
+		}
 		return err
 	}
 	n, err := io.CopyN(io.Discard, r.conn.net, int64(min(r.skip, exchange.MaxBufferedValue)))
--- a/internal/testbed/invariants/checker.go
+++ b/internal/testbed/invariants/checker.go
@@ -215,12 +215,18 @@
 	}
 	for _, x := range executions {
 		if x.Node == attempt.Node && x.FirstByte > end+c.slack {
-			c.report(ruleAnswer, "request %s was sent to a server %.0f ms after its response", attempt.ID, x.FirstByte-end)
+			c.report(ruleAnswer, "request %s was sent to a server %.0f ms after its response%s", attempt.ID, x.FirstByte-end, attempt.describeEnd(x))
 			return
 		}
 	}
 }
 
+// describeEnd describes for a violation when an attempt ended, and when an execution of it began.
+func (a *ClientAttempt) describeEnd(x *servermodel.Execution) string {
+	return fmt.Sprintf(": sent to node %d at %.0f, %v, answered after %.0f ms, client closed after %.0f ms, deadline after %.0f ms, execution after %.0f to %.0f ms",
+		a.Node, a.Sent, a.Outcome, a.AnsweredAt-a.Sent, a.ClientClosedAt-a.Sent, a.Deadline-a.Sent, x.FirstByte-a.Sent, x.LastByte-a.Sent)
+}
+
 // checkEffects checks rule 2 for an attempt.
 func (c *Checker) checkEffects(attempt *ClientAttempt, executions []*servermodel.Execution) {
 	if attempt.Semantics == Idempotent {
