--- a/internal/node/clients/limits_test.go
+++ b/internal/node/clients/limits_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
+	"weak"
 
 	"mintspring/internal/node/exchange"
 	"mintspring/internal/node/lifecycle"
@@ -360,3 +362,22 @@
 		}
 	}
 }
+
+// An idle connection keeps neither its last request nor the value of the response in memory: thousands of clients rest for long.
+func TestIdleConnectionKeepsNoRequest(t *testing.T) {
+	h := newHarness(t)
+	c := h.dial()
+	c.send(command("KV.GET", "k", "1", testExtra))
+	respond := func() weak.Pointer[exchange.Exchange] {
+		request := h.nextRequest()
+		request.Respond(exchange.Response{Value: []byte("v")})
+		return weak.Make(request)
+	}
+	kept := respond()
+	c.expect("$1\r\nv\r\n")
+	for deadline := time.Now().Add(5 * time.Second); kept.Value() != nil; time.Sleep(time.Millisecond) {
+		if runtime.GC(); time.Now().After(deadline) {
+			t.Fatal("the request is still in memory")
+		}
+	}
+}
--- a/internal/node/clients/state.go
+++ b/internal/node/clients/state.go
@@ -155,7 +155,7 @@
 		}
 		s.stream = response.Stream
 	}
-	s.replies = append(s.replies[:0], s.replies[1:]...)
+	s.replies = slices.Delete(s.replies, 0, 1) // which drops its reference to the request
 	s.writer, s.writeStarted = writerWriting, now
 	return r, response, true
 }
@@ -170,7 +170,7 @@
 		}
 	}
 	replies = append(replies, s.replies[:count]...)
-	s.replies = append(s.replies[:0], s.replies[count:]...)
+	s.replies = slices.Delete(s.replies, 0, count)
 	return replies
 }
 
--- a/internal/node/clients/writer.go
+++ b/internal/node/clients/writer.go
@@ -23,6 +23,12 @@
 	response *exchange.Response // of the request; nil if there is none
 }
 
+// clear drops the references to requests and values, which the batch of an idle connection would otherwise keep in memory.
+func (b *replyBatch) clear() {
+	clear(b.replies)
+	b.replies, b.response = b.replies[:0], nil
+}
+
 // last reports whether the connection is closed after the batch.
 func (b *replyBatch) last() bool { return b.replies[len(b.replies)-1].last }
 
@@ -66,6 +72,7 @@
 			c.requestDrain()
 		}
 		out.ReleaseIfEmpty()
+		batch.clear()
 	}
 }
 
@@ -125,10 +132,15 @@
 
 // recordWritten releases what replies held, and wakes the reader if more commands may be processed now.
 func (c *conn) recordWritten(batch *replyBatch) {
+	for i := range batch.replies {
+		if reserved := batch.replies[i].reserved; reserved > 0 {
+			c.server.Memory.Release(reserved)
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := range batch.replies {
-		c.releaseWritten(&batch.replies[i])
+		c.addBuffered(-batch.replies[i].size)
 	}
 	if batch.response != nil {
 		c.addBuffered(-bufferedSize(batch.response))
@@ -140,14 +152,6 @@
 	c.cond.Broadcast()
 }
 
-// releaseWritten releases what a reply held. Called with the mutex held.
-func (c *conn) releaseWritten(r *pendingReply) {
-	if r.reserved > 0 {
-		c.server.Memory.Release(r.reserved)
-	}
-	c.addBuffered(-r.size)
-}
-
 // setWriteDeadline sets the deadline of the next write.
 func (c *conn) setWriteDeadline(timeout time.Duration) {
 	_ = c.net.SetWriteDeadline(time.Now().Add(timeout)) // fails only on a closed connection, and then writing fails too
