--- a/internal/node/clients/pipelineclosing_test.go
+++ b/internal/node/clients/pipelineclosing_test.go
@@ -22,50 +22,50 @@
 // buffer.
 const fullPipeline = 2000
 
-// At the end of a stop, commands that have arrived and do not fit into the ring buffer are answered. The node once dropped them.
-func TestStopAnswersUnreadCommands(t *testing.T) {
-	h := newHarness(t)
-	c := h.dial()
+// sendFullPipeline sends a full pipeline on a new connection, and returns the requests that are handed to the Handler at once.
+func (h *harness) sendFullPipeline() (c *client, inFlight []*exchange.Exchange) {
+	h.t.Helper()
+	c = h.dial()
 	c.send(pipeline(fullPipeline))
-	var inFlight []*exchange.Exchange
 	for range maxPipelined {
 		inFlight = append(inFlight, h.nextRequest())
 	}
-	h.server.Lifecycle.BeginStop()
-	h.server.Lifecycle.FinishStop()
-	h.server.DrainConns()
-	go h.answerAll()
+	return c, inFlight
+}
+
+// expectFullPipeline responds to the requests in flight, and expects a reply to each command and an orderly end.
+func (c *client) expectFullPipeline(inFlight []*exchange.Exchange) {
+	c.t.Helper()
 	for _, x := range inFlight {
 		x.Respond(exchange.Response{Value: []byte("v")})
 	}
 	if replies, err := c.readReplies(); err != nil || len(replies) != fullPipeline {
-		t.Errorf("%d of %d commands have a reply, %v", len(replies), fullPipeline, err)
+		c.t.Errorf("%d of %d commands have a reply, %v", len(replies), fullPipeline, err)
 	}
 }
 
+// At the end of a stop, commands that have arrived and do not fit into the ring buffer are answered. The node once dropped them.
+func TestStopAnswersUnreadCommands(t *testing.T) {
+	h := newHarness(t)
+	c, inFlight := h.sendFullPipeline()
+	h.server.Lifecycle.BeginStop()
+	h.server.Lifecycle.FinishStop()
+	h.server.DrainConns()
+	h.answerAll()
+	c.expectFullPipeline(inFlight)
+}
+
 // Commands behind a request that has its response only when the stop cannot wait any longer are answered too. They were once dropped: seed 406
 // of the soak.
 func TestStopAnswersCommandsBehindLateResponse(t *testing.T) {
 	h := newHarness(t)
-	c := h.dial()
-	c.send(pipeline(fullPipeline))
-	var inFlight []*exchange.Exchange
-	for range maxPipelined {
-		inFlight = append(inFlight, h.nextRequest())
-	}
-	state := h.server.Lifecycle
-	state.FinishStop()
-	h.server.DrainConns()
-	time.Sleep(5 * time.Millisecond)
-	state.EndInput()
-	h.server.DrainConns()
-	time.Sleep(5 * time.Millisecond)
-	for _, x := range inFlight {
-		x.Respond(exchange.Response{Value: []byte("v")})
-	}
-	if replies, err := c.readReplies(); err != nil || len(replies) != fullPipeline {
-		t.Errorf("%d of %d commands have a reply, %v", len(replies), fullPipeline, err)
+	c, inFlight := h.sendFullPipeline()
+	for _, advance := range []func(){h.server.Lifecycle.FinishStop, h.server.Lifecycle.EndInput} {
+		advance()
+		h.server.DrainConns()
+		time.Sleep(5 * time.Millisecond)
 	}
+	c.expectFullPipeline(inFlight)
 }
 
 // A client that never pauses is rejected at the end of a stop, and its connection ends between two replies when the stop cannot wait any
--- a/internal/testbed/processrunner/burstclient.go
+++ b/internal/testbed/processrunner/burstclient.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"strings"
 	"syscall"
@@ -11,9 +10,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"mintspring/internal/testbed/experiment"
 	"mintspring/internal/testbed/fakes"
-	"mintspring/internal/testbed/servermodel"
 )
 
 const (
@@ -35,44 +32,15 @@
 	slowReadPause = 20 * time.Millisecond
 )
 
-// burstClient is a client of one node that has hundreds of commands on the way: it writes a burst in one call, and reads the replies. It
-// reuses its connection as long as that is open.
+// burstClient is a persistent client that has hundreds of commands on the way: it writes a burst in one call, and reads the replies.
 type burstClient struct {
-	load     *loadGenerator
-	node     servermodel.NodeID
-	addr     string
-	traffic  *experiment.TrafficGenerator
-	random   *rand.Rand
+	persistentClient
 	readSlow bool
-	conn     *client // nil while not connected
 }
 
 // run sends bursts until the given time.
 func (b *burstClient) run(until time.Time) {
-	for time.Now().Before(until) {
-		if b.conn == nil && (b.load.clients.onStandby(int(b.node)) || !b.connect()) {
-			time.Sleep(reconnectDelay)
-			continue
-		}
-		b.sendBurst(until)
-		time.Sleep(time.Duration(b.random.Int64N(int64(maxBurstPause))))
-	}
-	b.disconnect()
-}
-
-func (b *burstClient) connect() bool {
-	conn, err := dial(b.addr)
-	if err == nil {
-		b.conn = conn
-	}
-	return err == nil
-}
-
-func (b *burstClient) disconnect() {
-	if b.conn != nil {
-		b.conn.close()
-	}
-	b.conn = nil
+	b.repeat(until, func() { b.sendBurst(until) }, maxBurstPause)
 }
 
 // sendBurst sends one burst and records the attempts of its requests.
--- a/internal/testbed/processrunner/loadgenerator.go
+++ b/internal/testbed/processrunner/loadgenerator.go
@@ -86,10 +86,10 @@
 	for nodeIndex, addr := range l.clients.addrs {
 		for clientIndex := range l.experiment.Load.BurstClients {
 			number := seed + burstSeedOffset + uint64(nodeIndex<<clientIndexBits+clientIndex)
-			b := &burstClient{
-				load: l, node: servermodel.NodeID(nodeIndex), addr: addr, readSlow: (nodeIndex+clientIndex)%2 == 1,
+			b := &burstClient{readSlow: (nodeIndex+clientIndex)%2 == 1, persistentClient: persistentClient{
+				load: l, node: servermodel.NodeID(nodeIndex), addr: addr,
 				traffic: experiment.NewTrafficGenerator(l.experiment, number), random: rand.New(rand.NewPCG(seed, number)),
-			}
+			}}
 			l.running.Go(func() { b.run(until) })
 		}
 	}
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -44,15 +44,18 @@
 	conn    *client // nil while not connected
 }
 
-// run sends requests until the given time.
-func (p *persistentClient) run(until time.Time) {
+// run sends batches of requests until the given time.
+func (p *persistentClient) run(until time.Time) { p.repeat(until, p.sendBatch, maxThinkTime) }
+
+// repeat calls send on an open connection, with random pauses, until the given time.
+func (p *persistentClient) repeat(until time.Time, send func(), maxPause time.Duration) {
 	for time.Now().Before(until) {
 		if p.conn == nil && (p.load.clients.onStandby(int(p.node)) || !p.connect()) {
 			time.Sleep(reconnectDelay)
 			continue
 		}
-		p.sendBatch()
-		time.Sleep(time.Duration(p.random.Int64N(int64(maxThinkTime))))
+		send()
+		time.Sleep(time.Duration(p.random.Int64N(int64(maxPause))))
 	}
 	p.disconnect()
 }
