--- a/internal/cluster/consensus/replica/fragment_test.go
+++ b/internal/cluster/consensus/replica/fragment_test.go
@@ -15,17 +15,41 @@
 	"mintspring/internal/cluster"
 	"mintspring/internal/cluster/consensus"
 	"mintspring/internal/cluster/consensus/storage"
+	"mintspring/internal/cluster/faultrelay"
 	"mintspring/internal/cluster/lease"
 	"mintspring/internal/testbed/faultrounds"
 	"mintspring/internal/testbed/logrecorder"
 )
 
-// testGroup is a consensus group on loopback addresses.
+// testGroup is a consensus group of two replicas on loopback addresses, with a relay between them and with a client at the third address.
 type testGroup struct {
 	t     *testing.T
+	relay *faultrelay.Relay
 	addrs []string
 }
 
+func newTestGroup(t *testing.T) *testGroup {
+	t.Helper()
+	const members = 3
+	relay, err := faultrelay.Start(members, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(relay.Close)
+	g := &testGroup{t: t, relay: relay}
+	for i := range members {
+		addr, err := faultrounds.LoopbackAddr(1, i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.addrs = append(g.addrs, addr)
+		if err := relay.SetDestination(i, addr); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return g
+}
+
 // start starts the replica with the given number. Replica 1 alone forms the group.
 func (g *testGroup) start(number uint64) *logrecorder.Recorder {
 	g.t.Helper()
@@ -36,8 +60,12 @@
 	recorder := &logrecorder.Recorder{}
 	log := logrus.New()
 	log.SetOutput(recorder)
+	self := int(number - 1)
+	peer := 1 - self
+	replicaAddrs := make([]string, 2)
+	replicaAddrs[self], replicaAddrs[peer] = g.addrs[self], g.relay.Addr(self, peer)
 	r, err := Start(Config{
-		Group: "group", Number: number, ListenAddr: g.addrs[number-1], ReplicaAddrs: g.addrs[:2], InitialVoterCount: 1,
+		Group: "group", Number: number, ListenAddr: g.addrs[self], ReplicaAddrs: replicaAddrs, InitialVoterCount: 1,
 		DataDir: dir, TickInterval: 10 * time.Millisecond,
 	}, log)
 	if err != nil {
@@ -47,41 +75,51 @@
 	return recorder
 }
 
-// A replica catches up although the state of the group does not fit into one datagram. The message with the state was once dropped, so that
-// the replica never became a voter.
-func TestReplicaCatchesUpWithLargeState(t *testing.T) {
-	const leases, progressBytes = 20, 16 << 10
-	g := &testGroup{t: t}
-	for i := range 3 {
-		addr, err := faultrounds.LoopbackAddr(1, i)
-		if err != nil {
-			t.Fatal(err)
-		}
-		g.addrs = append(g.addrs, addr)
-	}
-	log := g.start(1)
+// storeProgress stores the given number of leases, each with 16 KiB of progress.
+func (g *testGroup) storeProgress(leases int) *Client {
+	g.t.Helper()
+	const progressBytes = 16 << 10
 	results := make(chan uint64, 1000)
 	process := lease.Process{Node: 7, Incarnation: cluster.NewIncarnation(1e12, 0.5)}
-	c, err := NewClient(g.addrs[2], g.addrs[:1], uint64(process.Incarnation), func(requestID uint64, _ lease.Result) { results <- requestID })
+	c, err := NewClient(g.addrs[2], []string{g.relay.Addr(2, 0)}, uint64(process.Incarnation), func(requestID uint64, _ lease.Result) { results <- requestID })
 	if err != nil {
-		t.Fatal(err)
+		g.t.Fatal(err)
 	}
-	defer c.Close()
-	for i := range uint64(leases) {
+	g.t.Cleanup(c.Close)
+	for i := range leases {
 		command := lease.Command{
 			Kind: lease.KindOverrideProgress, Name: fmt.Sprint("task-", i), Process: process, TTLMillis: 1000,
 			Progress: bytes.Repeat([]byte{byte(i)}, progressBytes),
 		}
-		sendUntilAnswered(t, c, i+1, command, results)
+		sendUntilAnswered(g.t, c, uint64(i+1), command, results)
 	}
-	g.start(2)
-	if err := c.AddReplica(2, 0); err != nil {
-		t.Fatal(err)
-	}
-	for deadline := time.Now().Add(10 * time.Second); !strings.Contains(log.String(), `voters="1(0) 2(0)"`); time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatalf("the new replica is no voter:\n%s", log)
-		}
+	return c
+}
+
+// A replica catches up although the state of the group does not fit into one datagram, also if datagrams are lost and delayed. The message with the
+// state was once dropped, so that the replica never became a voter.
+func TestReplicaCatchesUpWithLargeState(t *testing.T) {
+	for name, link := range map[string]faultrelay.Link{
+		"sound links": {},
+		"lossy links": {LossRate: 0.1, DelayMs: 2, JitterMs: 5, Duplicates: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestGroup(t)
+			log := g.start(1)
+			c := g.storeProgress(20)
+			g.start(2)
+			g.relay.UpdateLinks(func(links *faultrelay.Links) {
+				links.Set([]int{0, 1}, []int{0, 1}, func(l *faultrelay.Link) { *l = link })
+			})
+			if err := c.AddReplica(2, 0); err != nil {
+				t.Fatal(err)
+			}
+			for deadline := time.Now().Add(10 * time.Second); !strings.Contains(log.String(), `voters="1(0) 2(0)"`); time.Sleep(10 * time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatalf("the new replica is no voter:\n%s", log)
+				}
+			}
+		})
 	}
 }
 
