--- a/internal/node/lifecycle/lifecycle.go
+++ b/internal/node/lifecycle/lifecycle.go
@@ -64,8 +64,8 @@
 	EndInput
 )
 
-// A client on standby that never pauses has no request in flight for longer than the operators' page allows 4,000 ms after standby was
-// entered, which is one that came within the last 2,000 ms.
+// Bounds for clients that never pause, in ms after standby was entered. After 4,000 ms no connection may be open whose request came within the
+// last 2,000 ms (above): no request is forwarded from the first bound on, and the connections are closed from the second one on.
 const (
 	rejectInputAfterMs = 2000.0
 	endInputAfterMs    = 3000.0
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -40,10 +40,10 @@
 // returns when all requests are answered. Requests without a response at the bound are aborted: the end of the process would lose them.
 func (n *Node) Stop(grace, bound time.Duration) {
 	start := time.Now()
-	answerBy := start.Add(bound - schedulingStallAllowance)
+	answerTime := max(0, bound-schedulingStallAllowance)
 	n.lifecycle.BeginStop()
-	defer time.AfterFunc(max(grace, time.Until(answerBy)), n.endInput).Stop()
-	n.inbox.post(stopDeadline{n.clock.Now() + float64(max(0, bound-schedulingStallAllowance)/time.Millisecond)})
+	defer time.AfterFunc(max(grace, answerTime), n.endInput).Stop()
+	n.inbox.post(stopDeadline{n.clock.Now() + float64(answerTime/time.Millisecond)})
 	n.frontend.DrainConns()
 	if _, phase := n.handover.otherProcess(); phase.successorAccepts() {
 		// The successor gets new clients, and existing clients between two requests. Clients that never pause are closed after half the
@@ -53,7 +53,7 @@
 		time.Sleep(grace)
 		n.lifecycle.FinishStop()
 	}
-	n.frontend.Close(time.Until(answerBy))
+	n.frontend.Close(time.Until(start.Add(answerTime)))
 	n.frontend.DrainConns()
 	n.inbox.post(stopRequest{})
 	select {
