Review, case 2: a slow reader's connection is cut off in the middle of an answer

Tried: six clients send 120 reads of 60,000 bytes at once and read 400 KB a second without stopping. Clients that read one large value or three slowly keep their connections: streamed values are watched in another way. Command: review/build.sh && review/2/run.sh, five times; TROUBLE=0 review/2/run.sh.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"strconv"
@@ -55,3 +56,28 @@
 	}
 	return string(b[:n]), true, nil
 }
+
+// slowReader reads a few bytes at a time, with a pause before each.
+type slowReader struct {
+	io.Reader
+	bytes int
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (s slowReader) Read(b []byte) (int, error) {
+	time.Sleep(s.pause)
+	return s.Reader.Read(b[:min(len(b), s.bytes)])
+}
+
+// ReadSlowly makes the client read so many bytes at a time from now on, with a pause before each.
+func (c *Client) ReadSlowly(bytes int, pause time.Duration) {
+	c.in = bufio.NewReaderSize(slowReader{c.Conn, bytes, pause}, bytes)
+}
+
+// Key returns a key for a text: 16 hexadecimal digits.
+func Key(text string) string {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(text)) // a hash never fails
+	return fmt.Sprintf("%016x", hash.Sum64()*0x9e3779b97f4a7c15)
+}
