Review, case 1: more first chances, so that each run shows it

Tried: 20 servers and 40 clients in place of 12 and 30, and 8 ms in place of 6: the fault shows at a server's first late answers only. Command: review/build.sh && review/1/run.sh, five times; TROUBLE=0 review/1/run.sh.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	servers  = 12
-	clients  = 30
+	servers  = 20
+	clients  = 40
 	oneWay   = 4 * time.Millisecond // between two sites; the site file has 2.8 to 5.2 ms
 	work     = 20 * time.Millisecond
-	late     = 6 * time.Millisecond // of a second answer
+	late     = 8 * time.Millisecond // of a second answer
 	share    = 0.01                 // of the answers that are followed by a second one
 	duration = 20 * time.Second
 )
