Upstream: an equal miss or rejection soon after another closes its connection, without a rest

Change: an equal miss, rejection or failure less than 20 ms after the other closes its connection, so that an attempt still in flight ends before another is sent; a request with an effect counts as possibly executed. Rests are 20 ms and only where nothing else tells.

Tests: TestDuplicateOfMissEndsAttempt (fails with the comparison taken out: the connection is used on, the outcome a miss).

--- a/internal/node/clients/request.go
+++ b/internal/node/clients/request.go
@@ -123,6 +123,7 @@
 		return errNoIdempotencyKey // without the key a server would execute a repeated write again
 	}
 	request.Class = extra.class.ID
+	request.ExecuteOnce = extra.class.Effect != fleet.Idempotent
 	request.Deadline = c.Deadline(&extra.class.Class, request.ArrivedAt, extra.clientLimit)
 	return nil
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -49,8 +49,10 @@
 	minIdleBeforeEviction = 2000
 
 	// duplicateWindow is how long after a response a duplicate of it may arrive, in ms. The operators' page of the standing test has second
-	// answers that "come some milliseconds late", which the network may delay by tens of milliseconds more than the responses.
-	duplicateWindow = 100
+	// answers that "come some milliseconds late", which the network may delay by some milliseconds more than the response.
+	duplicateWindow = 20
+	// compareWindow is how long after a response the next one on its connection is compared with it, in ms. A comparison costs nothing.
+	compareWindow = 100
 
 	// memoryDivisor gives 1/memoryDivisor of the memory limit to each of these: buffered commands and responses, large values of the
 	// origin whose length is not known in advance, and large values that clients write.
@@ -82,6 +84,7 @@
 		NodeIndex:       deployment.NodeIndex,
 		Cooldown:        quantum / 2,
 		DuplicateWindow: duplicateWindow,
+		CompareWindow:   compareWindow,
 		DialAfterWait:   10 * quantum,
 		IdleTimeout:     0.75 * deployment.ConnIdleTimeout,
 		StartupWindow:   deployment.Limits.WarmUpTime,
--- a/internal/node/connpool/conn.go
+++ b/internal/node/connpool/conn.go
@@ -15,8 +15,8 @@
 	Responded    bool    // a response has arrived on it
 	Closed       bool
 
-	lastKey      KeyHash // key of its latest attempt
-	identifiable bool    // a duplicate of its latest response differs from any response to another key
+	lastKey     KeyHash     // key of its latest attempt
+	Recognition Recognition // of a duplicate of its latest response
 
 	reusedEarly bool // IdleDuration was so short that a duplicate of the previous response may still arrive
 	inUse       bool
@@ -28,9 +28,9 @@
 
 // Response is what the pool needs to know of a response.
 type Response struct {
-	Rejected     bool // the server rejected the attempt because the server is full
-	Last         bool // the connection accepts no further requests
-	Identifiable bool // the owner can tell a duplicate of this response from a response to another key
+	Rejected    bool // the server rejected the attempt because the server is full
+	Last        bool // the connection accepts no further requests
+	Recognition Recognition
 }
 
 // Waiter is the pool's state of one attempt. The owner embeds it in its own attempt type, and sets Key.
--- a/internal/node/connpool/dialrate.go
+++ b/internal/node/connpool/dialrate.go
@@ -12,8 +12,7 @@
 	minDemand       = 0.01 // fraction of the dial rate below which demand counts as none
 )
 
-// planDials returns how many connections to dial now. Of the cooling connections, the state counts only those that become ready within
-// Config.Cooldown. If the rate limit defers some of the wanted dials, retryAt is the time to call
+// planDials returns how many connections to dial now. If the rate limit defers some of the wanted dials, retryAt is the time to call
 // again; +Inf means not before the pool's state changes.
 func (p *Policy) planDials(now float64, s State) (n int, retryAt float64) {
 	dialsNeeded := p.wantedDials(now, s)
--- a/internal/node/connpool/duplicate.go
+++ b/internal/node/connpool/duplicate.go
@@ -2,7 +2,8 @@
 
 import (
 	"hash/maphash"
-	"slices"
+
+	"mintspring/internal/fleet"
 )
 
 // minIdentifyingValue is the length in bytes from which a value identifies the response that carries it. Shorter values, such as counters
@@ -18,70 +19,88 @@
 // HashKey returns the hash of a key. It differs between processes.
 func HashKey(key []byte) KeyHash { return KeyHash(maphash.Bytes(keySeed, key)) }
 
-// Identifies reports whether a buffered value that was read from a server identifies its response: a duplicate of that response can be told
-// from the responses to requests for other keys. Misses, rejections and failures have no value, and the receipts of writes may all be alike.
-func Identifies(value []byte, write bool) bool { return !write && len(value) >= minIdentifyingValue }
+// Recognition says how a duplicate of a response can be recognized when it arrives in place of the next response.
+type Recognition uint8
+
+const (
+	// Unrecognizable is a response whose duplicate may look like the response to any request: a short value, a value that is not compared,
+	// or the receipt of a write.
+	Unrecognizable Recognition = iota
+	// ByValue is a response whose value tells its duplicate from the responses to requests for other keys.
+	ByValue
+	// AsRepeat is a miss, a rejection or a failure. If the next response is the same and comes while a duplicate may arrive, it is one or the
+	// other. Its connection has to be closed, which ends the attempt if it is still in flight.
+	AsRepeat
+)
+
+// RecognitionOf returns how a duplicate of a response is recognized. The value was buffered; it is nil if the response has none.
+func RecognitionOf(result fleet.Result, value []byte, write bool) Recognition {
+	switch {
+	case result != fleet.Completed:
+		return AsRepeat
+	case !write && len(value) >= minIdentifyingValue:
+		return ByValue
+	}
+	return Unrecognizable
+}
 
 // pickIdle returns the index of the idle connection to use next for a key. It prefers the most recently used one, so that surplus
 // connections stay unused and are eventually closed. Connections used so recently that a duplicate may still arrive are chosen only if
 // there is no other, the one idle longest first. It returns -1 if no idle connection may be used for the key.
 func (p *Pool[C, A]) pickIdle(now float64, key KeyHash) int {
+	best, bestRisk := -1, mustNotReuse
 	for k := len(p.idle) - 1; k >= 0; k-- {
-		c := p.idle[k].PoolConn()
-		if rested := !c.Responded || now-c.IdleSince >= p.Policy.safeIdle(); rested && p.distinguishes(now, c, key) {
+		risk := p.reuseRisk(now, p.idle[k].PoolConn(), key)
+		if risk == safeToReuse {
 			return k
 		}
+		if risk != mustNotReuse && risk <= bestRisk {
+			best, bestRisk = k, risk
+		}
 	}
-	return slices.IndexFunc(p.idle, func(conn C) bool { return p.distinguishes(now, conn.PoolConn(), key) })
+	return best
 }
 
-// distinguishes reports whether a duplicate of a connection's latest response could be told from the response to an attempt with the given
-// key: two responses to one key may be the same.
-func (p *Pool[C, A]) distinguishes(now float64, c *Conn, key KeyHash) bool {
-	return !c.Responded || c.lastKey != key || now-c.IdleSince >= p.Policy.config.DuplicateWindow
+// reuseRisk is what may happen if a duplicate arrives on a connection that is reused.
+type reuseRisk uint8
+
+const (
+	safeToReuse      reuseRisk = iota // a duplicate hardly ever arrives
+	likelyRecognized                  // a duplicate may arrive and is recognized
+	mustNotReuse                      // a duplicate would be taken for the response
+)
+
+// reuseRisk returns the risk of using an idle connection for a key.
+func (p *Pool[C, A]) reuseRisk(now float64, c *Conn, key KeyHash) reuseRisk {
+	idle := now - c.IdleSince
+	inWindow := idle < p.Policy.config.DuplicateWindow
+	switch {
+	case !c.Responded:
+		return safeToReuse
+	case inWindow && c.Recognition == Unrecognizable, inWindow && c.Recognition == ByValue && c.lastKey == key:
+		return mustNotReuse // two responses to one key may be the same
+	case idle >= p.Policy.safeIdle():
+		return safeToReuse
+	}
+	return likelyRecognized
 }
 
-// MayReceiveDuplicate reports whether a duplicate of the previous response on a connection may arrive in place of the response to the
-// attempt in flight. The caller has to compare the two.
-func (p *Pool[C, A]) MayReceiveDuplicate(conn C) bool {
+// MayReceiveDuplicate reports whether what arrives now on a connection with an attempt in flight may be a duplicate of the previous response.
+// The caller has to compare the two.
+func (p *Pool[C, A]) MayReceiveDuplicate(now float64, conn C) bool {
 	c := conn.PoolConn()
-	return c.Responded && c.IdleDuration < p.Policy.config.DuplicateWindow
+	window := p.Policy.config.DuplicateWindow
+	if c.Recognition == ByValue {
+		window = p.Policy.config.CompareWindow
+	}
+	return c.Responded && now-c.IdleSince < window
 }
 
 // cooldownOf returns how long a connection is not reused after its response, in ms: until no duplicate of it is expected any more if a
 // duplicate could not be recognized.
 func (p *Pool[C, A]) cooldownOf(c *Conn) float64 {
-	if c.identifiable {
+	if c.Recognition != Unrecognizable {
 		return p.Policy.cooldown()
 	}
 	return max(p.Policy.cooldown(), p.Policy.config.DuplicateWindow)
 }
-
-// readySoon returns how many cooling connections become ready within the cooldown of a server that sends no duplicates.
-func (p *Pool[C, A]) readySoon(now float64) int {
-	n := 0
-	for n < len(p.coolingDown) && p.coolingDown[n].PoolConn().ReadyAt <= now+p.Policy.config.Cooldown {
-		n++
-	}
-	return n
-}
-
-// evictUnready closes unused connections that the waiting attempts cannot use soon, if the connection limit is reached: new connections can
-// be used at once.
-func (p *Pool[C, A]) evictUnready(now float64) {
-	soon := 0
-	if !p.Policy.Suspected() {
-		soon = p.readySoon(now)
-	}
-	dialsNeeded := len(p.waiters) - p.Dialing - soon
-	excess := p.openConns() + p.Dialing + dialsNeeded - p.Policy.limit()
-	for n := min(excess, dialsNeeded); n > 0 && p.unusedCount() > soon; n-- {
-		if len(p.coolingDown) > soon {
-			p.CloseConn(p.coolingDown[soon])
-			p.coolingDown = slices.Delete(p.coolingDown, soon, soon+1)
-			continue
-		}
-		p.CloseConn(p.idle[0]) // the waiting attempts are for the key of its latest response
-		p.idle = slices.Delete(p.idle, 0, 1)
-	}
-}
--- a/internal/node/connpool/policy.go
+++ b/internal/node/connpool/policy.go
@@ -18,7 +18,8 @@
 	NodeIndex int // this node's index among them; negative if unknown
 
 	Cooldown        float64 // ms after a response in which a connection is not reused, since a duplicate response may follow
-	DuplicateWindow float64 // ms after a response in which a duplicate may follow and be read as the response to the next attempt
+	DuplicateWindow float64 // ms after a response in which a connection is not reused where a duplicate would not be recognized
+	CompareWindow   float64 // ms after a response in which the next response may be a duplicate of it; at least DuplicateWindow
 	DialAfterWait   float64 // ms that attempts wait, in total, for cooling connections before a new connection is dialed
 	IdleTimeout     float64 // ms after which an unused connection is closed, before the peer does so
 	MaxAge          float64 // ms after which a connection is not reused
--- a/internal/node/connpool/pool.go
+++ b/internal/node/connpool/pool.go
@@ -110,7 +110,7 @@
 	p.scheduleTick(now, min(p.dial(now), p.nextWaiterEvent()))
 }
 
-// takeIdle removes the idle connection to use for an attempt with the given key from the pool. It closes connections that are too old.
+// takeIdle removes the idle connection to use for a key from the pool. It closes connections that are too old.
 func (p *Pool[C, A]) takeIdle(now float64, key KeyHash) (conn C, found bool) {
 	for k := p.pickIdle(now, key); k >= 0; k = p.pickIdle(now, key) {
 		conn = p.idle[k]
@@ -153,10 +153,8 @@
 	case p.localFailure && now < p.dialAgainAt:
 		return p.dialAgainAt
 	}
-	p.evictUnready(now)
-	state := p.State()
-	state.CoolingDown = p.readySoon(now)
-	n, retryAt := p.Policy.planDials(now, state)
+	p.evictCoolingDown()
+	n, retryAt := p.Policy.planDials(now, p.State())
 	if p.localFailure {
 		n = min(n, 1)
 	}
@@ -259,7 +257,7 @@
 	}
 	p.Detach(conn)
 	c := conn.PoolConn()
-	c.Responded, c.identifiable = true, response.Identifiable
+	c.Responded, c.Recognition = true, response.Recognition
 	p.Release(now, conn)
 }
 
--- a/internal/node/connpool/pool_test.go
+++ b/internal/node/connpool/pool_test.go
@@ -12,8 +12,13 @@
 	attempt     *testAttempt
 	respondedAt float64
 
-	key                  KeyHash // of its latest attempt
-	identifiableResponse bool
+	key         KeyHash     // of its latest attempt
+	recognition Recognition // of a duplicate of its latest response
+}
+
+// recognizesDuplicate reports whether a duplicate of the connection's latest response can be told from the response to an attempt.
+func (c *testConn) recognizesDuplicate(a *testAttempt) bool {
+	return c.recognition == ByValue && c.key != a.Key || c.recognition == AsRepeat
 }
 
 type testAttempt struct {
@@ -48,14 +53,14 @@
 		o.t.Fatal("a connection was used during its cooldown")
 	case c.Responded && o.pool.Policy.Suspected() && o.now-c.respondedAt < o.pool.Policy.suspicion.cooldown:
 		o.t.Fatal("a connection of a suspected server was reused while a duplicate may still arrive")
-	case c.Responded && o.now-c.respondedAt < o.pool.Policy.config.DuplicateWindow && (!c.identifiableResponse || c.key == a.Key):
+	case c.Responded && o.now-c.respondedAt < o.pool.Policy.config.DuplicateWindow && !c.recognizesDuplicate(a):
 		o.t.Fatal("a connection was reused although a duplicate of its latest response would not be recognized")
 	case !o.pool.Usable(c):
 		o.t.Fatal("an attempt was assigned a connection to an unavailable server or to an earlier address")
 	}
 	if c.Responded && o.now-c.IdleSince < o.pool.Policy.safeIdle() {
 		for _, other := range o.pool.idle { // no longer contains c
-			if !o.pool.distinguishes(o.now, &other.Conn, a.Key) {
+			if o.pool.reuseRisk(o.now, &other.Conn, a.Key) == mustNotReuse {
 				continue
 			}
 			if !other.Responded || o.now-other.IdleSince >= o.pool.Policy.safeIdle() || other.IdleSince < c.IdleSince {
@@ -154,8 +159,8 @@
 	c.attempt, c.respondedAt = nil, o.now
 	rejected := rapid.IntRange(0, 5).Draw(o.t, "rejected") == 0
 	last := rapid.IntRange(0, 5).Draw(o.t, "last") == 0
-	c.identifiableResponse = rapid.Bool().Draw(o.t, "identifiable")
-	o.pool.Responded(o.now, c, Response{Rejected: rejected, Last: last, Identifiable: c.identifiableResponse})
+	c.recognition = rapid.SampledFrom([]Recognition{Unrecognizable, ByValue, AsRepeat}).Draw(o.t, "recognition")
+	o.pool.Responded(o.now, c, Response{Rejected: rejected, Last: last, Recognition: c.recognition})
 }
 
 // breakConn breaks a connection, which fails or cancels its attempt.
@@ -237,6 +242,7 @@
 			WaitTimeout: rapid.SampledFrom([]float64{0, 50}).Draw(t, "wait timeout"),
 			MaxAge:      rapid.SampledFrom([]float64{0, 300}).Draw(t, "max age"),
 		}
+		config.CompareWindow = 2 * config.DuplicateWindow
 		o := &testOwner{t: t, now: 1000, closed: map[*testConn]int{}}
 		o.pool = New(NewPolicy(config, 1, 0.5), &Counters{}, Owner[*testConn, *testAttempt](o))
 		o.pool.SetTarget(o.now, "a", true)
--- a/internal/node/connpool/unused.go
+++ b/internal/node/connpool/unused.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// maxCoolingDown is how many connections to a server may cool down for longer than Config.Cooldown at a time. More of them would cost the
-// server more than opening new connections does, and would exhaust the node's file descriptors.
+// maxCoolingDown is how many connections to a suspected server may cool down at a time. More of them would cost the server more than
+// opening new connections does, and would exhaust the node's file descriptors.
 const maxCoolingDown = 128
 
 func (p *Pool[C, A]) unusedCount() int { return len(p.idle) + len(p.coolingDown) }
@@ -23,18 +23,17 @@
 	}
 }
 
-// coolDown starts the cooldown of a connection after its response. It keeps the number of connections that cool down for longer than
-// Config.Cooldown within maxCoolingDown.
+// coolDown starts the cooldown of a connection after its response. It keeps the number of cooling connections to a suspected server
+// within maxCoolingDown.
 func (p *Pool[C, A]) coolDown(conn C) {
 	c := conn.PoolConn()
-	cooldown := p.cooldownOf(c)
-	c.ReadyAt = c.IdleSince + cooldown
+	c.ReadyAt = c.IdleSince + p.cooldownOf(c)
 	at := len(p.coolingDown)
 	for at > 0 && p.coolingDown[at-1].PoolConn().ReadyAt > c.ReadyAt { // the cooldown has become shorter
 		at--
 	}
 	p.coolingDown = slices.Insert(p.coolingDown, at, conn)
-	if cooldown > p.Policy.config.Cooldown && len(p.coolingDown) > maxCoolingDown {
+	if p.Policy.Suspected() && len(p.coolingDown) > maxCoolingDown {
 		p.closeNextReady()
 	}
 }
@@ -45,6 +44,19 @@
 	p.coolingDown = slices.Delete(p.coolingDown, 0, 1)
 }
 
+// evictCoolingDown closes cooling connections to a suspected server if attempts wait and the connection limit is reached: new
+// connections can be used at once, cooling ones cannot.
+func (p *Pool[C, A]) evictCoolingDown() {
+	if !p.Policy.Suspected() {
+		return
+	}
+	dialsNeeded := len(p.waiters) - p.Dialing
+	excess := p.openConns() + p.Dialing + dialsNeeded - p.Policy.limit()
+	for range min(excess, dialsNeeded, len(p.coolingDown)) {
+		p.closeNextReady()
+	}
+}
+
 // RemoveUnused removes a connection from the pool if it is unused, without closing it.
 func (p *Pool[C, A]) RemoveUnused(conn C) {
 	isConn := func(other C) bool { return other.PoolConn() == conn.PoolConn() }
@@ -155,7 +167,7 @@
 	slices.SortStableFunc(p.coolingDown, func(a, b C) int { return cmp.Compare(a.PoolConn().ReadyAt, b.PoolConn().ReadyAt) })
 	for _, conn := range p.inUse {
 		c := conn.PoolConn()
-		if c != duplicateConn && c.Responded && !c.Closed && c.IdleDuration < p.Policy.cooldown() && !p.MayReceiveDuplicate(conn) {
+		if c != duplicateConn && c.Responded && !c.Closed && c.IdleDuration < p.Policy.cooldown() && c.IdleDuration >= p.Policy.config.DuplicateWindow {
 			suspected = append(suspected, conn)
 		}
 	}
--- a/internal/node/exchange/exchange.go
+++ b/internal/node/exchange/exchange.go
@@ -24,14 +24,16 @@
 type Exchange struct {
 	Command, Key, ID, Extra, Value []byte // as sent by the client; Value is nil if there is a Body
 
-	Class     fleet.ClassID
-	Tenant    fleet.TenantID
-	KeyHash   fleet.Key
-	Write     bool
-	Work      float64 // in ms, as stated by the client; 0: not stated
-	ValueSize float64 // as stated by the client; 0: not stated
-	ArrivedAt float64 // when the last byte of the request was read, not counting a Body
-	Deadline  float64 // when the client stops waiting; with a Body: an upper bound
+	Class   fleet.ClassID
+	Tenant  fleet.TenantID
+	KeyHash fleet.Key
+	Write   bool
+	// ExecuteOnce says that the request has an effect: two servers must not execute it.
+	ExecuteOnce bool
+	Work        float64 // in ms, as stated by the client; 0: not stated
+	ValueSize   float64 // as stated by the client; 0: not stated
+	ArrivedAt   float64 // when the last byte of the request was read, not counting a Body
+	Deadline    float64 // when the client stops waiting; with a Body: an upper bound
 
 	Body    *Body   // the value, instead of Value, if it is streamed from the client
 	Timeout float64 // with a Body: how long the client waits after it has sent the last byte
--- a/internal/node/upstream/duplicate.go
+++ b/internal/node/upstream/duplicate.go
@@ -4,31 +4,55 @@
 	"hash/maphash"
 	"math"
 
-	"mintspring/internal/fleet"
 	"mintspring/internal/node/connpool"
 )
 
 // digestSeed is the seed of all digests of the process.
 var digestSeed = maphash.MakeSeed()
 
-// responseDigest identifies a response by its value and its load report. The protocols do not say which request a response belongs to, but
-// a duplicate has the digest of the response before it on its connection. The zero value is the digest of no response.
+// responseDigest identifies a response by its result, value and load report. The protocols do not say which request a response belongs to,
+// but a duplicate has the digest of the response before it on its connection.
 type responseDigest struct {
-	valid bool
-	sum   uint64
+	recognition connpool.Recognition
+	sum         uint64 // 0 if duplicates of the response cannot be recognized
 }
 
-// digestOf returns the digest of the response to an attempt. It is valid only if the response can be told from those to other keys.
+// digestOf returns the digest of the response to an attempt.
 func digestOf(a *Attempt, response *Response) responseDigest {
-	if response.Result != fleet.Completed || !connpool.Identifies(response.Value, a.Request.Write) {
-		return responseDigest{}
+	digest := responseDigest{recognition: connpool.RecognitionOf(response.Result, response.Value, a.Request.Write)}
+	if digest.recognition == connpool.Unrecognizable {
+		return digest
 	}
 	var hash maphash.Hash
 	hash.SetSeed(digestSeed)
 	_, _ = hash.Write(response.Value) // a hash never fails
+	maphash.WriteComparable(&hash, response.Result)
+	maphash.WriteComparable(&hash, response.Cache)
 	r := &response.Report
 	for _, figure := range [...]float64{r.Util, r.Queue, r.Inflight, r.Latency, r.Rate, r.Errors, r.HitRatio, r.X1} {
-		maphash.WriteComparable(&hash, math.Float64bits(figure))
+		maphash.WriteComparable(&hash, math.Float64bits(figure)) // a figure that is absent is not equal to itself
 	}
-	return responseDigest{valid: true, sum: hash.Sum64()}
+	digest.sum = hash.Sum64()
+	return digest
+}
+
+// originality says whether a response is one to the attempt in flight.
+type originality uint8
+
+const (
+	original          originality = iota
+	duplicate                     // of the previous response on the connection
+	possibleDuplicate             // the response is the same as the one before it
+)
+
+// compare compares a response with the previous one on its connection. Called with the endpoint's mutex held.
+func (c *conn) compare(digest responseDigest, at float64) originality {
+	same := digest == c.lastDigest && c.endpoint.pool.MayReceiveDuplicate(at, c)
+	switch {
+	case same && digest.recognition == connpool.ByValue:
+		return duplicate
+	case same && digest.recognition == connpool.AsRepeat:
+		return possibleDuplicate
+	}
+	return original
 }
--- a/internal/node/upstream/duplicate_test.go
+++ b/internal/node/upstream/duplicate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"strings"
 	"testing"
@@ -9,13 +10,14 @@
 
 	"mintspring/internal/fleet"
 	"mintspring/internal/node/connpool"
+	"mintspring/internal/node/exchange"
 )
 
 // newDuplicateHarness is newHarness with a pool that expects duplicates for a second after each response.
 func newDuplicateHarness(t *testing.T, serve func(c net.Conn)) *harness {
 	t.Helper()
 	h := newHarness(t, serve)
-	h.endpoint.pool.Policy = connpool.NewPolicy(connpool.Config{DuplicateWindow: 1000, IdleTimeout: 5000}, 1, 0)
+	h.endpoint.pool.Policy = connpool.NewPolicy(connpool.Config{DuplicateWindow: 1000, CompareWindow: 1000, IdleTimeout: 5000}, 1, 0)
 	return h
 }
 
@@ -47,8 +49,8 @@
 	}
 }
 
-// A connection is not reused at once if a duplicate of its latest response could be taken for the next response: after a response that
-// carries no value or a short one, and for a request of the same key. After the response to another key it is.
+// A connection is not reused at once if a duplicate of its latest response could be taken for the next response: after a short value, and
+// for a request of the same key. After the response to another key, and after one without a value, it is.
 func TestConnectionRestsWhereDuplicateWouldNotBeRecognized(t *testing.T) {
 	long, other := strings.Repeat("k", 40), strings.Repeat("o", 40)
 	for _, c := range []struct {
@@ -59,14 +61,42 @@
 		{"another key", long, other, true},
 		{"the same key", long, long, false},
 		{"a short value", "short", other, false},
+		{"a miss", "miss", other, true},
 	} {
 		h := newDuplicateHarness(t, echo)
 		h.send(c.first, 1000)
-		h.expectResult(c.name, fleet.Completed)
+		h.nextCompletion()
 		h.send(c.next, 1000)
-		h.expectResult(c.name, fleet.Completed)
+		h.nextCompletion()
 		if got := h.endpoint.group.Stats().Opened == 1; got != c.reused {
 			t.Errorf("%s: the connection is reused: %v, want %v", c.name, got, c.reused)
 		}
 	}
 }
+
+// The duplicate of a miss arrives in place of the response to the next request. It may be taken for a miss, but then the connection has to
+// be closed before the request is sent to another server: two attempts of it were out at once, and the late response was read as the one
+// to a third request. A request with an effect may have been executed.
+func TestDuplicateOfMissEndsAttempt(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		executeOnce bool
+		want        fleet.Result
+	}{{"idempotent", false, fleet.Missed}, {"with an effect", true, fleet.Reset}} {
+		closed := make(chan bool, 1)
+		h := newDuplicateHarness(t, func(conn net.Conn) {
+			read(conn)
+			write(conn, "miss\n")
+			read(conn)
+			write(conn, "miss\n") // the response to the second request never comes
+			closed <- read(conn) == ""
+		})
+		h.send("first", 1000)
+		h.expectResult("the first request", fleet.Missed)
+		h.endpoint.Send(&exchange.Exchange{Key: []byte("second"), ExecuteOnce: c.executeOnce}, 0, 1000, math.Inf(1))
+		h.expectResult(c.name, c.want)
+		if !<-closed {
+			t.Errorf("%s: the connection is used on", c.name)
+		}
+	}
+}
--- a/internal/node/upstream/harness_test.go
+++ b/internal/node/upstream/harness_test.go
@@ -21,7 +21,7 @@
 )
 
 // lineProtocol is a protocol in which requests and responses are single lines. Some response lines have an effect: "panic" makes the
-// parser panic, "malformed" makes it fail, "last" ends the use of the connection, and "large N" announces a value of N bytes.
+// parser panic, "malformed" makes it fail, "miss" is a miss, "last" ends the use of the connection, and "large N" announces a value of N bytes.
 type lineProtocol struct{}
 
 func (lineProtocol) AppendRequest(b []byte, request *exchange.Exchange, _ float64) []byte {
@@ -54,6 +54,8 @@
 		panic(text)
 	case "malformed":
 		return 0, Response{}, errors.New("malformed response")
+	case "miss":
+		return i + 1, Response{Result: fleet.Missed}, nil
 	default:
 		if size, large := strings.CutPrefix(text, "large "); large {
 			n, _ := strconv.ParseInt(size, 10, 64)
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -60,10 +60,6 @@
 		e.mu.Unlock()
 		return false
 	}
-	if n > 0 && r.discardDuplicate(a, &response, n, at) {
-		e.mu.Unlock()
-		return true // the response is still to come
-	}
 	a.progress = exchange.ResponseStarted
 	switch {
 	case unsized:
@@ -77,19 +73,32 @@
 		r.setStallDeadline()
 		return true
 	}
-	return r.completeAttempt(a, n, response, at)
+	return r.acceptOriginal(a, n, response, at)
 }
 
-// discardDuplicate drops a response of n bytes that is a duplicate of the previous one on the connection rather than the response to the
-// attempt in flight, and reports whether it is. Called with the endpoint's mutex held.
-func (r *reader) discardDuplicate(a *Attempt, response *Response, n int, at float64) bool {
-	c := r.conn
-	if !c.lastDigest.valid || !c.endpoint.pool.MayReceiveDuplicate(c) || digestOf(a, response) != c.lastDigest {
-		return false
+// acceptOriginal completes an attempt with a response of n bytes, unless that is a duplicate of the previous one on the connection. It reports
+// whether to read on. It is called with the endpoint's mutex held, and unlocks it.
+func (r *reader) acceptOriginal(a *Attempt, n int, response Response, at float64) bool {
+	c, e := r.conn, r.conn.endpoint
+	digest := digestOf(a, &response)
+	switch c.compare(digest, at) {
+	case duplicate:
+		a.progress = exchange.FullyWritten
+		e.recordUnsolicited(at, c)
+		e.mu.Unlock()
+		r.in.Discard(n)
+		return true // the response is still to come
+	case possibleDuplicate:
+		if a.Request.ExecuteOnce {
+			e.mu.Unlock()
+			e.fail(a, fleet.Reset, errPossibleDuplicate)
+			return false
+		}
+		response.Close = true // which ends the attempt if it is still in flight
+	case original:
 	}
-	c.endpoint.recordUnsolicited(at, c)
-	r.in.Discard(n)
-	return true
+	c.lastDigest = digest
+	return r.completeAttempt(a, n, response, at)
 }
 
 // setStallDeadline limits how long the next read may take. Without this limit a response that stalls after it has begun would use up
@@ -148,7 +157,6 @@
 		}
 		response = s.tail
 	}
-	c.lastDigest = digestOf(a, &response)
 	excess := r.in.Len() > 0
 	if excess {
 		c.IdleSince = at
@@ -158,7 +166,7 @@
 	c.current = nil
 	endedNow := e.markEnded(a)
 	e.pool.Responded(at, c, connpool.Response{
-		Rejected: response.Result == fleet.Declined, Last: response.Close || excess, Identifiable: c.lastDigest.valid,
+		Rejected: response.Result == fleet.Declined, Last: response.Close || excess, Recognition: c.lastDigest.recognition,
 	})
 	e.mu.Unlock()
 	if endedNow {
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -85,5 +85,6 @@
 	errWaitTimeout         = errors.New("the attempt waited too long for a connection")
 	errQueueFull           = errors.New("too many attempts wait for a connection")
 	errDuplicatesSuspected = errors.New("the server sends duplicate responses, and the next one may be for another request")
+	errPossibleDuplicate   = errors.New("the response may be a duplicate of the previous one, and the request executed yet")
 	errEarlyResponse       = errors.New("the server responded before the request was sent completely")
 )
--- a/internal/testbed/simulator/clientattempt.go
+++ b/internal/testbed/simulator/clientattempt.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"mintspring/internal/fleet"
 	"mintspring/internal/node/exchange"
 	"mintspring/internal/testbed/experiment"
 	"mintspring/internal/testbed/invariants"
@@ -84,8 +85,9 @@
 	limits := &node.deployment.Limits.Classes[a.request.Class]
 	return &exchange.Exchange{
 		Key: []byte(a.request.Key), KeyHash: ringKey(a.request.Key), Class: node.clientConfig.Classes[class.Name].ID, Write: class.Write,
-		Tenant:    node.clientConfig.Tenants[x.Tenants[a.request.Tenant].Name],
-		ArrivedAt: now, Deadline: node.clientConfig.Deadline(limits, now, math.Floor(x.AttemptTimeoutMs(a.request.Class))), Client: a,
+		ExecuteOnce: limits.Effect != fleet.Idempotent,
+		Tenant:      node.clientConfig.Tenants[x.Tenants[a.request.Tenant].Name],
+		ArrivedAt:   now, Deadline: node.clientConfig.Deadline(limits, now, math.Floor(x.AttemptTimeoutMs(a.request.Class))), Client: a,
 	}
 }
 
--- a/internal/testbed/simulator/conn.go
+++ b/internal/testbed/simulator/conn.go
@@ -136,8 +136,9 @@
 	c.current = nil
 	attemptEnded := a.done
 	a.done = true
+	c.Recognition = connpool.RecognitionOf(completion.Result, completion.Value, a.exchange.Write)
 	l.pool.Responded(now, c, connpool.Response{
-		Rejected: completion.Result == fleet.Declined, Last: closesConn, Identifiable: connpool.Identifies(completion.Value, a.exchange.Write),
+		Rejected: completion.Result == fleet.Declined, Last: closesConn, Recognition: c.Recognition,
 	})
 	if !attemptEnded {
 		l.process.inflight.AttemptDone(now, a.exchange, a.index, completion)
@@ -182,10 +183,12 @@
 		return
 	}
 	switch {
-	case c.current != nil && c.link.pool.MayReceiveDuplicate(c):
+	case c.current != nil && c.link.pool.MayReceiveDuplicate(p.localNow(), c) && c.Recognition == connpool.ByValue:
 		c.link.recordUnsolicited(p.localNow(), c)
+	case c.current != nil && c.link.pool.MayReceiveDuplicate(p.localNow(), c) && c.current.exchange.ExecuteOnce:
+		c.connectionLost()
 	case c.current != nil:
-		c.acceptResponse(c.current, d.attempt.execution, false)
+		c.acceptResponse(c.current, d.attempt.execution, c.link.pool.MayReceiveDuplicate(p.localNow(), c))
 	default:
 		p.sim.result.DuplicateDetections = append(p.sim.result.DuplicateDetections, fakes.DuplicateDetection{
 			AtMs: p.sim.nowMs(), Server: c.server.model.ID, Node: servermodel.NodeID(p.node.index),
