Clients: a reply is written for as long as its client takes bytes

Cause: a reply of up to 64 KiB had one write deadline, the longest deadline of a class (clients/writer.go, writeBatch). With a full send buffer the kernel lets a blocked write continue only when a third of it is free, which takes a slow client longer.

Evidence: the connections end where the send buffer is full, not at a time; streamed values, which watch the unacknowledged bytes, pass.

The linger time keeps its value, as a setting of its own. Replies of more than 16 KiB are written without a copy.

Test: TestSlowReaderKeepsReplies, before: EOF after 3.93 to 4.00 of 4.80 MB, three of three; now three of three pass.

--- a/internal/node/clients/closing.go
+++ b/internal/node/clients/closing.go
@@ -17,8 +17,6 @@
 var expiredDeadline = time.Unix(1, 0) //nolint:forbidigo // a constant, no reading of the wall clock
 
 const (
-	// lingerDivisor divides Config.WriteTimeout into the time for which linger keeps reading after the last reply.
-	lingerDivisor = 4
 	// lingerChunk is the number of bytes that linger drops between two pauses of lingerPause. A client that sends without end then does not
 	// take the processor from others.
 	lingerChunk = 4 * exchange.MaxBufferedValue
@@ -180,7 +178,7 @@
 // over. Then linger closes the connection. Closing over unread bytes would reset the connection, and the client would lose replies that it
 // has not read yet. How much a client sends meanwhile does not matter, but it is read with pauses.
 func (c *conn) linger() {
-	timeout := clock.Duration(c.server.Config().WriteTimeout / lingerDivisor)
+	timeout := clock.Duration(c.server.Config().LingerTimeout)
 	var deadline time.Time // zero until the last reply is written
 	for {
 		finished, now := c.writerFinished(), time.Now()
--- a/internal/node/clients/config.go
+++ b/internal/node/clients/config.go
@@ -5,8 +5,14 @@
 	"mintspring/internal/fleet"
 )
 
-// minWriteTimeout is the minimum of Config.WriteTimeout, in ms.
-const minWriteTimeout = 1000
+const (
+	// minWriteTimeout is the minimum of Config.WriteTimeout, in ms. A client that reads slowly acknowledges bytes only when it has room for a
+	// whole segment, which on loopback has 64 KiB.
+	minWriteTimeout = 10_000
+	// minLingerTimeout and lingerDivisor give Config.LingerTimeout from the longest client timeout, in ms.
+	minLingerTimeout = 250
+	lingerDivisor    = 4
+)
 
 // Config is the part of the settings that applies to requests: the names that clients use, and limits. It is immutable once in use.
 type Config struct {
@@ -14,7 +20,8 @@
 	Tenants        map[string]fleet.TenantID
 	ReplyMargin    float64 // ms of a client's time limit that are reserved for sending the reply
 	LongestTimeout float64 // ms; the longest client timeout of all classes
-	WriteTimeout   float64 // ms after which a client that reads nothing is closed: LongestTimeout, but at least minWriteTimeout
+	WriteTimeout   float64 // ms after which a client that takes nothing of its replies is closed: LongestTimeout, but at least minWriteTimeout
+	LingerTimeout  float64 // ms for which a connection is read on after its last reply
 	RetryAfter     float64 // ms, sent with the rejection of a request that has not reached the Handler; 0: not sent
 }
 
@@ -38,6 +45,7 @@
 		}
 	}
 	c.WriteTimeout = max(c.LongestTimeout, minWriteTimeout)
+	c.LingerTimeout = max(c.LongestTimeout/lingerDivisor, minLingerTimeout)
 	if d.Limits.SendRetryAfter {
 		c.RetryAfter = d.Limits.MaxRetryAfter
 	}
--- a/internal/node/clients/resp.go
+++ b/internal/node/clients/resp.go
@@ -94,6 +94,11 @@
 	return length, offset + i + 1
 }
 
+// appendBulkHeader appends the bytes that precede a bulk string of the given size.
+func appendBulkHeader(b []byte, size int64) []byte {
+	return append(strconv.AppendInt(append(b, '$'), size, 10), crlf...)
+}
+
 // appendReply appends a response encoded in RESP2.
 func appendReply(b []byte, response *exchange.Response) []byte {
 	switch response.Kind {
--- a/internal/node/clients/stream_test.go
+++ b/internal/node/clients/stream_test.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -138,3 +139,34 @@
 	}
 	c.expect("\r\n")
 }
+
+// A client that sends many reads at once and takes the replies slowly, but without a pause, gets all of them. Its connection was closed in
+// the middle of a reply, since the kernel let the write of that reply continue only after the write timeout.
+func TestSlowReaderKeepsReplies(t *testing.T) {
+	const requests = 80
+	h := newHarness(t, func(s *Server) { s.Config().WriteTimeout = 200 })
+	c := h.dial()
+	if err := c.Conn.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
+		t.Fatal(err)
+	}
+	value := make([]byte, 60_000)
+	go func() {
+		for range requests {
+			(<-h.requests).Respond(exchange.Response{Value: value})
+		}
+	}()
+	for i := range requests {
+		c.send(command("KV.GET", "k", fmt.Sprint(i), testExtra))
+	}
+	reply := len("$60000\r\n") + len(value) + len("\r\n")
+	b := make([]byte, 32<<10)
+	for received, start := 0, time.Now(); received < requests*reply; {
+		n, err := c.reader.Read(b[:min(len(b), requests*reply-received)])
+		if err != nil {
+			t.Fatalf("after %d of %d bytes: %v", received, requests*reply, err)
+		}
+		if received += n; time.Since(start) < 2*time.Second {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
--- a/internal/node/clients/writer.go
+++ b/internal/node/clients/writer.go
@@ -1,9 +1,13 @@
 package clients
 
 import (
+	"errors"
 	"net"
+	"os"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"mintspring/internal/clock"
 	"mintspring/internal/node/exchange"
 	"mintspring/internal/node/lifecycle"
@@ -32,8 +36,16 @@
 // last reports whether the connection is closed after the batch.
 func (b *replyBatch) last() bool { return b.replies[len(b.replies)-1].last }
 
-// encodedSize returns an upper bound for the bytes of the batch. Those of a streamed value do not count.
+// writtenApart reports whether the batch is a value that is written without a copy of it.
+func (b *replyBatch) writtenApart() bool {
+	return b.response != nil && b.response.Kind == exchange.Completed && len(b.response.Value) > maxBatchSize
+}
+
+// encodedSize returns an upper bound for the bytes of the batch. Those of a streamed value and of one that is written apart do not count.
 func (b *replyBatch) encodedSize() int {
+	if b.writtenApart() {
+		return replyOverhead
+	}
 	if b.response != nil {
 		return len(b.response.Value) + len(b.response.Reason) + replyOverhead
 	}
@@ -124,10 +136,13 @@
 		}
 		return nil
 	}
+	if batch.writtenApart() {
+		header := appendBulkHeader(b[:0], int64(len(batch.response.Value)))
+		return c.write(net.Buffers{header, batch.response.Value, []byte(crlf)})
+	}
 	out.Commit(len(batch.appendTo(b[:0])))
-	c.setWriteDeadline(clock.Duration(c.server.Config().WriteTimeout))
-	_, err = out.FlushTo(c.net)
-	return err
+	defer out.Discard(out.Len())
+	return c.write(net.Buffers{out.Peek()})
 }
 
 // recordWritten releases what replies held, and wakes the reader if more commands may be processed now.
@@ -156,3 +171,51 @@
 func (c *conn) setWriteDeadline(timeout time.Duration) {
 	_ = c.net.SetWriteDeadline(time.Now().Add(timeout)) // fails only on a closed connection, and then writing fails too
 }
+
+// stallChecks is how often a write that blocks is checked for progress within the time for which it may stall.
+const stallChecks = 10
+
+// write writes buffers completely, however long that takes, unless the client takes nothing for Config.WriteTimeout. A blocked write does not
+// show that the client takes nothing: the kernel lets a write continue only when a third of its buffer is free, which a slow client may
+// need many seconds for. A change of the number of unacknowledged bytes shows progress.
+func (c *conn) write(buffers net.Buffers) error {
+	maxStall := clock.Duration(c.server.Config().WriteTimeout)
+	lastProgress, unacknowledged := time.Now(), unacknowledgedBytes(c.net)
+	for {
+		c.setWriteDeadline(maxStall / stallChecks)
+		n, err := buffers.WriteTo(c.net)
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		current := unacknowledgedBytes(c.net)
+		if n > 0 || current != unacknowledged {
+			lastProgress = time.Now()
+		}
+		unacknowledged = current
+		if time.Since(lastProgress) > maxStall {
+			return err
+		}
+	}
+}
+
+// unacknowledgedBytes returns how many bytes written to a connection the peer has not acknowledged; -1 if that is unknown.
+func unacknowledgedBytes(netConn net.Conn) int {
+	tcp, ok := netConn.(*net.TCPConn)
+	if !ok {
+		return -1
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return -1
+	}
+	unacknowledged := -1
+	err = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			unacknowledged = n
+		}
+	})
+	if err != nil {
+		return -1
+	}
+	return unacknowledged
+}
