Clients: requests behind others wait until there is memory for their replies

Cause: only values that wait for their client were counted. As many requests were executed as there are descriptors, each with a ring buffer of 72 KiB and a copy of its value, before anything was known of its size.

Evidence: the memory grows while responses arrive, for fast readers too; with one read at a time the node holds 19 MB.

Change: a request behind others on its connection is executed only when memory for the largest reply is reserved, out of a quarter of the limit. Connections wait in turn; the first request of each needs none, so that each proceeds; a small value returns its part at once; two processes of a hot restart have half each. Nothing is rejected: what waits is read as beyond the 64 of a connection before.

--- a/internal/node/clients/closing.go
+++ b/internal/node/clients/closing.go
@@ -36,7 +36,10 @@
 		c.mu.Unlock()
 		return false
 	}
-	c.addBuffered(-c.state.buffered)
+	c.addBuffered(-c.state.prepaid, true)
+	c.addBuffered(-c.state.buffered, false)
+	unused := c.state.reservedReply
+	c.state.reservedReply = 0
 	if c.state.usage >= usageRequested {
 		c.server.connsWithRequest.Add(-1)
 	}
@@ -44,6 +47,8 @@
 	c.cond.Broadcast()
 	c.mu.Unlock()
 	c.closeNet()
+	c.server.ReplyMemory.leave(c)
+	c.server.ReplyMemory.release(unused)
 	if stream != nil {
 		stream.Close() // unblocks the writer, which may wait for a silent server
 	}
@@ -65,6 +70,7 @@
 	if r.reserved > 0 {
 		c.server.Memory.Release(r.reserved)
 	}
+	c.server.ReplyMemory.release(r.memory)
 	if r.request == nil {
 		return
 	}
--- a/internal/node/clients/conn.go
+++ b/internal/node/clients/conn.go
@@ -113,17 +113,23 @@
 	if !c.state.enqueue(r) {
 		return false
 	}
-	c.addBuffered(r.size)
+	c.addBuffered(r.size, false)
 	c.cond.Broadcast()
 	return true
 }
 
-// addBuffered adds to the bytes buffered for the connection and for the server. Called with the mutex held.
-func (c *conn) addBuffered(n int64) {
-	if c.state.phase != phaseClosed {
-		c.state.buffered += n
-		c.server.buffered.Add(n)
+// addBuffered adds to the bytes buffered for the connection and, unless memory is reserved for them, for the server. Called with the mutex
+// held.
+func (c *conn) addBuffered(n int64, prepaid bool) {
+	if c.state.phase == phaseClosed {
+		return
 	}
+	c.state.buffered += n
+	if prepaid {
+		c.state.prepaid += n
+		return
+	}
+	c.server.buffered.Add(n)
 }
 
 // noMemoryMessage is the error reply that replaces a value if there is no memory to hold it until it can be written.
@@ -139,14 +145,19 @@
 		request.Body.CloseReader(net.ErrClosed) // the rest of the body is not needed
 	}
 	dropped := c.state.phase == phaseClosed // the client has disconnected
-	if size := bufferedSize(response); c.state.buffered+size > exchange.MaxBufferedValue && c.server.exceedsMaxBuffered(size, overloadFactor) {
+	size, prepaid, released := bufferedSize(response), isPrepaid(request, response), int64(0)
+	if !prepaid {
+		released = c.state.takeMemory(request)
+	}
+	if !prepaid && c.state.buffered+size > exchange.MaxBufferedValue && c.server.exceedsMaxBuffered(size, overloadFactor) {
 		dropped = dropped || c.state.replaceReply(request, errorReply(noMemoryMessage))
 	}
 	if !dropped {
-		c.addBuffered(bufferedSize(response))
+		c.addBuffered(size, prepaid)
 	}
 	c.cond.Broadcast()
 	c.mu.Unlock()
+	c.server.ReplyMemory.release(released)
 	if dropped && response.Stream != nil {
 		response.Stream.Close()
 	}
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -232,7 +232,11 @@
 		}
 		return processStopped
 	}
+	if !c.reserveReply() {
+		return processPaused
+	}
 	c.server.dispatch(c, args, arrivedAt, nil)
+	c.releaseUnusedReply()
 	r.args = args[:0]
 	r.in.Discard(len(b) - len(rest))
 	return processAccepted
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -48,6 +48,7 @@
 
 	CommandTimeout float64 // ms within which the first command, or the rest of one that has begun, must arrive
 	MaxBuffered    int64   // bytes of commands and replies buffered for all clients; 0: no limit
+	ReplyMemory    *ReplyMemory
 
 	config           atomic.Pointer[Config]
 	buffered         atomic.Int64
--- a/internal/node/clients/state.go
+++ b/internal/node/clients/state.go
@@ -50,6 +50,7 @@
 	last     bool   // the connection is closed after this reply
 	size     int64  // bytes that count as buffered until the reply is written
 	reserved int64  // bytes of memory reserved for a large value until the reply is written
+	memory   int64  // bytes of ReplyMemory, until the reply is written or turns out to be small
 }
 
 // sharedState is the state of a connection that its goroutines and the server share. Its methods are called with the
@@ -71,7 +72,11 @@
 	stream       exchange.Stream // the large value that is being written
 
 	replies  []pendingReply
-	buffered int64 // bytes of commands and replies, which the server counts too
+	buffered int64 // bytes of commands and replies
+	prepaid  int64 // bytes of buffered for which ReplyMemory is reserved, so that the server does not count them
+
+	waitsForMemory bool  // the next command waits for ReplyMemory
+	reservedReply  int64 // bytes of ReplyMemory reserved for the reply to the next command
 }
 
 // betweenRequests reports whether the connection is open and nothing is in flight on it.
@@ -102,7 +107,8 @@
 
 // atLimit reports whether the connection must reply to an earlier command before further commands are processed.
 func (s *sharedState) atLimit() bool {
-	return (len(s.replies) >= maxPipelined || s.buffered > maxConnBuffered) && s.phase != phaseClosed
+	full := len(s.replies) >= maxPipelined || s.buffered > maxConnBuffered || s.waitsForMemory && s.hasPending()
+	return full && s.phase != phaseClosed
 }
 
 // recordRequest records that a request has arrived completely, and returns its position.
@@ -128,6 +134,8 @@
 	}
 	if r.request != nil {
 		s.usage = max(s.usage, usageRequested)
+		r.memory, s.reservedReply = s.reservedReply, 0
+		r.request.ReplyReserved = r.memory > 0
 	}
 	s.replies = append(s.replies, r)
 	return true
@@ -144,6 +152,15 @@
 	return true
 }
 
+// takeMemory takes the memory that is reserved for the reply to a request, unless the reply is being written. The caller releases it.
+func (s *sharedState) takeMemory(request *exchange.Exchange) (taken int64) {
+	i := slices.IndexFunc(s.replies, func(r pendingReply) bool { return r.request == request })
+	if i >= 0 {
+		taken, s.replies[i].memory = s.replies[i].memory, 0
+	}
+	return taken
+}
+
 // dequeue removes the reply at the head if it can be written, and records that its writing begins.
 func (s *sharedState) dequeue(now float64) (r pendingReply, response *exchange.Response, ok bool) {
 	if len(s.replies) == 0 {
--- a/internal/node/clients/writer.go
+++ b/internal/node/clients/writer.go
@@ -152,13 +152,16 @@
 			c.server.Memory.Release(reserved)
 		}
 	}
+	memory := int64(0)
+	defer func() { c.server.ReplyMemory.release(memory) }() // with the mutex unlocked
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := range batch.replies {
-		c.addBuffered(-batch.replies[i].size)
+		c.addBuffered(-batch.replies[i].size, false)
+		memory += batch.replies[i].memory
 	}
 	if batch.response != nil {
-		c.addBuffered(-bufferedSize(batch.response))
+		c.addBuffered(-bufferedSize(batch.response), isPrepaid(batch.replies[0].request, batch.response))
 	}
 	c.state.recordWritten(c.server.Clock.Now(), batch.last())
 	if c.state.canResume() {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -57,6 +57,8 @@
 	// memoryDivisor gives 1/memoryDivisor of the memory limit to each of these: buffered commands and responses, large values of the
 	// origin whose length is not known in advance, and large values that clients write.
 	memoryDivisor = 8
+	// replyMemoryDivisor gives 1/replyMemoryDivisor of the memory limit to the replies of clients that send many requests at once.
+	replyMemoryDivisor = 4
 )
 
 // ConnectTimeout returns how long a connection to a server may take to be established, in ms.
--- a/internal/node/exchange/exchange.go
+++ b/internal/node/exchange/exchange.go
@@ -38,6 +38,8 @@
 	Body    *Body   // the value, instead of Value, if it is streamed from the client
 	Timeout float64 // with a Body: how long the client waits after it has sent the last byte
 
+	ReplyReserved bool // memory for the largest reply is reserved
+
 	Client   Client
 	response atomic.Pointer[Response]
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -180,13 +180,19 @@
 // shareLimits lends descriptors to the other process, and half of the memory.
 func (n *Node) shareLimits(lentDescriptors int) {
 	n.descriptors.Lend(lentDescriptors)
-	SetMemoryLimit(n.memoryMB, 2)
+	n.setProcesses(2)
 }
 
 // reclaimLimits takes back the descriptors and the memory that were lent to the other process.
 func (n *Node) reclaimLimits() {
 	n.descriptors.Lend(0)
-	SetMemoryLimit(n.memoryMB, 1)
+	n.setProcesses(1)
+}
+
+// setProcesses divides the memory among the processes of the node.
+func (n *Node) setProcesses(processes int) {
+	SetMemoryLimit(n.memoryMB, processes)
+	n.frontend.ReplyMemory.SetProcesses(processes)
 }
 
 // lendDescriptors lends descriptors to the process at the other end of a channel, unless the channel has been lost: descriptors
