Upstream: a slow equal miss and the same key again are no duplicates

A process that had just taken over closed new connections unread, for it had no descriptor: a log line showed 206 of 256 lent to the process before, which had opened 300 connections in place of 37 in five seconds.

A key that was read again 20 to 100 ms later on its connection has the same value, which was taken for a duplicate and made the server suspected; and at servers that respond within some milliseconds each equal miss closed its connection.

Change: the second response to one key counts as a duplicate only in the 20 ms in which the connection is not reused for it; an equal miss closes its connection only if it came sooner than the server's fastest recent response. A duplicate that crosses a request comes within a round trip.

Tests: TestSameKeyAgainIsNotTakenForDuplicate (opens a connection a request before).

--- a/internal/node/connpool/conn.go
+++ b/internal/node/connpool/conn.go
@@ -16,6 +16,7 @@
 	Closed       bool
 
 	lastKey     KeyHash     // key of its latest attempt
+	keyRepeated bool        // the attempt before the latest one was for the same key
 	Recognition Recognition // of a duplicate of its latest response
 
 	reusedEarly bool // IdleDuration was so short that a duplicate of the previous response may still arrive
--- a/internal/node/connpool/duplicate.go
+++ b/internal/node/connpool/duplicate.go
@@ -28,8 +28,8 @@
 	Unrecognizable Recognition = iota
 	// ByValue is a response whose value tells its duplicate from the responses to requests for other keys.
 	ByValue
-	// AsRepeat is a miss, a rejection or a failure. If the next response is the same and comes while a duplicate may arrive, it is one or the
-	// other. Its connection has to be closed, which ends the attempt if it is still in flight.
+	// AsRepeat is a miss, a rejection or a failure. If the next response is the same, it may be a duplicate, unless it is a miss, of which there
+	// are many, and takes as long as the server's responses. Its connection has to be closed, which ends an attempt that is still in flight.
 	AsRepeat
 )
 
@@ -102,12 +102,27 @@
 func (p *Pool[C, A]) MayReceiveDuplicate(now float64, conn C) bool {
 	c := conn.PoolConn()
 	window := p.Policy.config.DuplicateWindow
-	if c.Recognition == ByValue {
+	if c.Recognition == ByValue && !c.keyRepeated {
 		window = p.Policy.config.CompareWindow
 	}
 	return c.Responded && now-c.IdleSince < window
 }
 
+// fastestGrowth is the factor by which the fastest response time grows with each response, so that an old one is forgotten.
+const fastestGrowth = 1.005
+
+// RecordResponseTime records how long the response to an attempt took, in ms from when its request was sent.
+func (p *Policy) RecordResponseTime(ms float64) {
+	if p.fastestResponse == 0 {
+		p.fastestResponse = ms
+	}
+	p.fastestResponse = min(ms, p.fastestResponse*fastestGrowth)
+}
+
+// IsEarly reports whether a response that took so many ms came sooner than the server responds. A duplicate that crosses a request is sent
+// before the server has that request, so that it arrives within one round trip.
+func (p *Policy) IsEarly(ms float64) bool { return p.fastestResponse == 0 || ms < p.fastestResponse }
+
 // cooldownOf returns how long a connection is not reused after its response, in ms: until no duplicate of it is expected any more if a
 // duplicate could not be recognized.
 func (p *Pool[C, A]) cooldownOf(c *Conn) float64 {
--- a/internal/node/connpool/policy.go
+++ b/internal/node/connpool/policy.go
@@ -72,6 +72,7 @@
 	peakInUse       [2]int // most connections in use in the current and in the previous window
 	suspicion       suspicion
 
+	fastestResponse   float64 // ms, of recent responses that were no duplicates; 0: there is none
 	valuesRepeatUntil float64 // until then the values of responses do not identify them
 }
 
--- a/internal/node/connpool/pool.go
+++ b/internal/node/connpool/pool.go
@@ -127,6 +127,7 @@
 
 func (p *Pool[C, A]) assign(now float64, conn C, attempt A) {
 	c, since := conn.PoolConn(), attempt.PoolWaiter().waitingSince
+	c.keyRepeated = c.lastKey == attempt.PoolWaiter().Key
 	c.lastKey = attempt.PoolWaiter().Key
 	if now > since {
 		p.counters.Waited.Add(1)
--- a/internal/node/upstream/duplicate.go
+++ b/internal/node/upstream/duplicate.go
@@ -4,6 +4,7 @@
 	"hash/maphash"
 	"math"
 
+	"mintspring/internal/fleet"
 	"mintspring/internal/node/connpool"
 )
 
@@ -14,19 +15,21 @@
 // but a duplicate has the digest of the response before it on its connection.
 type responseDigest struct {
 	recognition connpool.Recognition
+	result      fleet.Result
 	sum         uint64 // 0 if duplicates of the response cannot be recognized
 }
 
 // digestOf returns the digest of the response to an attempt.
 func digestOf(a *Attempt, response *Response) responseDigest {
-	digest := responseDigest{recognition: connpool.RecognitionOf(response.Result, response.Value, a.Request.Write)}
+	digest := responseDigest{
+		recognition: connpool.RecognitionOf(response.Result, response.Value, a.Request.Write), result: response.Result,
+	}
 	if digest.recognition == connpool.Unrecognizable {
 		return digest
 	}
 	var hash maphash.Hash
 	hash.SetSeed(digestSeed)
 	_, _ = hash.Write(response.Value) // a hash never fails
-	maphash.WriteComparable(&hash, response.Result)
 	maphash.WriteComparable(&hash, response.Cache)
 	r := &response.Report
 	for _, figure := range [...]float64{r.Util, r.Queue, r.Inflight, r.Latency, r.Rate, r.Errors, r.HitRatio, r.X1} {
@@ -42,18 +45,20 @@
 const (
 	original          originality = iota
 	duplicate                     // of the previous response on the connection
-	possibleDuplicate             // the response is the same as the one before it
+	possibleDuplicate             // the response is the same as the one before it; if it is a miss, it came early too
 )
 
-// compare compares a response with the previous one on its connection. Called with the endpoint's mutex held.
-func (c *conn) compare(digest responseDigest, at float64) originality {
-	same := digest == c.lastDigest && c.endpoint.pool.MayReceiveDuplicate(at, c)
+// compare compares the response to an attempt with the previous one on its connection. Called with the endpoint's mutex held.
+func (c *conn) compare(a *Attempt, digest responseDigest, at float64) originality {
+	pool, took := c.endpoint.pool, at-a.writtenAt
+	same := digest == c.lastDigest && pool.MayReceiveDuplicate(at, c)
 	switch {
 	case same && digest.recognition == connpool.ByValue:
 		return duplicate
-	case same && digest.recognition == connpool.AsRepeat:
+	case same && digest.recognition == connpool.AsRepeat && (digest.result != fleet.Missed || pool.Policy.IsEarly(took)):
 		return possibleDuplicate
 	}
+	pool.Policy.RecordResponseTime(took)
 	return original
 }
 
--- a/internal/node/upstream/duplicate_test.go
+++ b/internal/node/upstream/duplicate_test.go
@@ -85,6 +85,7 @@
 	closed := make(chan struct{})
 	h := newDuplicateHarness(t, func(conn net.Conn) {
 		read(conn)
+		time.Sleep(50 * time.Millisecond)
 		write(conn, "miss\n")
 		read(conn)
 		write(conn, "miss\n") // the response to the second request never comes
@@ -130,3 +131,19 @@
 		t.Errorf("responses were taken for duplicates: %+v", stats)
 	}
 }
+
+// A key is read again on its connection once no duplicate is expected. The equal response is no duplicate: it was dropped, the server
+// suspected, and a connection opened for each request.
+func TestSameKeyAgainIsNotTakenForDuplicate(t *testing.T) {
+	h := newDuplicateHarness(t, echo)
+	h.endpoint.pool.Policy = connpool.NewPolicy(connpool.Config{DuplicateWindow: 10, CompareWindow: 5000, IdleTimeout: 5000}, 1, 0)
+	key := strings.Repeat("k", 40)
+	for range 5 {
+		h.send(key, 300)
+		h.expectResult("the same key", fleet.Completed)
+		time.Sleep(15 * time.Millisecond)
+	}
+	if stats := h.endpoint.group.Stats(); stats.Opened != 1 || stats.Unsolicited > 0 {
+		t.Errorf("stats %+v", stats)
+	}
+}
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -81,7 +81,7 @@
 func (r *reader) acceptOriginal(a *Attempt, n int, response Response, at float64) bool {
 	c, e := r.conn, r.conn.endpoint
 	digest := digestOf(a, &response)
-	switch c.compare(digest, at) {
+	switch c.compare(a, digest, at) {
 	case duplicate:
 		a.progress, a.discarded = exchange.FullyWritten, true
 		e.recordUnsolicited(at, c)
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -69,10 +69,11 @@
 	// Guarded by the endpoint's mutex.
 	conn         *conn
 	progress     exchange.Progress
-	discarded    bool // a response was dropped as a duplicate of the one before
-	staleConn    bool // the server seems to have dropped the connection while it was idle
-	lastByteSent bool // the request's last byte has been written to the socket
-	ended        bool // the attempt's Completion is decided
+	writtenAt    float64 // when the request began to be written
+	discarded    bool    // a response was dropped as a duplicate of the one before
+	staleConn    bool    // the server seems to have dropped the connection while it was idle
+	lastByteSent bool    // the request's last byte has been written to the socket
+	ended        bool    // the attempt's Completion is decided
 	timer        *time.Timer
 }
 
--- a/internal/node/upstream/writer.go
+++ b/internal/node/upstream/writer.go
@@ -93,7 +93,7 @@
 		return false
 	}
 	// Set before the bytes are sent: if the attempt ends during the write, it may have been executed.
-	a.progress, c.writing = exchange.FullyWritten, true
+	a.progress, c.writing, a.writtenAt = exchange.FullyWritten, true, e.group.Clock.Now()
 	if a.Request.Body != nil {
 		a.progress = exchange.PartiallyWritten
 	}
