Clients: a reader that is woken at its limit reads on

Cause: a reply that is written wakes the reader of a paused connection; if another large response arrives before the reader looks, the connection is at its limit again, and the interrupted read was taken for a late command although no deadline was set (clients/reader.go, readAndProcess).

Evidence: commandTimedOut is the only place with this text, and a paused connection has no deadline.

Change: an interrupted read ends the connection only if a deadline has passed.

Test: TestReaderWokenAtLimitReadsOn, failing before.

--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -79,7 +79,7 @@
 		return !r.tryEnd() // nothing was read
 	case c.tryResume():
 		c.updateRejecting(true) // as in fill
-	case r.extendDeadline():
+	case !r.commandIsDue(), r.extendDeadline():
 		return true
 	default:
 		c.commandTimedOut()
@@ -95,6 +95,12 @@
 	return r.afterRead(now, accepted, result == processPaused)
 }
 
+// commandIsDue reports whether the deadline of a command has passed. If not, the read was interrupted to resume processing commands, and
+// the connection has reached a limit again since.
+func (r *commandReader) commandIsDue() bool {
+	return !r.deadline.IsZero() && !time.Now().Before(r.deadline)
+}
+
 // extendDeadline extends the deadline of a command once if unread bytes have arrived, and reports whether it did. If the process was not
 // scheduled for a while, the command may have arrived in time.
 func (r *commandReader) extendDeadline() bool {
--- a/internal/node/clients/replymemory_test.go
+++ b/internal/node/clients/replymemory_test.go
@@ -100,3 +100,24 @@
 		c.expect("$5\r\nfirst\r\n$5\r\nsmall\r\n")
 	})
 }
+
+// The reader of a paused connection is woken to resume, and by then the connection is at its limit again, because another large response
+// has arrived. The reader took that for a command that did not come in time, and the connection ended with 62 requests unanswered.
+func TestReaderWokenAtLimitReadsOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests = maxPipelined + 6
+		state := &lifecycle.State{}
+		state.MarkEndpointsKnown()
+		h := newPipeHarness(t, state)
+		c := h.dial()
+		for k := range requests {
+			c.send(command("KV.GET", "k", fmt.Sprint(k), testExtra))
+		}
+		synctest.Wait()
+		for paused := range h.server.conns {
+			paused.setReadDeadline(expiredDeadline)
+		}
+		synctest.Wait()
+		h.serveAll([]*client{c}, requests)
+	})
+}
