--- a/internal/node/clients/stream.go
+++ b/internal/node/clients/stream.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 
 	"mintspring/internal/node/exchange"
 )
@@ -17,17 +16,17 @@
 		chunk, err := value.Next()
 		switch {
 		case errors.Is(err, io.EOF):
-			return c.write(net.Buffers{[]byte(crlf)})
+			return c.write([]byte(crlf))
 		case err != nil && first:
-			return c.write(net.Buffers{[]byte("-ERR the value broke off\r\n")})
+			return c.write([]byte("-ERR the value broke off\r\n"))
 		case err != nil:
 			return err
 		case first:
-			if err := c.write(net.Buffers{header}); err != nil {
+			if err := c.write(header); err != nil {
 				return err
 			}
 		}
-		if err := c.write(net.Buffers{chunk}); err != nil {
+		if err := c.write(chunk); err != nil {
 			return err
 		}
 	}
--- a/internal/node/clients/writer.go
+++ b/internal/node/clients/writer.go
@@ -36,16 +36,8 @@
 // last reports whether the connection is closed after the batch.
 func (b *replyBatch) last() bool { return b.replies[len(b.replies)-1].last }
 
-// writtenApart reports whether the batch is a value that is written without a copy of it.
-func (b *replyBatch) writtenApart() bool {
-	return b.response != nil && b.response.Kind == exchange.Completed && len(b.response.Value) > maxBatchSize
-}
-
-// encodedSize returns an upper bound for the bytes of the batch. Those of a streamed value and of one that is written apart do not count.
+// encodedSize returns an upper bound for the bytes of the batch. Those of a streamed value do not count.
 func (b *replyBatch) encodedSize() int {
-	if b.writtenApart() {
-		return replyOverhead
-	}
 	if b.response != nil {
 		return len(b.response.Value) + len(b.response.Reason) + replyOverhead
 	}
@@ -136,13 +128,9 @@
 		}
 		return nil
 	}
-	if batch.writtenApart() {
-		header := appendBulkHeader(b[:0], int64(len(batch.response.Value)))
-		return c.write(net.Buffers{header, batch.response.Value, []byte(crlf)})
-	}
 	out.Commit(len(batch.appendTo(b[:0])))
 	defer out.Discard(out.Len())
-	return c.write(net.Buffers{out.Peek()})
+	return c.write(out.Peek())
 }
 
 // recordWritten releases what replies held, and wakes the reader if more commands may be processed now.
@@ -175,18 +163,22 @@
 	_ = c.net.SetWriteDeadline(time.Now().Add(timeout)) // fails only on a closed connection, and then writing fails too
 }
 
+// notChecked stands for a number of unacknowledged bytes that has not been read yet.
+const notChecked = -2
+
 // stallChecks is how often a write that blocks is checked for progress within the time for which it may stall.
 const stallChecks = 10
 
-// write writes buffers completely, however long that takes, unless the client takes nothing for Config.WriteTimeout. A blocked write does not
+// write writes bytes completely, however long that takes, unless the client takes nothing for Config.WriteTimeout. A blocked write does not
 // show that the client takes nothing: the kernel lets a write continue only when a third of its buffer is free, which a slow client may
 // need many seconds for. A change of the number of unacknowledged bytes shows progress.
-func (c *conn) write(buffers net.Buffers) error {
+func (c *conn) write(b []byte) error {
 	maxStall := clock.Duration(c.server.Config().WriteTimeout)
-	lastProgress, unacknowledged := time.Now(), unacknowledgedBytes(c.net)
+	lastProgress, unacknowledged := time.Now(), notChecked
 	for {
 		c.setWriteDeadline(maxStall / stallChecks)
-		n, err := buffers.WriteTo(c.net)
+		n, err := c.net.Write(b)
+		b = b[n:]
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
