Pool: a duplicate later than the window fails attempts that it may meet

Change: they are failed again if the first duplicate came later than the window. TestPoolInvariants has the condition.

--- a/internal/node/clients/replymemory.go
+++ b/internal/node/clients/replymemory.go
@@ -64,8 +64,8 @@
 	return false
 }
 
-// release adds n bytes to those that are free, and grants memory to the connections that have waited longest. It must not be called with the mutex of
-// a connection held.
+// release adds n bytes to those that are free, and grants memory to the connections that have waited longest. It must not be called with
+// the mutex of a connection held.
 func (m *ReplyMemory) release(n int64) {
 	if m == nil || n == 0 {
 		return
--- a/internal/node/connpool/pool_test.go
+++ b/internal/node/connpool/pool_test.go
@@ -116,12 +116,13 @@
 		return
 	}
 	c, wasSuspected := rapid.SampledFrom(unused).Draw(o.t, "duplicate on"), o.pool.Policy.Suspected()
+	lateness := max(0, o.now-c.IdleSince)
 	suspected := o.pool.ReceivedUnsolicited(o.now, c)
 	o.pool.RemoveUnused(c)
 	o.pool.CloseConn(c)
 	for _, other := range inFlight {
 		want := !wasSuspected && o.pool.Policy.Suspected() && other.Responded && other.IdleDuration < o.pool.Policy.cooldown() &&
-			other.IdleDuration >= o.pool.Policy.config.DuplicateWindow
+			(other.IdleDuration >= o.pool.Policy.config.DuplicateWindow || lateness >= o.pool.Policy.config.DuplicateWindow)
 		if want != slices.Contains(suspected, other) {
 			o.t.Fatalf("returned as suspected: %v for a connection reused after %v ms", !want, other.IdleDuration)
 		}
--- a/internal/node/connpool/unused.go
+++ b/internal/node/connpool/unused.go
@@ -136,10 +136,11 @@
 		return nil
 	}
 	p.counters.Unsolicited.Add(1)
-	if !p.Policy.recordUnsolicited(max(0, now-c.IdleSince), c.reusedEarly) {
+	lateness := max(0, now-c.IdleSince)
+	if !p.Policy.recordUnsolicited(lateness, c.reusedEarly) {
 		return nil
 	}
-	return p.suspect(c)
+	return p.suspect(c, lateness)
 }
 
 // RecordDuplicateReport records that another node has received duplicate responses from the server. It has the same effect as
@@ -148,12 +149,12 @@
 	if !p.Policy.RecordDuplicateReport() {
 		return nil
 	}
-	return p.suspect(nil)
+	return p.suspect(nil, 0)
 }
 
 // suspect applies the longer cooldown of a suspected server to all connections, and returns the connections in use on which a duplicate
-// may still arrive and would not be recognized, except the one on which the duplicate has arrived.
-func (p *Pool[C, A]) suspect(duplicateConn *Conn) (suspected []C) {
+// may still arrive and would not be recognized, except the one on which the duplicate has arrived, lateness ms after a response.
+func (p *Pool[C, A]) suspect(duplicateConn *Conn, lateness float64) (suspected []C) {
 	p.counters.Suspected.Add(1)
 	unused := slices.Concat(p.idle, p.coolingDown)
 	p.idle, p.coolingDown = nil, nil
@@ -167,7 +168,9 @@
 	slices.SortStableFunc(p.coolingDown, func(a, b C) int { return cmp.Compare(a.PoolConn().ReadyAt, b.PoolConn().ReadyAt) })
 	for _, conn := range p.inUse {
 		c := conn.PoolConn()
-		if c != duplicateConn && c.Responded && !c.Closed && c.IdleDuration < p.Policy.cooldown() && c.IdleDuration >= p.Policy.config.DuplicateWindow {
+		mayArrive := c.Responded && !c.Closed && c.IdleDuration < p.Policy.cooldown()
+		recognized := max(c.IdleDuration, lateness) < p.Policy.config.DuplicateWindow
+		if c != duplicateConn && mayArrive && !recognized {
 			suspected = append(suspected, conn)
 		}
 	}
