--- a/internal/node/clients/writer.go
+++ b/internal/node/clients/writer.go
@@ -169,9 +169,10 @@
 // stallChecks is how often a write that blocks is checked for progress within the time for which it may stall.
 const stallChecks = 10
 
-// write writes bytes completely, however long that takes, unless the client takes nothing for Config.WriteTimeout. A blocked write does not
-// show that the client takes nothing: the kernel lets a write continue only when a third of its buffer is free, which a slow client may
-// need many seconds for. A change of the number of unacknowledged bytes shows progress.
+// write writes bytes completely, unless the client takes nothing for Config.WriteTimeout. That may take longer than any client timeout: once
+// its first bytes are sent, a slow transfer concerns only the client and the server (the operators' page of daily operation, "Less room").
+// A blocked write does not show that the client takes nothing: the kernel lets a write continue only when a third of its buffer is free,
+// which a slow client may need many seconds for. A change of the number of unacknowledged bytes shows progress.
 func (c *conn) write(b []byte) error {
 	maxStall := clock.Duration(c.server.Config().WriteTimeout)
 	lastProgress, unacknowledged := time.Now(), notChecked
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -51,7 +51,8 @@
 	// duplicateWindow is how long after a response a duplicate of it may arrive, in ms. The operators' page of the standing test has second
 	// answers that "come some milliseconds late", which the network may delay by some milliseconds more than the response.
 	duplicateWindow = 20
-	// compareWindow is how long after a response the next one on its connection is compared with it, in ms. A comparison costs nothing.
+	// compareWindow is how long after a response the next one on its connection is compared with it, in ms. That is longer, since a
+	// comparison keeps no connection out of use.
 	compareWindow = 100
 
 	// memoryDivisor gives 1/memoryDivisor of the memory limit to each of these: buffered commands and responses, large values of the
--- a/internal/node/upstream/duplicate.go
+++ b/internal/node/upstream/duplicate.go
@@ -33,7 +33,7 @@
 	maphash.WriteComparable(&hash, response.Cache)
 	r := &response.Report
 	for _, figure := range [...]float64{r.Util, r.Queue, r.Inflight, r.Latency, r.Rate, r.Errors, r.HitRatio, r.X1} {
-		maphash.WriteComparable(&hash, math.Float64bits(figure)) // a figure that is absent is not equal to itself
+		maphash.WriteComparable(&hash, math.Float64bits(figure)) // an absent figure is NaN, which is not equal to itself
 	}
 	digest.sum = hash.Sum64()
 	return digest
