Log each attempt's connection, and count why connections to servers are closed

At level debug each attempt has a line with its connection, the time since the response before on it, and the time that its own response took; the line traffic counts closed connections by reason.

--- a/internal/node/connpool/conn.go
+++ b/internal/node/connpool/conn.go
@@ -14,6 +14,7 @@
 	IdleDuration float64 // ms for which it was unused before its current or latest attempt
 	Responded    bool    // a response has arrived on it
 	Closed       bool
+	CloseReason  CloseReason // valid if Closed
 
 	lastKey     KeyHash     // key of its latest attempt
 	keyRepeated bool        // the attempt before the latest one was for the same key
@@ -29,8 +30,9 @@
 
 // Response is what the pool needs to know of a response.
 type Response struct {
-	Rejected    bool // the server rejected the attempt because the server is full
-	Last        bool // the connection accepts no further requests
+	Rejected    bool        // the server rejected the attempt because the server is full
+	Last        bool        // the connection accepts no further requests
+	CloseReason CloseReason // if Last
 	Recognition Recognition
 }
 
@@ -79,14 +81,15 @@
 
 // Counters count events since the start. Several pools may share them. They are safe for concurrent use.
 type Counters struct {
-	Opened       atomic.Int64 // connections
-	Reused       atomic.Int64 // attempts on a connection that had served an earlier attempt
-	Waited       atomic.Int64 // attempts that had to wait for a connection
-	WaitTimeouts atomic.Int64 // attempts whose wait timed out
-	QueueFull    atomic.Int64 // attempts rejected because the queue of waiting attempts was full
-	Unsolicited  atomic.Int64 // bytes that arrived without a request, and duplicates that arrived during one
-	Expired      atomic.Int64 // connections closed because of their age
-	Suspected    atomic.Int64 // times that a server became suspected of sending duplicate responses
+	Opened       atomic.Int64                  // connections
+	Reused       atomic.Int64                  // attempts on a connection that had served an earlier attempt
+	Waited       atomic.Int64                  // attempts that had to wait for a connection
+	WaitTimeouts atomic.Int64                  // attempts whose wait timed out
+	QueueFull    atomic.Int64                  // attempts rejected because the queue of waiting attempts was full
+	Unsolicited  atomic.Int64                  // bytes that arrived without a request, and duplicates that arrived during one
+	Expired      atomic.Int64                  // connections closed because of their age
+	Suspected    atomic.Int64                  // times that a server became suspected of sending duplicate responses
+	Closed       [NumCloseReasons]atomic.Int64 // connections closed by the node
 }
 
 // Admission is the pool's reply to an attempt that needs a connection.
--- a/internal/node/connpool/pool.go
+++ b/internal/node/connpool/pool.go
@@ -120,7 +120,7 @@
 			return conn, true
 		}
 		p.counters.Expired.Add(1)
-		p.CloseConn(conn)
+		p.CloseConn(conn, ClosedExpired)
 	}
 	return conn, false
 }
@@ -253,8 +253,11 @@
 
 // Responded records the response to the attempt on a connection and releases the connection.
 func (p *Pool[C, A]) Responded(now float64, conn C, response Response) {
-	if response.Last || p.exceedsLimit(now, conn, response) {
-		p.CloseConn(conn)
+	switch {
+	case response.Last:
+		p.CloseConn(conn, response.CloseReason)
+	case p.exceedsLimit(now, conn, response):
+		p.CloseConn(conn, ClosedByServer)
 	}
 	p.Detach(conn)
 	c := conn.PoolConn()
@@ -280,7 +283,7 @@
 	switch {
 	case c.Closed:
 	case !p.Usable(conn):
-		p.CloseConn(conn)
+		p.CloseConn(conn, ClosedUnavailable)
 	default:
 		c.IdleSince, c.ReadyAt = now, now
 		if c.Responded {
@@ -306,9 +309,10 @@
 }
 
 // CloseConn closes a connection unless it is closed already.
-func (p *Pool[C, A]) CloseConn(conn C) {
+func (p *Pool[C, A]) CloseConn(conn C, reason CloseReason) {
 	if c := conn.PoolConn(); !c.Closed {
-		c.Closed = true
+		c.Closed, c.CloseReason = true, reason
+		p.counters.Closed[reason].Add(1)
 		p.owner.CloseConn(conn)
 	}
 }
--- a/internal/node/connpool/pool_test.go
+++ b/internal/node/connpool/pool_test.go
@@ -119,7 +119,7 @@
 	lateness := max(0, o.now-c.IdleSince)
 	suspected := o.pool.ReceivedUnsolicited(o.now, c)
 	o.pool.RemoveUnused(c)
-	o.pool.CloseConn(c)
+	o.pool.CloseConn(c, ClosedBroken)
 	for _, other := range inFlight {
 		want := !wasSuspected && o.pool.Policy.Suspected() && other.Responded && other.IdleDuration < o.pool.Policy.cooldown() &&
 			(other.IdleDuration >= o.pool.Policy.config.DuplicateWindow || lateness >= o.pool.Policy.config.DuplicateWindow)
@@ -175,7 +175,7 @@
 	}
 	c := rapid.SampledFrom(o.conns).Draw(o.t, "broken")
 	o.pool.RemoveUnused(c)
-	o.pool.CloseConn(c)
+	o.pool.CloseConn(c, ClosedBroken)
 	if a := c.attempt; a != nil {
 		c.attempt, a.ended = nil, true
 		o.pool.Detach(c)
--- a/internal/node/connpool/unused.go
+++ b/internal/node/connpool/unused.go
@@ -40,7 +40,7 @@
 
 // closeNextReady closes the first of the cooling connections, which would become ready first.
 func (p *Pool[C, A]) closeNextReady() {
-	p.CloseConn(p.coolingDown[0])
+	p.CloseConn(p.coolingDown[0], ClosedReplaced)
 	p.coolingDown = slices.Delete(p.coolingDown, 0, 1)
 }
 
@@ -122,7 +122,7 @@
 		if len(p.idle) == 0 {
 			unused = &p.coolingDown
 		}
-		p.CloseConn((*unused)[0])
+		p.CloseConn((*unused)[0], ClosedUnused)
 		*unused = slices.Delete(*unused, 0, 1)
 	}
 }
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -100,7 +100,7 @@
 	if failure := e.completion.Failure; failure != nil {
 		completion.Result, completion.Report, completion.Stale = failure.Outcome(), fleet.NewLoadReport(), failure.Stale
 		n.traffic.lastError = failure
-		n.logFailure(e.attempt, failure)
 	}
+	n.logAttempt(e.attempt, &e.completion)
 	n.inflight.AttemptDone(now, e.attempt.Request, e.attempt.Number, completion)
 }
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 
 	"github.com/sirupsen/logrus"
 
 	"mintspring/internal/fleet"
 	"mintspring/internal/node/clients"
+	"mintspring/internal/node/connpool"
 	"mintspring/internal/node/exchange"
 	"mintspring/internal/node/inflight"
 	"mintspring/internal/node/upstream"
@@ -72,7 +74,7 @@
 }
 
 func connectionFields(now, previous *upstream.Stats) logrus.Fields {
-	return logrus.Fields{
+	fields := logrus.Fields{
 		"connections_opened": now.Opened - previous.Opened,
 		"connections_reused": now.Reused - previous.Reused,
 		"connection_waits":   now.Waited - previous.Waited,
@@ -81,6 +83,10 @@
 		"unsolicited":        now.Unsolicited - previous.Unsolicited,
 		"servers_suspected":  now.Suspected - previous.Suspected,
 	}
+	for reason := range connpool.NumCloseReasons {
+		fields["closed_"+connpool.CloseReason(reason).String()] = now.Closed[reason] - previous.Closed[reason]
+	}
+	return fields
 }
 
 // resultNames has the names of attempt results in the log.
@@ -92,14 +98,31 @@
 
 var responseNames = [...]string{exchange.Completed: "completed", exchange.Rejected: "rejected", exchange.Aborted: "aborted"}
 
-// logFailure logs an attempt that got no response at level debug. The line "request finished" has its result only.
-func (n *Node) logFailure(attempt *upstream.Attempt, failure *exchange.AttemptError) {
+// logAttempt logs an attempt that has ended at level debug. The line "request finished" has its result only. If a client is served the
+// response to another request, the fields tell whose: the response before on the same connection.
+func (n *Node) logAttempt(attempt *upstream.Attempt, completion *upstream.Completion) {
 	if !n.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
 		return
 	}
-	n.log.WithError(failure).WithFields(logrus.Fields{"id": string(attempt.Request.ID), "attempt": attempt.Number}).Debug("attempt failed")
+	trace := &completion.Trace
+	log := n.log.WithFields(logrus.Fields{
+		"id":             string(attempt.Request.ID),
+		"attempt":        attempt.Number,
+		"connection":     trace.Conn,
+		"since_reply_ms": roundToMicroseconds(trace.SinceReply),
+		"took_ms":        roundToMicroseconds(trace.Took),
+		"duplicates":     trace.Discarded,
+	})
+	if completion.Failure != nil {
+		log.WithError(completion.Failure).Debug("attempt failed")
+		return
+	}
+	log.WithField("result", resultNames[completion.Response.Result]).Debug("attempt completed")
 }
 
+// roundToMicroseconds rounds a duration in ms.
+func roundToMicroseconds(ms float64) float64 { return math.Round(ms*1000) / 1000 }
+
 // logRequest logs one released request at level debug, with its attempts: the line "traffic" has only totals. The key is logged as a hash.
 func (n *Node) logRequest(now float64, entry *inflightEntry) {
 	if !n.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -90,7 +90,7 @@
 	if a.Request.Body != nil && a.progress >= exchange.PartiallyWritten {
 		a.Request.Body.CloseReader(cause)
 	}
-	if a.discarded {
+	if a.discarded > 0 {
 		e.pool.Policy.RecordRepeatedValue(e.group.Clock.Now()) // what was dropped may have been the response
 	}
 	if a.conn != nil {
@@ -100,9 +100,11 @@
 	if a.conn != nil {
 		e.pool.Dispatch(e.group.Clock.Now()) // another connection may be opened now
 	}
+	endedAt := e.group.Clock.Now()
+	trace := a.trace(endedAt)
 	failure := &exchange.AttemptError{Progress: a.progress, Result: result, Stale: a.staleConn, Cause: cause}
 	e.mu.Unlock()
-	e.group.OnDone(a, Completion{EndedAt: e.group.Clock.Now(), Failure: failure})
+	e.group.OnDone(a, Completion{EndedAt: endedAt, Failure: failure, Trace: trace})
 }
 
 // abandon detaches a failed attempt from its connection and closes the connection. Exception: if the attempt timed out while an
@@ -111,7 +113,7 @@
 	e.detach(c)
 	if !c.readingUnsized || result != fleet.TimedOut {
 		// A connection on which a response is arriving is closed too: the request may be retried, and must not be in flight twice.
-		e.pool.CloseConn(c)
+		e.pool.CloseConn(c, connpool.ClosedAbandoned)
 		return
 	}
 	c.discarding.Store(true)
--- a/internal/node/upstream/conn.go
+++ b/internal/node/upstream/conn.go
@@ -17,6 +17,7 @@
 type conn struct {
 	connpool.Conn
 	endpoint *Endpoint
+	number   int64 // among the endpoint's connections, from 1
 	net      net.Conn
 	attempts chan *Attempt // attempts assigned by the pool, at most one at a time; closed with the connection
 
@@ -34,7 +35,7 @@
 func (e *Endpoint) startConn(addr string, netConn net.Conn) *conn {
 	c := &conn{
 		Conn:     connpool.Conn{Addr: addr, Jitter: e.group.random()},
-		endpoint: e, net: netConn, attempts: make(chan *Attempt, 1),
+		endpoint: e, number: e.connCount.Add(1), net: netConn, attempts: make(chan *Attempt, 1),
 	}
 	go c.writeLoop()
 	go c.readLoop()
@@ -63,11 +64,11 @@
 	e.pool.RemoveUnused(c)
 	a := c.current
 	if c.Responded && a != nil && a.progress == exchange.NotConnected {
-		e.requeue(c) // the server closed the idle connection before the attempt was sent
+		e.requeue(c, connpool.ClosedBroken) // the server closed the idle connection before the attempt was sent
 		e.mu.Unlock()
 		return
 	}
-	e.pool.CloseConn(c)
+	e.pool.CloseConn(c, connpool.ClosedBroken)
 	if c.writing {
 		c.readErr = cause
 		if a != nil && a.Request.Body != nil {
@@ -111,10 +112,10 @@
 
 // requeue closes a connection on which no byte of its attempt was sent, and enqueues the attempt for another connection.
 // Called with the mutex held.
-func (e *Endpoint) requeue(c *conn) {
+func (e *Endpoint) requeue(c *conn, reason connpool.CloseReason) {
 	a := c.current
 	e.detach(c)
-	e.pool.CloseConn(c)
+	e.pool.CloseConn(c, reason)
 	if a != nil && !a.ended {
 		a.conn = nil
 		e.handleAdmission(a, e.pool.Enqueue(e.group.Clock.Now(), a))
@@ -131,5 +132,5 @@
 func (e *Endpoint) closeConn(c *conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.pool.CloseConn(c)
+	e.pool.CloseConn(c, connpool.ClosedAbandoned)
 }
--- a/internal/node/upstream/endpoint.go
+++ b/internal/node/upstream/endpoint.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,8 @@
 	pool  *connpool.Pool[*conn, *Attempt]
 	timer *time.Timer // calls tick
 
+	connCount atomic.Int64 // connections opened
+
 	recent     [recentDigests]recentDigest // guarded by mu
 	nextRecent int                         // index in recent
 }
@@ -56,7 +59,7 @@
 
 // Assign implements connpool.Owner.
 func (o poolOwner) Assign(_ float64, c *conn, a *Attempt) {
-	c.current, a.conn = a, c
+	c.current, a.conn, a.reused = a, c, c.Responded
 	c.attempts <- a
 }
 
--- a/internal/node/upstream/group.go
+++ b/internal/node/upstream/group.go
@@ -44,16 +44,22 @@
 	Unsolicited  int // bytes without a request, and duplicates that arrived during one
 	Expired      int // connections closed for their age
 	Suspected    int // times that a server became suspected of duplicate responses
+
+	Closed [connpool.NumCloseReasons]int // connections that the node closed, by reason
 }
 
 // Stats returns the current counts.
 func (g *Group) Stats() Stats {
 	c := &g.counters
-	return Stats{
+	stats := Stats{
 		Opened: int(c.Opened.Load()), Reused: int(c.Reused.Load()),
 		Waited: int(c.Waited.Load()), WaitTimeouts: int(c.WaitTimeouts.Load()), QueueFull: int(c.QueueFull.Load()),
 		Unsolicited: int(c.Unsolicited.Load()), Expired: int(c.Expired.Load()), Suspected: int(c.Suspected.Load()),
 	}
+	for reason := range stats.Closed {
+		stats.Closed[reason] = int(c.Closed[reason].Load())
+	}
+	return stats
 }
 
 func (g *Group) random() float64 {
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -13,7 +13,8 @@
 type reader struct {
 	conn             *conn
 	in               ringbuf.Ring
-	stallDeadlineSet bool // a read deadline is set because a response has begun
+	stallDeadlineSet bool                 // a read deadline is set because a response has begun
+	closeReason      connpool.CloseReason // if the response completes the use of the connection
 }
 
 // readLoop reads responses until the connection ends. It closes the connection if bytes arrive while no attempt is in flight.
@@ -45,7 +46,7 @@
 	switch {
 	case a == nil || c.Closed:
 		e.recordUnsolicited(at, c)
-		e.pool.CloseConn(c)
+		e.pool.CloseConn(c, connpool.ClosedUnsolicited)
 		e.pool.RemoveUnused(c)
 		e.pool.Dispatch(at)
 		e.mu.Unlock()
@@ -56,7 +57,7 @@
 		return false
 	case c.Responded && a.progress < exchange.FullyWritten:
 		e.recordUnsolicited(at, c)
-		e.requeue(c) // the bytes arrived before the attempt was sent, so they are not its response
+		e.requeue(c, connpool.ClosedUnsolicited) // the bytes arrived before the attempt was sent, so they are not its response
 		e.mu.Unlock()
 		return false
 	}
@@ -80,16 +81,18 @@
 // whether to read on. It is called with the endpoint's mutex held, and unlocks it.
 func (r *reader) acceptOriginal(a *Attempt, n int, response Response, at float64) bool {
 	c, e := r.conn, r.conn.endpoint
+	r.closeReason = connpool.ClosedByServer
 	digest := digestOf(a, &response)
 	switch c.compare(a, digest, at) {
 	case duplicate:
-		a.progress, a.discarded = exchange.FullyWritten, true
+		a.progress = exchange.FullyWritten
+		a.discarded++
 		e.recordUnsolicited(at, c)
 		e.mu.Unlock()
 		r.in.Discard(n)
 		return true // the response is still to come
 	case possibleDuplicate:
-		response.Close = true // which ends the attempt if it is still in flight
+		response.Close, r.closeReason = true, connpool.ClosedDuplicate // which ends the attempt if it is still in flight
 	case original:
 	}
 	c.lastDigest = e.recognition(c, a, digest, at)
@@ -118,7 +121,7 @@
 	}
 	e.mu.Lock()
 	if c.current != a { // the attempt has ended in the meantime
-		e.pool.CloseConn(c)
+		e.pool.CloseConn(c, connpool.ClosedAbandoned)
 		e.mu.Unlock()
 		if response.Stream != nil {
 			response.Stream.Close()
@@ -144,7 +147,7 @@
 		at = e.group.Clock.Now()
 		e.mu.Lock()
 		if s.err != nil {
-			e.pool.CloseConn(c)
+			e.pool.CloseConn(c, connpool.ClosedBroken)
 			e.detach(c)
 			e.pool.Dispatch(at)
 			e.mu.Unlock()
@@ -154,18 +157,18 @@
 	}
 	excess := r.in.Len() > 0
 	if excess {
-		c.IdleSince = at
+		c.IdleSince, r.closeReason = at, connpool.ClosedUnsolicited
 		e.recordUnsolicited(at, c)
 	}
 	r.in.ReleaseIfEmpty()
 	c.current = nil
-	endedNow := e.markEnded(a)
+	endedNow, trace := e.markEnded(a), a.trace(at)
 	e.pool.Responded(at, c, connpool.Response{
-		Rejected: response.Result == fleet.Declined, Last: response.Close || excess, Recognition: c.lastDigest.recognition,
+		Rejected: response.Result == fleet.Declined, Last: response.Close || excess, CloseReason: r.closeReason, Recognition: c.lastDigest.recognition,
 	})
 	e.mu.Unlock()
 	if endedNow {
-		e.group.OnDone(a, Completion{EndedAt: at, Response: response})
+		e.group.OnDone(a, Completion{EndedAt: at, Response: response, Trace: trace})
 	}
 	return true
 }
@@ -176,10 +179,10 @@
 	c, e := r.conn, r.conn.endpoint
 	s := newStream(c, &r.in, response)
 	response.Stream = s
-	endedNow := e.markEnded(a)
+	endedNow, trace := e.markEnded(a), a.trace(at)
 	e.mu.Unlock()
 	if endedNow {
-		e.group.OnDone(a, Completion{EndedAt: at, Response: response})
+		e.group.OnDone(a, Completion{EndedAt: at, Response: response, Trace: trace})
 	} else {
 		s.Close()
 	}
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -52,6 +52,7 @@
 	EndedAt  float64 // Unix ms
 	Response Response
 	Failure  *exchange.AttemptError // nil if the attempt got a response
+	Trace    Trace
 }
 
 // Attempt is one attempt of a request at one server. Times are Unix ms.
@@ -69,8 +70,9 @@
 	// Guarded by the endpoint's mutex.
 	conn         *conn
 	progress     exchange.Progress
+	reused       bool    // the connection had had a response before
 	writtenAt    float64 // when the request began to be written
-	discarded    bool    // a response was dropped as a duplicate of the one before
+	discarded    int     // responses that were dropped as duplicates of earlier ones
 	staleConn    bool    // the server seems to have dropped the connection while it was idle
 	lastByteSent bool    // the request's last byte has been written to the socket
 	ended        bool    // the attempt's Completion is decided
--- a/internal/node/upstream/writer.go
+++ b/internal/node/upstream/writer.go
@@ -4,6 +4,7 @@
 	"net"
 
 	"mintspring/internal/fleet"
+	"mintspring/internal/node/connpool"
 	"mintspring/internal/node/exchange"
 	"mintspring/internal/node/ringbuf"
 	"mintspring/internal/node/sockstate"
@@ -81,10 +82,12 @@
 		e.mu.Unlock()
 		return false
 	case unsolicited || closed:
+		reason := connpool.ClosedBroken
 		if unsolicited {
+			reason = connpool.ClosedUnsolicited
 			e.recordUnsolicited(e.group.Clock.Now(), c)
 		}
-		e.requeue(c)
+		e.requeue(c, reason)
 		e.mu.Unlock()
 		return false
 	case a.ended || !e.pool.Usable(c) || encodeErr != nil || e.group.Clock.Now() > a.SendBy:
--- a/internal/testbed/simulator/attempt.go
+++ b/internal/testbed/simulator/attempt.go
@@ -78,7 +78,7 @@
 	if a.conn != nil {
 		a.conn.current = nil
 		l.pool.Detach(a.conn)
-		l.pool.CloseConn(a.conn)
+		l.pool.CloseConn(a.conn, connpool.ClosedAbandoned)
 	}
 	l.pool.CancelWait(a)
 	if a.conn != nil {
--- a/internal/testbed/simulator/conn.go
+++ b/internal/testbed/simulator/conn.go
@@ -69,7 +69,7 @@
 	l.pool.RemoveUnused(c)
 	a := c.current
 	c.current = nil
-	l.pool.CloseConn(c)
+	l.pool.CloseConn(c, connpool.ClosedBroken)
 	l.pool.Detach(c)
 	now := l.process.localNow()
 	if a == nil {
@@ -138,7 +138,7 @@
 	a.done = true
 	c.Recognition = connpool.RecognitionOf(completion.Result, completion.Value, a.exchange.Write)
 	l.pool.Responded(now, c, connpool.Response{
-		Rejected: completion.Result == fleet.Declined, Last: closesConn, Recognition: c.Recognition,
+		Rejected: completion.Result == fleet.Declined, Last: closesConn, CloseReason: connpool.ClosedDuplicate, Recognition: c.Recognition,
 	})
 	if !attemptEnded {
 		l.process.inflight.AttemptDone(now, a.exchange, a.index, completion)
@@ -200,7 +200,7 @@
 func (c *conn) closeAfterUnsolicited() {
 	l, now := c.link, c.link.process.localNow()
 	l.recordUnsolicited(now, c)
-	l.pool.CloseConn(c)
+	l.pool.CloseConn(c, connpool.ClosedUnsolicited)
 	l.pool.RemoveUnused(c)
 	l.pool.Dispatch(now)
 }
