--- a/internal/testbed/experiment/actions.go
+++ b/internal/testbed/experiment/actions.go
@@ -60,6 +60,9 @@
 	"late_surplus": {inverse: "mend", onServer: setFaults(func(share float64, s *Step) fakes.Faults {
 		return fakes.Faults{LateDuplicate: share, DuplicateDelayMs: s.Delay.Milliseconds()}
 	})},
+	"crossing_surplus": {inverse: "mend", onServer: setFaults(func(share float64, s *Step) fakes.Faults {
+		return fakes.Faults{CrossingDuplicate: share, DuplicateDelayMs: s.Delay.Milliseconds()}
+	})},
 	"lost_answers": {inverse: "mend", onServer: setFaults(func(share float64, _ *Step) fakes.Faults {
 		return fakes.Faults{Dropped: share}
 	})},
--- a/internal/testbed/fakes/conn.go
+++ b/internal/testbed/fakes/conn.go
@@ -24,6 +24,8 @@
 
 	duplicateSent atomic.Bool // a late duplicate was sent and no command was read since
 
+	heldDuplicate []byte // a duplicate that is sent when the next command arrives; guarded by the fleet's mutex
+
 	pending []*pendingCommand // unanswered commands in the order of arrival; guarded by the fleet's mutex
 }
 
@@ -99,6 +101,7 @@
 	f := s.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	c.sendHeldDuplicate()
 	p := &pendingCommand{conn: c, rawResponse: rawResponse}
 	c.pending = append(c.pending, p)
 	if rawResponse != nil {
@@ -163,11 +166,30 @@
 			c.duplicateSent.Store(true)
 			c.enqueue(response)
 		})
+	case CrossingDuplicateResponse:
+		c.enqueue(response)
+		c.heldDuplicate = response
+		time.AfterFunc(s.faults.duplicateDelay(), func() {
+			s.fleet.mu.Lock()
+			defer s.fleet.mu.Unlock()
+			if len(c.pending) == 0 {
+				c.duplicateSent.Store(true)
+			}
+			c.sendHeldDuplicate()
+		})
 	case NoFault:
 		c.enqueue(response)
 	}
 }
 
+// sendHeldDuplicate sends the duplicate that waits for the next command, if there is one. Called with the fleet's lock held.
+func (c *conn) sendHeldDuplicate() {
+	if c.heldDuplicate != nil {
+		c.enqueue(c.heldDuplicate)
+		c.heldDuplicate = nil
+	}
+}
+
 // enqueue queues bytes for writeLoop without blocking. It resets the connection if the queue is full.
 func (c *conn) enqueue(b []byte) {
 	select {
--- a/internal/testbed/fakes/faults.go
+++ b/internal/testbed/fakes/faults.go
@@ -14,9 +14,11 @@
 	Corrupt       float64 // a response that does not follow the protocol
 	Duplicate     float64 // the response twice without a delay
 	LateDuplicate float64 // the response twice, the second after a delay
-	Dropped       float64 // no response, although the command was executed
+	// CrossingDuplicate is the response twice, the second when the next command has arrived on the connection, or after the delay.
+	CrossingDuplicate float64
+	Dropped           float64 // no response, although the command was executed
 
-	DuplicateDelayMs float64 // of LateDuplicate; 0: defaultDuplicateDelayMs
+	DuplicateDelayMs float64 // of LateDuplicate, and at most of CrossingDuplicate; 0: defaultDuplicateDelayMs
 }
 
 // defaultDuplicateDelayMs is the delay of late duplicates for which none is set.
@@ -33,6 +35,7 @@
 	CorruptResponse
 	DuplicateResponse
 	LateDuplicateResponse
+	CrossingDuplicateResponse
 )
 
 // DrawResponseFault draws the fault of the next response. Only faults with a share above 0 take a number from rng, so that a run
@@ -47,6 +50,7 @@
 		{f.Corrupt, CorruptResponse},
 		{f.Duplicate, DuplicateResponse},
 		{f.LateDuplicate, LateDuplicateResponse},
+		{f.CrossingDuplicate, CrossingDuplicateResponse},
 	} {
 		if candidate.share > 0 && rng.Float64() < candidate.share {
 			return candidate.fault
--- a/internal/testbed/simulator/conn.go
+++ b/internal/testbed/simulator/conn.go
@@ -52,7 +52,7 @@
 	if fault == fakes.DroppedResponse {
 		return
 	}
-	if fault == fakes.LateDuplicateResponse {
+	if fault == fakes.LateDuplicateResponse || fault == fakes.CrossingDuplicateResponse {
 		sim.scheduleAfter(serverHopDelay+durationOf(c.server.faults.DuplicateDelay()), &duplicateArrival{a, c})
 	}
 	sim.scheduleAfter(serverHopDelay, &responseArrival{a, c, fault})
