Upstream: a response is compared by what it is, not by the kind of the request that waits

Cause: digestOf took the kind of the request in flight: the receipt of a write is not compared, so that nothing that arrives for a write was (upstream/duplicate.go). The pool lets a write use a connection 2.5 ms after a value for another key, since a duplicate of that value would be recognized. It was when a read was in flight, and never when a write was.

Change: the digest depends on the response alone, and how its duplicate is recognized is kept with the response before.

The class: the identity of a response was inferred from the context in which it arrives.

--- a/internal/node/upstream/duplicate.go
+++ b/internal/node/upstream/duplicate.go
@@ -12,21 +12,16 @@
 var digestSeed = maphash.MakeSeed()
 
 // responseDigest identifies a response by its result, value and load report. The protocols do not say which request a response belongs to,
-// but a duplicate has the digest of the response before it on its connection.
+// but a duplicate has the digest of the response before it on its connection. It depends on the response alone, not on the request that
+// waits for one: that may be of another kind than the one whose duplicate arrives.
 type responseDigest struct {
-	recognition connpool.Recognition
-	result      fleet.Result
-	sum         uint64 // 0 if duplicates of the response cannot be recognized
+	result fleet.Result
+	sum    uint64
 }
 
-// digestOf returns the digest of the response to an attempt.
-func digestOf(a *Attempt, response *Response) responseDigest {
-	digest := responseDigest{
-		recognition: connpool.RecognitionOf(response.Result, response.Value, a.Request.Write), result: response.Result,
-	}
-	if digest.recognition == connpool.Unrecognizable {
-		return digest
-	}
+// digestOf returns the digest of a response.
+func digestOf(response *Response) responseDigest {
+	digest := responseDigest{result: response.Result}
 	var hash maphash.Hash
 	hash.SetSeed(digestSeed)
 	_, _ = hash.Write(response.Value) // a hash never fails
@@ -53,9 +48,9 @@
 	pool, took := c.endpoint.pool, at-a.writtenAt
 	same := digest == c.lastDigest && pool.MayReceiveDuplicate(at, c)
 	switch {
-	case same && digest.recognition == connpool.ByValue:
+	case same && c.Recognition == connpool.ByValue:
 		return duplicate
-	case same && digest.recognition == connpool.AsRepeat && (digest.result != fleet.Missed || pool.Policy.IsEarly(took)):
+	case same && c.Recognition == connpool.AsRepeat && (digest.result != fleet.Missed || pool.Policy.IsEarly(took)):
 		return possibleDuplicate
 	}
 	pool.Policy.RecordResponseTime(took)
@@ -73,12 +68,12 @@
 	conn *conn
 }
 
-// recognition returns the digest to compare the next response on a connection with, after a response with the given digest. Two equal
-// responses on two connections are no duplicates of each other: if their keys differ, the server's values do not identify its responses.
-// Called with the mutex held.
-func (e *Endpoint) recognition(c *conn, a *Attempt, digest responseDigest, now float64) responseDigest {
-	if digest.recognition != connpool.ByValue {
-		return digest
+// recognition returns how a duplicate of the response to an attempt is recognized. Two equal responses on two connections are no duplicates
+// of each other: if their keys differ, the server's values do not identify its responses. Called with the mutex held.
+func (e *Endpoint) recognition(c *conn, a *Attempt, response *Response, digest responseDigest, now float64) connpool.Recognition {
+	recognition := connpool.RecognitionOf(response.Result, response.Value, a.Request.Write)
+	if recognition != connpool.ByValue {
+		return recognition
 	}
 	for _, other := range e.recent {
 		if other.sum == digest.sum && other.key != a.Key && other.conn != c {
@@ -88,7 +83,7 @@
 	e.recent[e.nextRecent] = recentDigest{digest.sum, a.Key, c}
 	e.nextRecent = (e.nextRecent + 1) % recentDigests
 	if e.recent[e.nextRecent].sum == 0 || e.pool.Policy.ValuesRepeat(now) {
-		return responseDigest{}
+		return connpool.Unrecognizable
 	}
-	return digest
+	return recognition
 }
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -15,6 +15,7 @@
 	in               ringbuf.Ring
 	stallDeadlineSet bool                 // a read deadline is set because a response has begun
 	closeReason      connpool.CloseReason // if the response completes the use of the connection
+	recognition      connpool.Recognition // of a duplicate of the response
 }
 
 // readLoop reads responses until the connection ends. It closes the connection if bytes arrive while no attempt is in flight.
@@ -82,7 +83,7 @@
 func (r *reader) acceptOriginal(a *Attempt, n int, response Response, at float64) bool {
 	c, e := r.conn, r.conn.endpoint
 	r.closeReason = connpool.ClosedByServer
-	digest := digestOf(a, &response)
+	digest := digestOf(&response)
 	switch c.compare(a, digest, at) {
 	case duplicate:
 		a.progress = exchange.FullyWritten
@@ -95,7 +96,7 @@
 		response.Close, r.closeReason = true, connpool.ClosedDuplicate // which ends the attempt if it is still in flight
 	case original:
 	}
-	c.lastDigest = e.recognition(c, a, digest, at)
+	c.lastDigest, r.recognition = digest, e.recognition(c, a, &response, digest, at)
 	return r.completeAttempt(a, n, response, at)
 }
 
@@ -164,7 +165,7 @@
 	c.current = nil
 	endedNow, trace := e.markEnded(a), a.trace(at)
 	e.pool.Responded(at, c, connpool.Response{
-		Rejected: response.Result == fleet.Declined, Last: response.Close || excess, CloseReason: r.closeReason, Recognition: c.lastDigest.recognition,
+		Rejected: response.Result == fleet.Declined, Last: response.Close || excess, CloseReason: r.closeReason, Recognition: r.recognition,
 	})
 	e.mu.Unlock()
 	if endedNow {
