Upstream: a response that was read together with a dropped duplicate is parsed at once

Callers would see: a request times out although its response has arrived: retried elsewhere, or, of a write with an effect, answered with an error.

Cause: after a duplicate was dropped the reader waited for more bytes, with the response already in the ring (upstream/reader.go, readOnce).

Evidence: TestResponseBehindDuplicateInOneRead, failing before (the second request timed out after 300 ms), now 10 of 10.

Change: bytes that are left in the ring are parsed before the next read.

--- a/internal/node/upstream/misattribution_test.go
+++ b/internal/node/upstream/misattribution_test.go
@@ -69,3 +69,15 @@
 		h.expectOwnValue(write)
 	}
 }
+
+// Guards against a request that is answered only when it times out: its response had been read together with the second copy of another one,
+// and was not looked at until more bytes came.
+func TestResponseBehindDuplicateInOneRead(t *testing.T) {
+	server := &crossingServer{back: 1, copyDelay: time.Millisecond, together: true}
+	h := newDuplicateHarness(t, server.serve)
+	for i := range 5 {
+		key := fmt.Sprintf("value of the key %04d", i)
+		h.send(key, 300)
+		h.expectOwnValue(key)
+	}
+}
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -13,6 +13,7 @@
 type reader struct {
 	conn             *conn
 	in               ringbuf.Ring
+	unparsed         bool                 // the ring has bytes that were read behind a response that was dropped
 	stallDeadlineSet bool                 // a read deadline is set because a response has begun
 	closeReason      connpool.CloseReason // if the response completes the use of the connection
 	recognition      connpool.Recognition // of a duplicate of the response
@@ -27,10 +28,15 @@
 	}
 }
 
-// readOnce reads once, completes the attempt if its response is complete, and reports whether to read on.
+// readOnce reads once, unless bytes behind a dropped response are left, completes the attempt if its response is complete, and reports whether
+// to read on.
 func (r *reader) readOnce() bool {
 	c, e := r.conn, r.conn.endpoint
-	_, err := r.in.ReadOnce(c.net)
+	var err error
+	if !r.unparsed {
+		_, err = r.in.ReadOnce(c.net)
+	}
+	r.unparsed = false
 	at := e.group.Clock.Now()
 	if err != nil {
 		c.fail(err)
@@ -91,7 +97,8 @@
 		e.recordUnsolicited(at, c)
 		e.mu.Unlock()
 		r.in.Discard(n)
-		return true // the response is still to come
+		r.unparsed = r.in.Len() > 0
+		return true // the response is still to come, or has been read already
 	case possibleDuplicate:
 		response.Close, r.closeReason = true, connpool.ClosedDuplicate // which ends the attempt if it is still in flight
 	case original:
