Pool: connections remember all responses of which a duplicate may arrive, not the last one

Cause: a connection kept the response before only, and only that one decided whether the connection could be reused. A copy that is 8 ms late meets the second or third request after its own where a connection is reused every 3 ms.

Each has to be recognizable for the next request; what arrives is compared with each. TestPoolInvariants asks this of all responses in the window. The simulator compares like the node, and no longer takes for granted that a duplicate is recognized.

--- a/internal/node/connpool/conn.go
+++ b/internal/node/connpool/conn.go
@@ -16,9 +16,8 @@
 	Closed       bool
 	CloseReason  CloseReason // valid if Closed
 
-	lastKey     KeyHash     // key of its latest attempt
-	keyRepeated bool        // the attempt before the latest one was for the same key
-	Recognition Recognition // of a duplicate of its latest response
+	lastKey KeyHash // key of its latest attempt
+	history history
 
 	reusedEarly bool // IdleDuration was so short that a duplicate of the previous response may still arrive
 	inUse       bool
@@ -33,7 +32,8 @@
 	Rejected    bool        // the server rejected the attempt because the server is full
 	Last        bool        // the connection accepts no further requests
 	CloseReason CloseReason // if Last
-	Recognition Recognition
+	Digest      Digest
+	Recognition Recognition // of a duplicate of it
 }
 
 // Waiter is the pool's state of one attempt. The owner embeds it in its own attempt type, and sets Key and ExecuteOnce.
--- a/internal/node/connpool/duplicate.go
+++ b/internal/node/connpool/duplicate.go
@@ -72,42 +72,17 @@
 
 // reuseRisk returns the risk of using an idle connection for a waiting attempt.
 func (p *Pool[C, A]) reuseRisk(now float64, c *Conn, waiter *Waiter) reuseRisk {
-	idle := now - c.IdleSince
 	switch {
 	case !c.Responded:
 		return safeToReuse
-	case idle < p.Policy.config.DuplicateWindow && !c.recognizesDuplicate(waiter):
+	case now < p.reusableAt(c, waiter):
 		return mustNotReuse
-	case idle >= p.Policy.safeIdle():
+	case now-c.IdleSince >= p.Policy.safeIdle():
 		return safeToReuse
 	}
 	return likelyRecognized
 }
 
-// recognizesDuplicate reports whether a duplicate of a connection's latest response would not be taken for the response to an attempt, or
-// would do no harm.
-func (c *Conn) recognizesDuplicate(waiter *Waiter) bool {
-	switch c.Recognition {
-	case ByValue:
-		return c.lastKey != waiter.Key // two responses to one key may be the same
-	case AsRepeat:
-		return !waiter.ExecuteOnce // the attempt cannot be ended with certainty before the server executes it
-	case Unrecognizable:
-	}
-	return false
-}
-
-// MayReceiveDuplicate reports whether what arrives now on a connection with an attempt in flight may be a duplicate of the previous response.
-// The caller has to compare the two.
-func (p *Pool[C, A]) MayReceiveDuplicate(now float64, conn C) bool {
-	c := conn.PoolConn()
-	window := p.Policy.config.DuplicateWindow
-	if c.Recognition == ByValue && !c.keyRepeated {
-		window = p.Policy.config.CompareWindow
-	}
-	return c.Responded && now-c.IdleSince < window
-}
-
 // fastestGrowth is the factor by which the fastest response time grows with each response, so that an old one is forgotten.
 const fastestGrowth = 1.005
 
@@ -123,13 +98,16 @@
 // before the server has that request, so that it arrives within one round trip.
 func (p *Policy) IsEarly(ms float64) bool { return p.fastestResponse == 0 || ms < p.fastestResponse }
 
-// cooldownOf returns how long a connection is not reused after its response, in ms: until no duplicate of it is expected any more if a
-// duplicate could not be recognized.
-func (p *Pool[C, A]) cooldownOf(c *Conn) float64 {
-	if c.Recognition != Unrecognizable {
-		return p.Policy.cooldown()
+// cooldownEnd returns from when on a connection may be reused after its latest response: not before no duplicate is expected that could
+// not be recognized.
+func (p *Pool[C, A]) cooldownEnd(c *Conn) float64 {
+	end := c.IdleSince + p.Policy.cooldown()
+	for _, past := range c.history {
+		if past.recognition == Unrecognizable {
+			end = max(end, past.at+p.Policy.config.DuplicateWindow)
+		}
 	}
-	return max(p.Policy.cooldown(), p.Policy.config.DuplicateWindow)
+	return end
 }
 
 // repeatMemory is how long a server counts as one whose values repeat, in ms.
--- a/internal/node/connpool/pool.go
+++ b/internal/node/connpool/pool.go
@@ -107,7 +107,7 @@
 		p.waiters = slices.Delete(p.waiters, i, i+1)
 		p.assign(now, conn, attempt)
 	}
-	p.scheduleTick(now, min(p.dial(now), p.nextWaiterEvent()))
+	p.scheduleTick(now, min(p.dial(now), p.nextWaiterEvent(now)))
 }
 
 // takeIdle removes the idle connection to use for a waiting attempt from the pool. It closes connections that are too old.
@@ -127,7 +127,6 @@
 
 func (p *Pool[C, A]) assign(now float64, conn C, attempt A) {
 	c, since := conn.PoolConn(), attempt.PoolWaiter().waitingSince
-	c.keyRepeated = c.lastKey == attempt.PoolWaiter().Key
 	c.lastKey = attempt.PoolWaiter().Key
 	if now > since {
 		p.counters.Waited.Add(1)
@@ -168,7 +167,7 @@
 
 // nextWaiterEvent returns when a waiting attempt can be assigned a connection that is open and unused, or when the wait of the first one
 // times out; +Inf: never.
-func (p *Pool[C, A]) nextWaiterEvent() float64 {
+func (p *Pool[C, A]) nextWaiterEvent(now float64) float64 {
 	if len(p.waiters) == 0 {
 		return math.Inf(1)
 	}
@@ -177,7 +176,7 @@
 		at = min(at, p.coolingDown[0].PoolConn().ReadyAt)
 	}
 	for _, conn := range p.idle { // none of them can serve the waiting attempts yet
-		at = min(at, conn.PoolConn().IdleSince+p.Policy.config.DuplicateWindow)
+		at = min(at, conn.PoolConn().history.nextExpiry(now, p.Policy.config.DuplicateWindow))
 	}
 	return at
 }
@@ -261,7 +260,8 @@
 	}
 	p.Detach(conn)
 	c := conn.PoolConn()
-	c.Responded, c.Recognition = true, response.Recognition
+	c.Responded = true
+	c.history.add(pastResponse{now, c.lastKey, response.Digest, response.Recognition}, now-p.Policy.config.CompareWindow)
 	p.Release(now, conn)
 }
 
--- a/internal/node/connpool/pool_test.go
+++ b/internal/node/connpool/pool_test.go
@@ -12,14 +12,27 @@
 	attempt     *testAttempt
 	respondedAt float64
 
-	key         KeyHash     // of its latest attempt
-	recognition Recognition // of a duplicate of its latest response
+	key       KeyHash // of its latest attempt
+	responses []testResponse
 }
 
-// canTellDuplicate reports whether a duplicate of the connection's latest response can be told from the response to an attempt, or does no
-// harm.
-func (c *testConn) canTellDuplicate(a *testAttempt) bool {
-	return c.recognition == ByValue && c.key != a.Key || c.recognition == AsRepeat && !a.ExecuteOnce
+// testResponse is a response that a connection has had.
+type testResponse struct {
+	at          float64
+	key         KeyHash
+	recognition Recognition // of a duplicate of it
+}
+
+// canTellDuplicates reports whether duplicates of the connection's responses since the given time can be told from the response to an
+// attempt, or do no harm.
+func (c *testConn) canTellDuplicates(a *testAttempt, since float64) bool {
+	for _, r := range c.responses {
+		recognized := r.recognition == ByValue && r.key != a.Key || r.recognition == AsRepeat && !a.ExecuteOnce
+		if r.at > since && !recognized {
+			return false
+		}
+	}
+	return true
 }
 
 type testAttempt struct {
@@ -54,8 +67,8 @@
 		o.t.Fatal("a connection was used during its cooldown")
 	case c.Responded && o.pool.Policy.Suspected() && o.now-c.respondedAt < o.pool.Policy.suspicion.cooldown:
 		o.t.Fatal("a connection of a suspected server was reused while a duplicate may still arrive")
-	case c.Responded && o.now-c.respondedAt < o.pool.Policy.config.DuplicateWindow && !c.canTellDuplicate(a):
-		o.t.Fatal("a connection was reused although a duplicate of its latest response would not be recognized")
+	case !c.canTellDuplicates(a, o.now-o.pool.Policy.config.DuplicateWindow):
+		o.t.Fatal("a connection was reused although a duplicate of one of its responses would not be recognized")
 	case !o.pool.Usable(c):
 		o.t.Fatal("an attempt was assigned a connection to an unavailable server or to an earlier address")
 	}
@@ -164,8 +177,9 @@
 	c.attempt, c.respondedAt = nil, o.now
 	rejected := rapid.IntRange(0, 5).Draw(o.t, "rejected") == 0
 	last := rapid.IntRange(0, 5).Draw(o.t, "last") == 0
-	c.recognition = rapid.SampledFrom([]Recognition{Unrecognizable, ByValue, AsRepeat}).Draw(o.t, "recognition")
-	o.pool.Responded(o.now, c, Response{Rejected: rejected, Last: last, Recognition: c.recognition})
+	recognition := rapid.SampledFrom([]Recognition{Unrecognizable, ByValue, AsRepeat}).Draw(o.t, "recognition")
+	c.responses = append(c.responses, testResponse{o.now, c.key, recognition})
+	o.pool.Responded(o.now, c, Response{Rejected: rejected, Last: last, Recognition: recognition})
 }
 
 // breakConn breaks a connection, which fails or cancels its attempt.
--- a/internal/node/connpool/unused.go
+++ b/internal/node/connpool/unused.go
@@ -27,7 +27,7 @@
 // within maxCoolingDown.
 func (p *Pool[C, A]) coolDown(conn C) {
 	c := conn.PoolConn()
-	c.ReadyAt = c.IdleSince + p.cooldownOf(c)
+	c.ReadyAt = p.cooldownEnd(c)
 	at := len(p.coolingDown)
 	for at > 0 && p.coolingDown[at-1].PoolConn().ReadyAt > c.ReadyAt { // the cooldown has become shorter
 		at--
--- a/internal/node/upstream/conn.go
+++ b/internal/node/upstream/conn.go
@@ -26,9 +26,8 @@
 	// Guarded by the endpoint's mutex.
 	current        *Attempt
 	writing        bool
-	readingUnsized bool           // the response is read to its end even if its attempt times out
-	lastDigest     responseDigest // of the latest response
-	readErr        error          // error of the reader if it failed while the writer was writing
+	readingUnsized bool  // the response is read to its end even if its attempt times out
+	readErr        error // error of the reader if it failed while the writer was writing
 }
 
 // startConn starts the goroutines of a connection.
--- a/internal/node/upstream/duplicate.go
+++ b/internal/node/upstream/duplicate.go
@@ -1,60 +1,26 @@
 package upstream
 
 import (
-	"hash/maphash"
-	"math"
-
 	"mintspring/internal/fleet"
 	"mintspring/internal/node/connpool"
 )
 
-// digestSeed is the seed of all digests of the process.
-var digestSeed = maphash.MakeSeed()
-
-// responseDigest identifies a response by its result, value and load report. The protocols do not say which request a response belongs to,
-// but a duplicate has the digest of the response before it on its connection. It depends on the response alone, not on the request that
-// waits for one: that may be of another kind than the one whose duplicate arrives.
-type responseDigest struct {
-	result fleet.Result
-	sum    uint64
-}
-
 // digestOf returns the digest of a response.
-func digestOf(response *Response) responseDigest {
-	digest := responseDigest{result: response.Result}
-	var hash maphash.Hash
-	hash.SetSeed(digestSeed)
-	_, _ = hash.Write(response.Value) // a hash never fails
-	maphash.WriteComparable(&hash, response.Cache)
-	r := &response.Report
-	for _, figure := range [...]float64{r.Util, r.Queue, r.Inflight, r.Latency, r.Rate, r.Errors, r.HitRatio, r.X1} {
-		maphash.WriteComparable(&hash, math.Float64bits(figure)) // an absent figure is NaN, which is not equal to itself
-	}
-	digest.sum = hash.Sum64()
-	return digest
+func digestOf(response *Response) connpool.Digest {
+	return connpool.DigestOf(response.Result, response.Value, response.Cache, &response.Report)
 }
 
-// originality says whether a response is one to the attempt in flight.
-type originality uint8
-
-const (
-	original          originality = iota
-	duplicate                     // of the previous response on the connection
-	possibleDuplicate             // the response is the same as the one before it; if it is a miss, it came early too
-)
-
-// compare compares the response to an attempt with the previous one on its connection. Called with the endpoint's mutex held.
-func (c *conn) compare(a *Attempt, digest responseDigest, at float64) originality {
+// compare compares the response to an attempt with the earlier ones on its connection. Called with the endpoint's mutex held.
+func (c *conn) compare(a *Attempt, result fleet.Result, digest connpool.Digest, at float64) connpool.Originality {
 	pool, took := c.endpoint.pool, at-a.writtenAt
-	same := digest == c.lastDigest && pool.MayReceiveDuplicate(at, c)
-	switch {
-	case same && c.Recognition == connpool.ByValue:
-		return duplicate
-	case same && c.Recognition == connpool.AsRepeat && (digest.result != fleet.Missed || pool.Policy.IsEarly(took)):
-		return possibleDuplicate
+	originality := pool.Compare(at, c, digest)
+	if originality == connpool.PossibleDuplicate && result == fleet.Missed && !pool.Policy.IsEarly(took) {
+		originality = connpool.Original
+	}
+	if originality == connpool.Original {
+		pool.Policy.RecordResponseTime(took)
 	}
-	pool.Policy.RecordResponseTime(took)
-	return original
+	return originality
 }
 
 // recentDigests is how many of the latest responses of a server are compared with each other. Its values identify its responses once all of
@@ -63,26 +29,26 @@
 
 // recentDigest is the digest of a recent response.
 type recentDigest struct {
-	sum  uint64 // 0: there was no such response yet
-	key  connpool.KeyHash
-	conn *conn
+	digest connpool.Digest // 0: there was no such response yet
+	key    connpool.KeyHash
+	conn   *conn
 }
 
 // recognition returns how a duplicate of the response to an attempt is recognized. Two equal responses on two connections are no duplicates
 // of each other: if their keys differ, the server's values do not identify its responses. Called with the mutex held.
-func (e *Endpoint) recognition(c *conn, a *Attempt, response *Response, digest responseDigest, now float64) connpool.Recognition {
+func (e *Endpoint) recognition(c *conn, a *Attempt, response *Response, digest connpool.Digest, now float64) connpool.Recognition {
 	recognition := connpool.RecognitionOf(response.Result, response.Value, a.Request.Write)
 	if recognition != connpool.ByValue {
 		return recognition
 	}
 	for _, other := range e.recent {
-		if other.sum == digest.sum && other.key != a.Key && other.conn != c {
+		if other.digest == digest && other.key != a.Key && other.conn != c {
 			e.pool.Policy.RecordRepeatedValue(now)
 		}
 	}
-	e.recent[e.nextRecent] = recentDigest{digest.sum, a.Key, c}
+	e.recent[e.nextRecent] = recentDigest{digest, a.Key, c}
 	e.nextRecent = (e.nextRecent + 1) % recentDigests
-	if e.recent[e.nextRecent].sum == 0 || e.pool.Policy.ValuesRepeat(now) {
+	if e.recent[e.nextRecent].digest == 0 || e.pool.Policy.ValuesRepeat(now) {
 		return connpool.Unrecognizable
 	}
 	return recognition
--- a/internal/node/upstream/duplicate_test.go
+++ b/internal/node/upstream/duplicate_test.go
@@ -20,7 +20,7 @@
 	h := newHarness(t, serve)
 	h.endpoint.pool.Policy = connpool.NewPolicy(connpool.Config{DuplicateWindow: 1000, CompareWindow: 1000, IdleTimeout: 5000}, 1, 0)
 	for i := range h.endpoint.recent {
-		h.endpoint.recent[i].sum = uint64(i + 1)
+		h.endpoint.recent[i].digest = connpool.Digest(i + 1)
 	}
 	return h
 }
--- a/internal/node/upstream/misattribution_test.go
+++ b/internal/node/upstream/misattribution_test.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// Guards against a response that is a second copy of one before the last one: a copy that is some milliseconds late may come after another
+// request was answered on its connection.
+func TestDuplicateOfEarlierResponseIsRecognized(t *testing.T) {
+	for _, back := range []int{2, 3, 5} {
+		server := &crossingServer{back: back, work: 5 * time.Millisecond}
+		h := newDuplicateHarness(t, server.serve)
+		for i := range 10 {
+			key := fmt.Sprintf("value of the key %04d", i)
+			h.send(key, 2000)
+			h.expectOwnValue(key)
+		}
+	}
+}
+
 // Guards against a request that is answered only when it times out: its response had been read together with the second copy of another one,
 // and was not looked at until more bytes came.
 func TestResponseBehindDuplicateInOneRead(t *testing.T) {
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -16,7 +16,8 @@
 	unparsed         bool                 // the ring has bytes that were read behind a response that was dropped
 	stallDeadlineSet bool                 // a read deadline is set because a response has begun
 	closeReason      connpool.CloseReason // if the response completes the use of the connection
-	recognition      connpool.Recognition // of a duplicate of the response
+	digest           connpool.Digest      // of the response that completes the attempt
+	recognition      connpool.Recognition // of a duplicate of that response
 }
 
 // readLoop reads responses until the connection ends. It closes the connection if bytes arrive while no attempt is in flight.
@@ -84,14 +85,14 @@
 	return r.acceptOriginal(a, n, response, at)
 }
 
-// acceptOriginal completes an attempt with a response of n bytes, unless that is a duplicate of the previous one on the connection. It reports
+// acceptOriginal completes an attempt with a response of n bytes, unless that is a duplicate of an earlier one on the connection. It reports
 // whether to read on. It is called with the endpoint's mutex held, and unlocks it.
 func (r *reader) acceptOriginal(a *Attempt, n int, response Response, at float64) bool {
 	c, e := r.conn, r.conn.endpoint
 	r.closeReason = connpool.ClosedByServer
 	digest := digestOf(&response)
-	switch c.compare(a, digest, at) {
-	case duplicate:
+	switch c.compare(a, response.Result, digest, at) {
+	case connpool.Duplicate:
 		a.progress = exchange.FullyWritten
 		a.discarded++
 		e.recordUnsolicited(at, c)
@@ -99,11 +100,11 @@
 		r.in.Discard(n)
 		r.unparsed = r.in.Len() > 0
 		return true // the response is still to come, or has been read already
-	case possibleDuplicate:
+	case connpool.PossibleDuplicate:
 		response.Close, r.closeReason = true, connpool.ClosedDuplicate // which ends the attempt if it is still in flight
-	case original:
+	case connpool.Original:
 	}
-	c.lastDigest, r.recognition = digest, e.recognition(c, a, &response, digest, at)
+	r.digest, r.recognition = digest, e.recognition(c, a, &response, digest, at)
 	return r.completeAttempt(a, n, response, at)
 }
 
@@ -172,7 +173,7 @@
 	c.current = nil
 	endedNow, trace := e.markEnded(a), a.trace(at)
 	e.pool.Responded(at, c, connpool.Response{
-		Rejected: response.Result == fleet.Declined, Last: response.Close || excess, CloseReason: r.closeReason, Recognition: r.recognition,
+		Rejected: response.Result == fleet.Declined, Last: response.Close || excess, CloseReason: r.closeReason, Digest: r.digest, Recognition: r.recognition,
 	})
 	e.mu.Unlock()
 	if endedNow {
--- a/internal/testbed/simulator/conn.go
+++ b/internal/testbed/simulator/conn.go
@@ -136,15 +136,19 @@
 	c.current = nil
 	attemptEnded := a.done
 	a.done = true
-	c.Recognition = connpool.RecognitionOf(completion.Result, completion.Value, a.exchange.Write)
 	l.pool.Responded(now, c, connpool.Response{
-		Rejected: completion.Result == fleet.Declined, Last: closesConn, CloseReason: connpool.ClosedDuplicate, Recognition: c.Recognition,
+		Rejected: completion.Result == fleet.Declined, Last: closesConn, CloseReason: connpool.ClosedDuplicate, Digest: completionDigest(&completion), Recognition: connpool.RecognitionOf(completion.Result, completion.Value, a.exchange.Write),
 	})
 	if !attemptEnded {
 		l.process.inflight.AttemptDone(now, a.exchange, a.index, completion)
 	}
 }
 
+// completionDigest returns the digest of a response.
+func completionDigest(completion *inflight.Completion) connpool.Digest {
+	return connpool.DigestOf(completion.Result, completion.Value, completion.Cache, &completion.Report)
+}
+
 // parseCompletion returns the result that the node reads from the response of an execution.
 func (s *server) parseCompletion(e *servermodel.Execution) inflight.Completion {
 	completion := inflight.Completion{Result: fleet.Completed, Report: s.parseReport(e.Report)}
@@ -182,11 +186,13 @@
 	if c.Closed || c.serverClosed || p.exited || p.deferIfStalled(d) {
 		return
 	}
+	completion := c.server.parseCompletion(d.attempt.execution)
+	originality := c.link.pool.Compare(p.localNow(), c, completionDigest(&completion))
 	switch {
-	case c.current != nil && c.link.pool.MayReceiveDuplicate(p.localNow(), c) && c.Recognition == connpool.ByValue:
+	case c.current != nil && originality == connpool.Duplicate:
 		c.link.recordUnsolicited(p.localNow(), c)
 	case c.current != nil:
-		c.acceptResponse(c.current, d.attempt.execution, c.link.pool.MayReceiveDuplicate(p.localNow(), c))
+		c.acceptResponse(c.current, d.attempt.execution, originality == connpool.PossibleDuplicate)
 	default:
 		p.sim.result.DuplicateDetections = append(p.sim.result.DuplicateDetections, fakes.DuplicateDetection{
 			AtMs: p.sim.nowMs(), Server: c.server.model.ID, Node: servermodel.NodeID(p.node.index),
