Upstream: a fence tells an equal response of a cache server from a duplicate

Callers would see: the value of another key, and often a row of them.

Cause: nothing in the response tells a copy of a miss from a miss, and the time that it takes does not either (connpool, IsEarly).

Evidence: TestDuplicateOfMissDoesNotShiftResponses, failing before: two of three later requests had the value of the request before them.

Change: a response that equals one of the last 100 ms on its connection is held, and SELECT 0 is sent, which the protocol page has answered +OK and which the server answers after the responses to all commands before it. If +OK comes next, the held response is the attempt's own; if another response does, that one is. No connection to a cache server rests or is closed for an equal response any more, and requests with an effect need not avoid any. A server that does not answer a fence is sent none for 10 s and treated as the origin is: equal responses without a value close the connection. TestEqualResponsesAreVerifiedByFence, TestServerWithoutFences.

TestFaultyPoliciesAreDetected: its request sent after a response was late only because a connection rested for 20 ms before the next read of its key; its fleet now has connections that cool down for 30 ms. The check is the same.

--- a/cmd/mintspring/nodeprocess_test.go
+++ b/cmd/mintspring/nodeprocess_test.go
@@ -165,6 +165,10 @@
 func (n *testNode) serveCache(ln net.Listener, received *atomic.Int64) {
 	// Serve returns when the listener is closed.
 	_ = redcon.Serve(ln, func(c redcon.Conn, cmd redcon.Command) {
+		if fakes.IsFence(cmd.Args) {
+			c.WriteString("OK")
+			return
+		}
 		if !fakes.IsCacheRequest(cmd.Args) {
 			c.WriteError("ERR not a request to a cache server")
 			return
--- a/internal/node/cacheserver/protocol.go
+++ b/internal/node/cacheserver/protocol.go
@@ -14,7 +14,7 @@
 	"mintspring/internal/node/upstream"
 )
 
-// Protocol implements upstream.Protocol for cache servers.
+// Protocol implements upstream.Protocol and upstream.Fencer for cache servers.
 type Protocol struct{}
 
 const (
@@ -48,6 +48,24 @@
 	return b
 }
 
+// fence is a command that servers answer with fenceReply, which is the response to no request (the operators' page of the protocol, "Nodes to
+// cache servers").
+const (
+	fence      = "*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n"
+	fenceReply = "+OK\r\n"
+)
+
+// AppendFence implements upstream.Fencer.
+func (Protocol) AppendFence(b []byte) []byte { return append(b, fence...) }
+
+// ParseFenceReply implements upstream.Fencer.
+func (Protocol) ParseFenceReply(b []byte) int {
+	if bytes.HasPrefix(b, []byte(fenceReply)) {
+		return len(fenceReply)
+	}
+	return 0
+}
+
 // ValueTerminator implements upstream.Protocol.
 func (Protocol) ValueTerminator() string { return lineEnd }
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -92,8 +92,10 @@
 		IdleTimeout:     0.75 * deployment.ConnIdleTimeout,
 		StartupWindow:   deployment.Limits.WarmUpTime,
 	}
-	if operator == nil || operator.Connections == nil {
-		return base, base
+	cache, origin = base, base
+	if operator != nil && operator.Connections != nil {
+		cache, origin = operator.Connections.PoolConfigs(base)
 	}
-	return operator.Connections.PoolConfigs(base)
+	cache.Fences = true
+	return cache, origin
 }
--- a/internal/node/connpool/conn.go
+++ b/internal/node/connpool/conn.go
@@ -81,15 +81,17 @@
 
 // Counters count events since the start. Several pools may share them. They are safe for concurrent use.
 type Counters struct {
-	Opened       atomic.Int64                  // connections
-	Reused       atomic.Int64                  // attempts on a connection that had served an earlier attempt
-	Waited       atomic.Int64                  // attempts that had to wait for a connection
-	WaitTimeouts atomic.Int64                  // attempts whose wait timed out
-	QueueFull    atomic.Int64                  // attempts rejected because the queue of waiting attempts was full
-	Unsolicited  atomic.Int64                  // bytes that arrived without a request, and duplicates that arrived during one
-	Expired      atomic.Int64                  // connections closed because of their age
-	Suspected    atomic.Int64                  // times that a server became suspected of sending duplicate responses
-	Closed       [NumCloseReasons]atomic.Int64 // connections closed by the node
+	Opened           atomic.Int64                  // connections
+	Reused           atomic.Int64                  // attempts on a connection that had served an earlier attempt
+	Waited           atomic.Int64                  // attempts that had to wait for a connection
+	WaitTimeouts     atomic.Int64                  // attempts whose wait timed out
+	QueueFull        atomic.Int64                  // attempts rejected because the queue of waiting attempts was full
+	Unsolicited      atomic.Int64                  // bytes that arrived without a request, and duplicates that arrived during one
+	Expired          atomic.Int64                  // connections closed because of their age
+	Suspected        atomic.Int64                  // times that a server became suspected of sending duplicate responses
+	Fences           atomic.Int64                  // fences sent
+	FencesUnanswered atomic.Int64                  // of these, those whose connection ended, or whose attempt timed out, before the reply
+	Closed           [NumCloseReasons]atomic.Int64 // connections closed by the node
 }
 
 // Admission is the pool's reply to an attempt that needs a connection.
--- a/internal/node/connpool/duplicate.go
+++ b/internal/node/connpool/duplicate.go
@@ -28,9 +28,11 @@
 	Unrecognizable Recognition = iota
 	// ByValue is a response whose value tells its duplicate from the responses to requests for other keys.
 	ByValue
-	// AsRepeat is a miss, a rejection or a failure. If the next response is the same, it may be a duplicate, unless it is a miss, of which there
-	// are many, and takes as long as the server's responses. Its connection has to be closed, which ends an attempt that is still in flight.
+	// AsRepeat is a miss, a rejection or a failure. If the next response is the same, it may be a duplicate. Its connection has to be closed,
+	// which ends an attempt that is still in flight.
 	AsRepeat
+	// ByFence is any buffered response of a server that answers fences. If a later response is the same, a fence tells which of the two it is.
+	ByFence
 )
 
 // RecognitionOf returns how a duplicate of a response is recognized. The value was buffered; it is nil if the response has none.
@@ -75,7 +77,7 @@
 	switch {
 	case !c.Responded:
 		return safeToReuse
-	case now < p.reusableAt(c, waiter):
+	case now < p.reusableAt(now, c, waiter):
 		return mustNotReuse
 	case now-c.IdleSince >= p.Policy.safeIdle():
 		return safeToReuse
@@ -83,21 +85,6 @@
 	return likelyRecognized
 }
 
-// fastestGrowth is the factor by which the fastest response time grows with each response, so that an old one is forgotten.
-const fastestGrowth = 1.005
-
-// RecordResponseTime records how long the response to an attempt took, in ms from when its request was sent.
-func (p *Policy) RecordResponseTime(ms float64) {
-	if p.fastestResponse == 0 {
-		p.fastestResponse = ms
-	}
-	p.fastestResponse = min(ms, p.fastestResponse*fastestGrowth)
-}
-
-// IsEarly reports whether a response that took so many ms came sooner than the server responds. A duplicate that crosses a request is sent
-// before the server has that request, so that it arrives within one round trip.
-func (p *Policy) IsEarly(ms float64) bool { return p.fastestResponse == 0 || ms < p.fastestResponse }
-
 // cooldownEnd returns from when on a connection may be reused after its latest response: not before no duplicate is expected that could
 // not be recognized.
 func (p *Pool[C, A]) cooldownEnd(c *Conn) float64 {
--- a/internal/node/connpool/history.go
+++ b/internal/node/connpool/history.go
@@ -91,7 +91,7 @@
 		case past.digest != digest:
 		case past.recognition == ByValue && past.key != c.lastKey && age < config.CompareWindow:
 			return Duplicate
-		case past.recognition == AsRepeat && age < config.DuplicateWindow:
+		case past.recognition == AsRepeat && age < config.DuplicateWindow, past.recognition == ByFence && age < config.CompareWindow:
 			originality = PossibleDuplicate
 		}
 	}
@@ -100,10 +100,11 @@
 
 // reusableAt returns from when on a connection may serve a waiting attempt: no response is expected by then whose duplicate would be taken
 // for the response to the attempt.
-func (p *Pool[C, A]) reusableAt(c *Conn, waiter *Waiter) float64 {
+func (p *Pool[C, A]) reusableAt(now float64, c *Conn, waiter *Waiter) float64 {
 	window, at := p.Policy.config.DuplicateWindow, math.Inf(-1)
+	fences := p.Policy.FenceState(now) != FenceUnsupported
 	for _, past := range c.history {
-		if !past.recognizedBy(waiter) {
+		if !past.recognizedBy(waiter, fences) {
 			at = past.at + window
 		}
 	}
@@ -113,13 +114,16 @@
 	return at
 }
 
-// recognizedBy reports whether a duplicate of a response would not be taken for the response to an attempt, or would do no harm.
-func (r *pastResponse) recognizedBy(waiter *Waiter) bool {
+// recognizedBy reports whether a duplicate of a response would not be taken for the response to an attempt, or would do no harm. fences says
+// whether the server is sent fences.
+func (r *pastResponse) recognizedBy(waiter *Waiter, fences bool) bool {
 	switch r.recognition {
 	case ByValue:
 		return r.key != waiter.Key // two responses to one key may be the same
 	case AsRepeat:
 		return !waiter.ExecuteOnce // the attempt cannot be ended with certainty before the server executes it
+	case ByFence:
+		return fences
 	case Unrecognizable:
 	}
 	return false
--- a/internal/node/connpool/policy.go
+++ b/internal/node/connpool/policy.go
@@ -20,6 +20,7 @@
 	Cooldown        float64 // ms after a response in which a connection is not reused, since a duplicate response may follow
 	DuplicateWindow float64 // ms after a response in which a connection is not reused where a duplicate would not be recognized
 	CompareWindow   float64 // ms after a response in which the next response may be a duplicate of it; at least DuplicateWindow
+	Fences          bool    // the protocol has fences (FenceState)
 	DialAfterWait   float64 // ms that attempts wait, in total, for cooling connections before a new connection is dialed
 	IdleTimeout     float64 // ms after which an unused connection is closed, before the peer does so
 	MaxAge          float64 // ms after which a connection is not reused
@@ -72,8 +73,10 @@
 	peakInUse       [2]int // most connections in use in the current and in the previous window
 	suspicion       suspicion
 
-	fastestResponse   float64 // ms, of recent responses that were no duplicates; 0: there is none
 	valuesRepeatUntil float64 // until then the values of responses do not identify them
+
+	fenceAnswered          bool // the server has answered a fence since its start
+	fencesUnsupportedUntil float64
 }
 
 // State counts the connections and waiting attempts of a pool.
@@ -106,6 +109,7 @@
 	p.firstRejections, p.laterRejections = 0, 0
 	p.peakInUse = [2]int{}
 	p.suspicion = suspicion{}
+	p.fenceAnswered, p.fencesUnsupportedUntil = false, 0
 }
 
 // limit returns how many connections this node may hold. All nodes together stay within MaxConns, unless there are more nodes than
--- a/internal/node/testcluster_test.go
+++ b/internal/node/testcluster_test.go
@@ -101,6 +101,10 @@
 	tc.cacheAddrs = append(tc.cacheAddrs, addr)
 	go func() {
 		err := redcon.Serve(ln, func(c redcon.Conn, cmd redcon.Command) {
+			if fakes.IsFence(cmd.Args) {
+				c.WriteString("OK")
+				return
+			}
 			if !fakes.IsCacheRequest(cmd.Args) {
 				c.WriteError("ERR not a request to a cache server")
 				return
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -82,6 +82,8 @@
 		"queue_full":         now.QueueFull - previous.QueueFull,
 		"unsolicited":        now.Unsolicited - previous.Unsolicited,
 		"servers_suspected":  now.Suspected - previous.Suspected,
+		"fences":             now.Fences - previous.Fences,
+		"fences_unanswered":  now.FencesUnanswered - previous.FencesUnanswered,
 	}
 	for reason := range connpool.NumCloseReasons {
 		fields["closed_"+connpool.CloseReason(reason).String()] = now.Closed[reason] - previous.Closed[reason]
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -94,6 +94,7 @@
 		e.pool.Policy.RecordRepeatedValue(e.group.Clock.Now()) // what was dropped may have been the response
 	}
 	if a.conn != nil {
+		e.recordUnansweredFence(a.conn, e.group.Clock.Now())
 		e.abandon(a.conn, result)
 	}
 	e.pool.CancelWait(a)
--- a/internal/node/upstream/attempt_test.go
+++ b/internal/node/upstream/attempt_test.go
@@ -105,12 +105,12 @@
 	clientEnd, serverEnd := net.Pipe()
 	t.Cleanup(func() { closeConn(serverEnd) })
 	// The connection has no goroutines: the test calls their functions in a fixed order.
-	c := &conn{Conn: connpool.Conn{Addr: h.listener.Addr().String()}, endpoint: h.endpoint, net: clientEnd, attempts: make(chan *Attempt, 1)}
+	c := &conn{Conn: connpool.Conn{Addr: h.listener.Addr().String()}, endpoint: h.endpoint, net: clientEnd, outgoing: make(chan message, maxOutgoing)}
 	h.endpoint.mu.Lock()
 	h.endpoint.pool.Release(h.endpoint.group.Clock.Now(), c)
 	h.endpoint.mu.Unlock()
 	h.send("a long query", 5000)
-	a := <-c.attempts
+	a := (<-c.outgoing).attempt
 	if !c.beginWrite(a, nil) {
 		t.Fatal("beginWrite rejected the attempt")
 	}
@@ -208,7 +208,7 @@
 	h.expectResult("server already unavailable", fleet.NotSent)
 
 	clientEnd, serverEnd := net.Pipe()
-	c := &conn{Conn: connpool.Conn{Addr: h.listener.Addr().String()}, endpoint: endpoint, net: clientEnd, attempts: make(chan *Attempt, 1)}
+	c := &conn{Conn: connpool.Conn{Addr: h.listener.Addr().String()}, endpoint: endpoint, net: clientEnd, outgoing: make(chan message, maxOutgoing)}
 	attempt := &Attempt{Request: &exchange.Exchange{Key: []byte("q")}, timer: time.AfterFunc(time.Hour, func() {})}
 	endpoint.mu.Lock()
 	poolOwner{endpoint}.Assign(0, c, attempt)
--- a/internal/node/upstream/conn.go
+++ b/internal/node/upstream/conn.go
@@ -19,22 +19,32 @@
 	endpoint *Endpoint
 	number   int64 // among the endpoint's connections, from 1
 	net      net.Conn
-	attempts chan *Attempt // attempts assigned by the pool, at most one at a time; closed with the connection
+	outgoing chan message // what to send, at most one attempt and a fence behind it; closed with the connection
 
 	discarding atomic.Bool // the rest of an unsized response is read and dropped
 
 	// Guarded by the endpoint's mutex.
 	current        *Attempt
 	writing        bool
-	readingUnsized bool  // the response is read to its end even if its attempt times out
-	readErr        error // error of the reader if it failed while the writer was writing
+	readingUnsized bool          // the response is read to its end even if its attempt times out
+	verification   *verification // a response that is held until the reply to a fence; nil: none
+	readErr        error         // error of the reader if it failed while the writer was writing
+}
+
+// maxOutgoing is how many messages may wait for the writer of a connection.
+const maxOutgoing = 2
+
+// message is what the writer of a connection sends: an attempt or a fence.
+type message struct {
+	attempt *Attempt
+	fence   bool
 }
 
 // startConn starts the goroutines of a connection.
 func (e *Endpoint) startConn(addr string, netConn net.Conn) *conn {
 	c := &conn{
 		Conn:     connpool.Conn{Addr: addr, Jitter: e.group.random()},
-		endpoint: e, number: e.connCount.Add(1), net: netConn, attempts: make(chan *Attempt, 1),
+		endpoint: e, number: e.connCount.Add(1), net: netConn, outgoing: make(chan message, maxOutgoing),
 	}
 	go c.writeLoop()
 	go c.readLoop()
@@ -83,6 +93,15 @@
 		return
 	}
 	a.staleConn = e.handleStale(c, a)
+	now := e.group.Clock.Now()
+	response, verified := c.abandonVerification(a, now)
+	if verified && e.markEnded(a) {
+		trace := a.trace(now)
+		e.pool.Dispatch(now)
+		e.mu.Unlock()
+		e.group.OnDone(a, Completion{EndedAt: now, Response: response, Trace: trace})
+		return
+	}
 	e.mu.Unlock()
 	e.fail(a, fleet.Reset, cause)
 }
--- a/internal/node/upstream/duplicate.go
+++ b/internal/node/upstream/duplicate.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"mintspring/internal/fleet"
 	"mintspring/internal/node/connpool"
 )
 
@@ -10,19 +9,6 @@
 	return connpool.DigestOf(response.Result, response.Value, response.Cache, &response.Report)
 }
 
-// compare compares the response to an attempt with the earlier ones on its connection. Called with the endpoint's mutex held.
-func (c *conn) compare(a *Attempt, result fleet.Result, digest connpool.Digest, at float64) connpool.Originality {
-	pool, took := c.endpoint.pool, at-a.writtenAt
-	originality := pool.Compare(at, c, digest)
-	if originality == connpool.PossibleDuplicate && result == fleet.Missed && !pool.Policy.IsEarly(took) {
-		originality = connpool.Original
-	}
-	if originality == connpool.Original {
-		pool.Policy.RecordResponseTime(took)
-	}
-	return originality
-}
-
 // recentDigests is how many of the latest responses of a server are compared with each other. Its values identify its responses once all of
 // them have different ones.
 const recentDigests = 4
@@ -37,6 +23,9 @@
 // recognition returns how a duplicate of the response to an attempt is recognized. Two equal responses on two connections are no duplicates
 // of each other: if their keys differ, the server's values do not identify its responses. Called with the mutex held.
 func (e *Endpoint) recognition(c *conn, a *Attempt, response *Response, digest connpool.Digest, now float64) connpool.Recognition {
+	if e.pool.Policy.FenceState(now) != connpool.FenceUnsupported && response.LargeValueSize == 0 {
+		return connpool.ByFence
+	}
 	recognition := connpool.RecognitionOf(response.Result, response.Value, a.Request.Write)
 	if recognition != connpool.ByValue {
 		return recognition
--- a/internal/node/upstream/duplicate_test.go
+++ b/internal/node/upstream/duplicate_test.go
@@ -25,6 +25,15 @@
 	return h
 }
 
+// newFencedHarness is newDuplicateHarness with a server that answers fences.
+func newFencedHarness(t *testing.T, serve func(c net.Conn)) *harness {
+	t.Helper()
+	h := newDuplicateHarness(t, serve)
+	h.endpoint.protocol = fencedProtocol{}
+	h.endpoint.pool.Policy = connpool.NewPolicy(connpool.Config{Fences: true, DuplicateWindow: 1000, CompareWindow: 1000, IdleTimeout: 5000}, 1, 0)
+	return h
+}
+
 // A server answers a request twice, and its second answer arrives only after the next request was sent on the connection: it was read as
 // the response to that request, whose client got the value of another key.
 func TestDuplicateIsNotReadAsNextResponse(t *testing.T) {
--- a/internal/node/upstream/endpoint.go
+++ b/internal/node/upstream/endpoint.go
@@ -60,12 +60,12 @@
 // Assign implements connpool.Owner.
 func (o poolOwner) Assign(_ float64, c *conn, a *Attempt) {
 	c.current, a.conn, a.reused = a, c, c.Responded
-	c.attempts <- a
+	c.outgoing <- message{attempt: a}
 }
 
 // CloseConn implements connpool.Owner. It makes the connection's goroutines end.
 func (o poolOwner) CloseConn(c *conn) {
-	close(c.attempts)
+	close(c.outgoing)
 	_ = c.net.Close() // an error has no consequence: nothing more is written
 	o.group.Sockets.Release(fdlimit.Server)
 }
--- a/internal/node/upstream/group.go
+++ b/internal/node/upstream/group.go
@@ -45,6 +45,9 @@
 	Expired      int // connections closed for their age
 	Suspected    int // times that a server became suspected of duplicate responses
 
+	Fences           int // fences sent to verify a response
+	FencesUnanswered int // fences that were not answered
+
 	Closed [connpool.NumCloseReasons]int // connections that the node closed, by reason
 }
 
@@ -55,6 +58,7 @@
 		Opened: int(c.Opened.Load()), Reused: int(c.Reused.Load()),
 		Waited: int(c.Waited.Load()), WaitTimeouts: int(c.WaitTimeouts.Load()), QueueFull: int(c.QueueFull.Load()),
 		Unsolicited: int(c.Unsolicited.Load()), Expired: int(c.Expired.Load()), Suspected: int(c.Suspected.Load()),
+		Fences: int(c.Fences.Load()), FencesUnanswered: int(c.FencesUnanswered.Load()),
 	}
 	for reason := range stats.Closed {
 		stats.Closed[reason] = int(c.Closed[reason].Load())
--- a/internal/node/upstream/harness_test.go
+++ b/internal/node/upstream/harness_test.go
@@ -21,7 +21,7 @@
 )
 
 // lineProtocol is a protocol in which requests and responses are single lines. Some response lines have an effect: "panic" makes the
-// parser panic, "malformed" makes it fail, "miss" is a miss, "last" ends the use of the connection, and "large N" announces a value of N bytes.
+// parser panic, "malformed" makes it fail, "miss" is a miss, "failed" a failure, "last" ends the use of the connection, and "large N" announces a value of N bytes.
 type lineProtocol struct{}
 
 func (lineProtocol) AppendRequest(b []byte, request *exchange.Exchange, _ float64) []byte {
@@ -54,6 +54,8 @@
 		panic(text)
 	case "malformed":
 		return 0, Response{}, errors.New("malformed response")
+	case "failed":
+		return i + 1, Response{Result: fleet.Failed}, nil
 	case "miss":
 		return i + 1, Response{Result: fleet.Missed}, nil
 	default:
@@ -65,6 +67,21 @@
 	}
 }
 
+// testFence is the fence of fencedProtocol, and the reply to it.
+const testFence = "fence\n"
+
+// fencedProtocol is a lineProtocol with fences.
+type fencedProtocol struct{ lineProtocol }
+
+func (fencedProtocol) AppendFence(b []byte) []byte { return append(b, testFence...) }
+
+func (fencedProtocol) ParseFenceReply(b []byte) int {
+	if bytes.HasPrefix(b, []byte(testFence)) {
+		return len(testFence)
+	}
+	return 0
+}
+
 // harness is an endpoint whose server is a fake.
 type harness struct {
 	t           *testing.T
@@ -162,7 +179,7 @@
 func (h *harness) addPipeConn() net.Conn {
 	clientEnd, serverEnd := net.Pipe()
 	endpoint := h.endpoint
-	c := &conn{Conn: connpool.Conn{Addr: h.listener.Addr().String()}, endpoint: endpoint, net: clientEnd, attempts: make(chan *Attempt, 1)}
+	c := &conn{Conn: connpool.Conn{Addr: h.listener.Addr().String()}, endpoint: endpoint, net: clientEnd, outgoing: make(chan message, maxOutgoing)}
 	go c.writeLoop()
 	go c.readLoop()
 	endpoint.mu.Lock()
--- a/internal/node/upstream/misattribution_test.go
+++ b/internal/node/upstream/misattribution_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"mintspring/internal/fleet"
 	"mintspring/internal/node/exchange"
 )
 
@@ -23,6 +24,10 @@
 func (s *crossingServer) serve(c net.Conn) {
 	var sent []string
 	for request := read(c); request != ""; request = read(c) {
+		if request == testFence {
+			write(c, testFence)
+			continue
+		}
 		second := ""
 		if len(sent) >= s.back {
 			second = sent[len(sent)-s.back]
@@ -84,6 +89,26 @@
 	}
 }
 
+// Guards against responses that are read one request behind: the second copy of a miss was taken for the miss of the next request if it did
+// not come early, and then the response to that request for the one to the request after it.
+func TestDuplicateOfMissDoesNotShiftResponses(t *testing.T) {
+	server := &crossingServer{back: 1, copyDelay: 10 * time.Millisecond, work: 30 * time.Millisecond}
+	for _, newHarness := range []func(*testing.T, func(net.Conn)) *harness{newDuplicateHarness, newFencedHarness} {
+		h := newHarness(t, server.serve)
+		h.send("miss", 2000)
+		h.expectResult("a miss", fleet.Missed)
+		h.send("value of the second key", 2000)
+		if completion := h.nextCompletion(); completion.Failure != nil {
+			t.Errorf("second request: %v", completion.Failure)
+		}
+		for i := range 3 {
+			key := fmt.Sprintf("value of a later key %04d", i)
+			h.send(key, 2000)
+			h.expectOwnValue(key)
+		}
+	}
+}
+
 // Guards against a request that is answered only when it times out: its response had been read together with the second copy of another one,
 // and was not looked at until more bytes came.
 func TestResponseBehindDuplicateInOneRead(t *testing.T) {
@@ -95,3 +120,50 @@
 		h.expectOwnValue(key)
 	}
 }
+
+// Guards against connections that are closed, or rest, because a response equals an earlier one: the server confirms by a fence that it is none
+// of its duplicates.
+func TestEqualResponsesAreVerifiedByFence(t *testing.T) {
+	h := newFencedHarness(t, func(c net.Conn) {
+		for request := read(c); request != ""; request = read(c) {
+			if request == testFence {
+				write(c, testFence)
+				continue
+			}
+			write(c, "miss\n")
+		}
+	})
+	for range 5 {
+		h.send("miss", 1000)
+		h.expectResult("an equal miss", fleet.Missed)
+	}
+	if stats := h.endpoint.group.Stats(); stats.Opened != 1 || stats.Fences != 4 || stats.Unsolicited > 0 {
+		t.Errorf("stats %+v", stats)
+	}
+}
+
+// Guards against requests that fail because a server does not know the command that is its fence: it closes the connection, ignores the
+// command or responds with an error.
+func TestServerWithoutFences(t *testing.T) {
+	for _, reply := range []string{"close", "", "failed\n"} {
+		h := newFencedHarness(t, func(c net.Conn) {
+			for request := read(c); request != ""; request = read(c) {
+				switch {
+				case request != testFence:
+					write(c, "miss\n")
+				case reply == "close":
+					closeConn(c)
+				default:
+					write(c, reply)
+				}
+			}
+		})
+		for range 6 {
+			h.send("miss", 1000)
+			h.expectResult("an equal miss, reply to the fence "+reply, fleet.Missed)
+		}
+		if stats := h.endpoint.group.Stats(); stats.Fences != 1 {
+			t.Errorf("reply to the fence %q: %+v", reply, stats)
+		}
+	}
+}
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -11,13 +11,13 @@
 
 // reader is the state of a connection's reading goroutine.
 type reader struct {
-	conn             *conn
-	in               ringbuf.Ring
-	unparsed         bool                 // the ring has bytes that were read behind a response that was dropped
-	stallDeadlineSet bool                 // a read deadline is set because a response has begun
-	closeReason      connpool.CloseReason // if the response completes the use of the connection
-	digest           connpool.Digest      // of the response that completes the attempt
-	recognition      connpool.Recognition // of a duplicate of that response
+	conn        *conn
+	in          ringbuf.Ring
+	unparsed    bool                 // the ring has bytes that were read behind a response that was dropped
+	deadlineSet bool                 // a read deadline is set, because a response has begun or a fence was sent
+	closeReason connpool.CloseReason // if the response completes the use of the connection
+	digest      connpool.Digest      // of the response that completes the attempt
+	recognition connpool.Recognition // of a duplicate of that response
 }
 
 // readLoop reads responses until the connection ends. It closes the connection if bytes arrive while no attempt is in flight.
@@ -43,6 +43,9 @@
 		c.fail(err)
 		return false
 	}
+	if n := r.fenceReply(); n > 0 {
+		return r.handleFenceReply(n, at)
+	}
 	n, response, err := e.protocol.ParseResponse(r.in.Peek())
 	unsized := errors.Is(err, ErrUnsized)
 	if err != nil && !unsized {
@@ -53,12 +56,7 @@
 	a := c.current
 	switch {
 	case a == nil || c.Closed:
-		e.recordUnsolicited(at, c)
-		e.pool.CloseConn(c, connpool.ClosedUnsolicited)
-		e.pool.RemoveUnused(c)
-		e.pool.Dispatch(at)
-		e.mu.Unlock()
-		return false
+		return r.closeUnsolicited(at)
 	case a.Request.Body != nil && a.progress == exchange.PartiallyWritten:
 		e.mu.Unlock()
 		e.fail(a, fleet.Declined, errEarlyResponse) // whatever the response says: a request is not executed before its last byte is sent
@@ -82,41 +80,76 @@
 		r.setStallDeadline()
 		return true
 	}
-	return r.acceptOriginal(a, n, response, at)
+	return r.acceptResponse(a, n, response, at)
 }
 
-// acceptOriginal completes an attempt with a response of n bytes, unless that is a duplicate of an earlier one on the connection. It reports
-// whether to read on. It is called with the endpoint's mutex held, and unlocks it.
-func (r *reader) acceptOriginal(a *Attempt, n int, response Response, at float64) bool {
+// acceptResponse completes an attempt with a response of n bytes, unless that is, or may be, a duplicate of an earlier one on the connection.
+// It reports whether to read on. It is called with the endpoint's mutex held, and unlocks it.
+func (r *reader) acceptResponse(a *Attempt, n int, response Response, at float64) bool {
 	c, e := r.conn, r.conn.endpoint
 	r.closeReason = connpool.ClosedByServer
 	digest := digestOf(&response)
-	switch c.compare(a, response.Result, digest, at) {
+	if c.verification != nil {
+		return r.resolveVerification(a, n, response, digest, at)
+	}
+	switch e.pool.Compare(at, c, digest) {
 	case connpool.Duplicate:
 		a.progress = exchange.FullyWritten
 		a.discarded++
 		e.recordUnsolicited(at, c)
 		e.mu.Unlock()
-		r.in.Discard(n)
-		r.unparsed = r.in.Len() > 0
+		r.discard(n)
 		return true // the response is still to come, or has been read already
 	case connpool.PossibleDuplicate:
+		if e.pool.Policy.FenceState(at) != connpool.FenceUnsupported {
+			r.beginVerification(n, response, digest, at)
+			return true
+		}
 		response.Close, r.closeReason = true, connpool.ClosedDuplicate // which ends the attempt if it is still in flight
 	case connpool.Original:
 	}
-	r.digest, r.recognition = digest, e.recognition(c, a, &response, digest, at)
+	return r.acceptOriginal(a, n, response, digest, at)
+}
+
+// acceptOriginal completes an attempt with its own response. It discards the first n bytes in the ring. It is called with the endpoint's
+// mutex held, and unlocks it.
+func (r *reader) acceptOriginal(a *Attempt, n int, response Response, digest connpool.Digest, at float64) bool {
+	r.digest, r.recognition = digest, r.conn.endpoint.recognition(r.conn, a, &response, digest, at)
 	return r.completeAttempt(a, n, response, at)
 }
 
+// closeUnsolicited closes a connection on which bytes have arrived without an attempt in flight. It reports that no more is read. It is called
+// with the endpoint's mutex held, and unlocks it.
+func (r *reader) closeUnsolicited(at float64) bool {
+	c, e := r.conn, r.conn.endpoint
+	e.recordUnsolicited(at, c)
+	e.pool.CloseConn(c, connpool.ClosedUnsolicited)
+	e.pool.RemoveUnused(c)
+	e.pool.Dispatch(at)
+	e.mu.Unlock()
+	return false
+}
+
+// discard drops the first n bytes in the ring: a response that does not complete the attempt. What is behind them is parsed before more is read.
+func (r *reader) discard(n int) {
+	r.in.Discard(n)
+	r.unparsed = r.in.Len() > 0
+}
+
 // setStallDeadline limits how long the next read may take. Without this limit a response that stalls after it has begun would use up
 // the request's remaining time.
 func (r *reader) setStallDeadline() {
-	r.stallDeadlineSet = r.conn.endpoint.group.StallTimeout > 0
-	if r.stallDeadlineSet {
-		r.conn.setReadTimeout(r.conn.endpoint.group.StallTimeout)
+	if timeout := r.conn.endpoint.group.StallTimeout; timeout > 0 {
+		r.setDeadline(timeout)
 	}
 }
 
+// setDeadline limits how long the next read may take, in ms. The limit ends with the response.
+func (r *reader) setDeadline(timeout float64) {
+	r.deadlineSet = true
+	r.conn.setReadTimeout(timeout)
+}
+
 // readUnsizedResponse reads an unsized response. It is called with the endpoint's mutex held. If it returns true, the mutex is held
 // again; otherwise the mutex is unlocked and the connection closed.
 func (r *reader) readUnsizedResponse(a *Attempt) (Response, bool) {
@@ -146,8 +179,8 @@
 // unlocks it.
 func (r *reader) completeAttempt(a *Attempt, n int, response Response, at float64) bool {
 	c, e := r.conn, r.conn.endpoint
-	if r.stallDeadlineSet {
-		r.stallDeadlineSet = false
+	if r.deadlineSet {
+		r.deadlineSet = false
 		c.setReadTimeout(0)
 	}
 	r.in.Discard(n)
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -70,7 +70,7 @@
 	// Guarded by the endpoint's mutex.
 	conn         *conn
 	progress     exchange.Progress
-	reused       bool    // the connection had had a response before
+	reused       bool    // the connection has served an earlier attempt
 	writtenAt    float64 // when the request began to be written
 	discarded    int     // responses that were dropped as duplicates of earlier ones
 	staleConn    bool    // the server seems to have dropped the connection while it was idle
--- a/internal/node/upstream/writer.go
+++ b/internal/node/upstream/writer.go
@@ -13,13 +13,19 @@
 // requestOverhead is an upper bound of the bytes that a protocol adds to the variable parts of a request.
 const requestOverhead = 512
 
-// writeLoop sends the attempts that are assigned to the connection.
+// writeLoop sends the attempts that are assigned to the connection, and fences.
 func (c *conn) writeLoop() {
 	var out ringbuf.Ring
 	defer out.Release()
 	defer c.recoverPanic()
-	for a := range c.attempts {
-		if !c.writeAttempt(&out, a) {
+	for m := range c.outgoing {
+		if m.fence {
+			if !c.writeFence() {
+				return
+			}
+			continue
+		}
+		if !c.writeAttempt(&out, m.attempt) {
 			return
 		}
 		out.ReleaseIfEmpty()
--- a/internal/testbed/fakes/protocol.go
+++ b/internal/testbed/fakes/protocol.go
@@ -80,6 +80,11 @@
 	return false
 }
 
+// IsFence reports whether a command is SELECT, which every cache server answers with +OK and with nothing else.
+func IsFence(words [][]byte) bool {
+	return len(words) > 0 && strings.EqualFold(string(words[0]), "SELECT")
+}
+
 // newRESPReader returns a reader of the commands to a cache server.
 func newRESPReader(input io.Reader) commandReader {
 	reader := redcon.NewReader(input)
--- a/internal/testbed/simulator/conn.go
+++ b/internal/testbed/simulator/conn.go
@@ -137,13 +137,21 @@
 	attemptEnded := a.done
 	a.done = true
 	l.pool.Responded(now, c, connpool.Response{
-		Rejected: completion.Result == fleet.Declined, Last: closesConn, CloseReason: connpool.ClosedDuplicate, Digest: completionDigest(&completion), Recognition: connpool.RecognitionOf(completion.Result, completion.Value, a.exchange.Write),
+		Rejected: completion.Result == fleet.Declined, Last: closesConn, CloseReason: connpool.ClosedDuplicate, Digest: completionDigest(&completion), Recognition: l.recognitionOf(now, a, &completion),
 	})
 	if !attemptEnded {
 		l.process.inflight.AttemptDone(now, a.exchange, a.index, completion)
 	}
 }
 
+// recognitionOf returns how a duplicate of the response to an attempt is recognized.
+func (l *serverLink) recognitionOf(now float64, a *attempt, completion *inflight.Completion) connpool.Recognition {
+	if l.pool.Policy.FenceState(now) != connpool.FenceUnsupported {
+		return connpool.ByFence
+	}
+	return connpool.RecognitionOf(completion.Result, completion.Value, a.exchange.Write)
+}
+
 // completionDigest returns the digest of a response.
 func completionDigest(completion *inflight.Completion) connpool.Digest {
 	return connpool.DigestOf(completion.Result, completion.Value, completion.Cache, &completion.Report)
@@ -187,9 +195,10 @@
 		return
 	}
 	completion := c.server.parseCompletion(d.attempt.execution)
+	fences := c.link.pool.Policy.FenceState(p.localNow()) != connpool.FenceUnsupported
 	originality := c.link.pool.Compare(p.localNow(), c, completionDigest(&completion))
 	switch {
-	case c.current != nil && originality == connpool.Duplicate:
+	case c.current != nil && (originality == connpool.Duplicate || originality == connpool.PossibleDuplicate && fences):
 		c.link.recordUnsolicited(p.localNow(), c)
 	case c.current != nil:
 		c.acceptResponse(c.current, d.attempt.execution, originality == connpool.PossibleDuplicate)
--- a/internal/testbed/simulator/faultypolicy_test.go
+++ b/internal/testbed/simulator/faultypolicy_test.go
@@ -55,19 +55,23 @@
 	return p.Policy.AttemptDone(now, q, o)
 }
 
+// coolingFleet is smallFleet with connections that are not reused for 30 ms after a response, which is longer than the checker's slack: what is
+// sent after a response is sent noticeably later.
+var coolingFleet = strings.Replace(smallFleet, "count = 3\n", "count = 3\nquantum = \"60ms\"\n", 1)
+
 // The checker detects nodes that break a rule by observing clients and servers only, and reports nothing for a node that breaks none.
 func TestFaultyPoliciesAreDetected(t *testing.T) {
-	for fault, c := range map[policyFault]struct{ steps, want string }{
-		noPolicyFault:      {stepTOML(1, "drain", "box = \"box-0\""), ""},
-		dropsRequests:      {"", "rule 1"},
-		sendsAfterResponse: {stepTOML(1, "slow", "share = 1.0\nvalue = 20.0"), "rule 1"},
+	for fault, c := range map[policyFault]struct{ fleet, steps, want string }{
+		noPolicyFault:      {smallFleet, stepTOML(1, "drain", "box = \"box-0\""), ""},
+		dropsRequests:      {smallFleet, "", "rule 1"},
+		sendsAfterResponse: {coolingFleet, stepTOML(1, "slow", "share = 1.0\nvalue = 20.0"), "rule 1"},
 	} {
 		t.Run(string(fault), func(t *testing.T) {
 			t.Parallel()
 			o := Options{Program: "faulty", NewPolicy: func(_ *Simulation, _ int, now float64, l fleet.Limits, slab *fleet.Slab) inflight.Policy {
 				return &faultyPolicy{Policy: newCorrectPolicy(now, l, slab), fault: fault}
 			}}
-			r := runExperiment(t, parseExperiment(t, smallFleet+c.steps), o)
+			r := runExperiment(t, parseExperiment(t, c.fleet+c.steps), o)
 			found := fmt.Sprint(r.Violations)
 			if c.want == "" && len(r.Violations) > 0 || !strings.Contains(found, c.want) {
 				t.Errorf("violations %.300s, want %q", found, c.want)
