Pool: a duplicate that is read after the node was held up is recognized

Cause: the age of a duplicate is measured when it is read: it was compared for 20 ms (100 ms for values) after its response (internal/node/config.go, compareWindow; connpool, Compare).

Change: responses are compared for the 20 ms in which a duplicate may arrive, twice, and 150 ms of hold-up. At the origin an equal rejection or failure closes its connection only if the attempt was assigned to it within 20 ms of the other one, whenever it is read: later ones had arrived before.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -51,9 +51,11 @@
 	// duplicateWindow is how long after a response a duplicate of it may arrive, in ms. The operators' page of the standing test has second
 	// answers that "come some milliseconds late", which the network may delay by some milliseconds more than the response.
 	duplicateWindow = 20
-	// compareWindow is how long after a response the next one on its connection is compared with it, in ms. That is longer, since a
-	// comparison keeps no connection out of use.
-	compareWindow = 100
+	// maxHoldUp is how long a node may be held up between two steps, in ms (the operators' page of the standing test).
+	maxHoldUp = 150
+	// compareWindow is how long after a response those on its connection are compared with it, in ms: the next request may be sent at the end
+	// of the duplicateWindow, and the duplicate that crosses it be read after a hold-up.
+	compareWindow = 2*duplicateWindow + maxHoldUp
 
 	// memoryDivisor gives 1/memoryDivisor of the memory limit to each of these: buffered commands and responses, large values of the
 	// origin whose length is not known in advance, and large values that clients write.
--- a/internal/node/connpool/history.go
+++ b/internal/node/connpool/history.go
@@ -10,7 +10,7 @@
 
 // maxRecentResponses bounds how many responses a connection remembers. A connection that has had more of them within the duplicate window
 // is not reused until the oldest one has left it.
-const maxRecentResponses = 64
+const maxRecentResponses = 128
 
 // digestSeed is the seed of all digests of the process.
 var digestSeed = maphash.MakeSeed()
@@ -83,15 +83,15 @@
 
 // Compare compares a response that arrives on a connection, with an attempt in flight, with the earlier ones of which a duplicate may arrive.
 func (p *Pool[C, A]) Compare(now float64, conn C, digest Digest) Originality {
-	c, config := conn.PoolConn(), &p.Policy.config
+	c, window := conn.PoolConn(), p.Policy.config.CompareWindow
+	assignedAt := c.IdleSince + c.IdleDuration
 	originality := Original
 	for _, past := range c.history {
-		age := now - past.at
 		switch {
-		case past.digest != digest:
-		case past.recognition == ByValue && past.key != c.lastKey && age < config.CompareWindow:
+		case past.digest != digest || now-past.at >= window:
+		case past.recognition == ByValue && past.key != c.lastKey:
 			return Duplicate
-		case past.recognition == AsRepeat && age < config.DuplicateWindow, past.recognition == ByFence && age < config.CompareWindow:
+		case past.recognition == ByFence, past.recognition == AsRepeat && assignedAt-past.at < p.Policy.config.DuplicateWindow:
 			originality = PossibleDuplicate
 		}
 	}
