Pool: the copy of a value is recognized also if it has a newer load report

Callers would see: the value of another key, if a server puts its present load report into a second answer.

Cause: the report was part of what is compared (connpool, DigestOf). Found by reading; the records do not show the copy's report. Evidence: TestDigestOfValueIgnoresLoadReport, failing before. Change: a value identifies its response without the report. Misses, rejections and failures have nothing else, and keep it.

--- a/internal/node/connpool/history.go
+++ b/internal/node/connpool/history.go
@@ -20,13 +20,16 @@
 // than the one whose duplicate arrives.
 type Digest uint64
 
-// DigestOf returns the digest of a response with a buffered value, which is nil if there is none.
+// DigestOf returns the digest of a response with a buffered value, which is nil if there is none. A value identifies the response without the
+// load report, which may be newer in a duplicate.
 func DigestOf(result fleet.Result, value []byte, cache fleet.CacheStatus, report *fleet.LoadReport) Digest {
 	var hash maphash.Hash
 	hash.SetSeed(digestSeed)
 	_ = hash.WriteByte(byte(result)) // a hash never fails
 	_ = hash.WriteByte(byte(cache))
-	_, _ = hash.Write(value)
+	if _, _ = hash.Write(value); len(value) > 0 {
+		return Digest(hash.Sum64())
+	}
 	for _, figure := range [...]float64{
 		report.Util, report.Queue, report.Inflight, report.Latency, report.Rate, report.Errors, report.HitRatio, report.X1,
 	} {
