Upstream: the limit on stalled responses ends when a duplicate is dropped

Callers would see: a request fails or is retried although its server is only slow, if the second copy of another response came in parts before.

Cause: a response that has begun may stall for a short time only; the limit was not removed when the response proved to be a duplicate (upstream/reader.go). Evidence: TestStallDeadlineEndsWithDroppedDuplicate, failing before (i/o timeout, fully written).

--- a/internal/node/upstream/misattribution_test.go
+++ b/internal/node/upstream/misattribution_test.go
@@ -167,3 +167,24 @@
 		}
 	}
 }
+
+// Guards against an attempt that is failed because its response has not begun in time, although only the second copy of another response had:
+// the limit on stalls went on when that was dropped.
+func TestStallDeadlineEndsWithDroppedDuplicate(t *testing.T) {
+	const stallTimeout = 30
+	first, second := "value of the first key", "value of the second key"
+	h := newDuplicateHarness(t, func(c net.Conn) {
+		write(c, read(c))
+		read(c)
+		write(c, first[:5])
+		time.Sleep(stallTimeout / 3 * time.Millisecond)
+		write(c, first[5:]+"\n")
+		time.Sleep(3 * stallTimeout * time.Millisecond)
+		write(c, second+"\n")
+	})
+	h.endpoint.group.StallTimeout = stallTimeout
+	for _, key := range []string{first, second} {
+		h.send(key, 1000)
+		h.expectOwnValue(key)
+	}
+}
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -134,6 +134,7 @@
 func (r *reader) discard(n int) {
 	r.in.Discard(n)
 	r.unparsed = r.in.Len() > 0
+	r.clearDeadline()
 }
 
 // setStallDeadline limits how long the next read may take. Without this limit a response that stalls after it has begun would use up
@@ -150,6 +151,14 @@
 	r.conn.setReadTimeout(timeout)
 }
 
+// clearDeadline removes the limit of setDeadline.
+func (r *reader) clearDeadline() {
+	if r.deadlineSet {
+		r.deadlineSet = false
+		r.conn.setReadTimeout(0)
+	}
+}
+
 // readUnsizedResponse reads an unsized response. It is called with the endpoint's mutex held. If it returns true, the mutex is held
 // again; otherwise the mutex is unlocked and the connection closed.
 func (r *reader) readUnsizedResponse(a *Attempt) (Response, bool) {
@@ -179,10 +188,7 @@
 // unlocks it.
 func (r *reader) completeAttempt(a *Attempt, n int, response Response, at float64) bool {
 	c, e := r.conn, r.conn.endpoint
-	if r.deadlineSet {
-		r.deadlineSet = false
-		c.setReadTimeout(0)
-	}
+	r.clearDeadline()
 	r.in.Discard(n)
 	if response.LargeValueSize > 0 {
 		s := r.streamValue(a, response, at)
