Upstream: of two different responses that both equal earlier ones none is confirmed by a fence

Callers would see: the value of another key.

Cause: a response that arrived while another one was held was dropped if it equalled an earlier response, and the reply to the fence then confirmed the held one (upstream/verification.go). A second copy of a value before a genuine miss is such a pair where misses are equal.

Evidence: a trial with each response in the log: value 4a97... of the request before, held, then a miss that equals an earlier one, then the fence's reply. TestTwoResponsesThatEqualEarlierOnes, failing before.

Change: the connection is closed. If one of the two has no value, a request that may be executed again takes that; any other attempt fails.

--- a/internal/node/connpool/duplicate.go
+++ b/internal/node/connpool/duplicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"slices"
 
 	"mintspring/internal/fleet"
 )
@@ -68,7 +69,7 @@
 
 const (
 	safeToReuse      reuseRisk = iota // a duplicate hardly ever arrives
-	likelyRecognized                  // a duplicate may arrive and is recognized
+	likelyRecognized                  // a duplicate may arrive and is recognized, or the response will have to be verified
 	mustNotReuse                      // a duplicate would be taken for the response
 )
 
@@ -79,10 +80,20 @@
 		return safeToReuse
 	case now < p.reusableAt(now, c, waiter):
 		return mustNotReuse
-	case now-c.IdleSince >= p.Policy.safeIdle():
-		return safeToReuse
+	case now-c.IdleSince < p.Policy.safeIdle():
+		return likelyRecognized
+	case p.expectsEqualResponse(now, c, waiter):
+		return likelyRecognized
 	}
-	return likelyRecognized
+	return safeToReuse
+}
+
+// expectsEqualResponse reports whether the response to a waiting attempt will probably equal an earlier one on the connection, and then take
+// a fence: the earlier one was to the same key.
+func (p *Pool[C, A]) expectsEqualResponse(now float64, c *Conn, waiter *Waiter) bool {
+	return slices.ContainsFunc(c.history, func(past pastResponse) bool {
+		return past.recognition == ByFence && past.key == waiter.Key && now-past.at < p.Policy.config.CompareWindow
+	})
 }
 
 // cooldownEnd returns from when on a connection may be reused after its latest response: not before no duplicate is expected that could
--- a/internal/node/connpool/unused.go
+++ b/internal/node/connpool/unused.go
@@ -127,7 +127,8 @@
 	}
 }
 
-// ReceivedUnsolicited records that bytes arrived on a connection without a request, or a duplicate while an attempt was in flight. If this
+// ReceivedUnsolicited records that bytes arrived on a connection without a request, or a duplicate while an attempt was in flight. A server
+// that is sent fences is not suspected for a duplicate that would be recognized wherever it arrives. If this
 // makes the server suspected, all unused connections that have had a response cool down again, and the connections in use on which a
 // duplicate may still arrive and would not be recognized are returned: the caller must fail their attempts.
 func (p *Pool[C, A]) ReceivedUnsolicited(now float64, conn C) (suspected []C) {
@@ -137,6 +138,9 @@
 	}
 	p.counters.Unsolicited.Add(1)
 	lateness := max(0, now-c.IdleSince)
+	if p.Policy.FenceState(now) != FenceUnsupported && lateness < p.Policy.config.CompareWindow {
+		return nil
+	}
 	if !p.Policy.recordUnsolicited(lateness, c.reusedEarly) {
 		return nil
 	}
--- a/internal/node/upstream/misattribution_test.go
+++ b/internal/node/upstream/misattribution_test.go
@@ -188,3 +188,29 @@
 		h.expectOwnValue(key)
 	}
 }
+
+// Guards against a second copy of a value that is confirmed by a fence: the response behind it was dropped, since it equalled an earlier one too.
+func TestTwoResponsesThatEqualEarlierOnes(t *testing.T) {
+	value := "value of the first key"
+	for _, effect := range []bool{false, true} {
+		h := newFencedHarness(t, func(c net.Conn) {
+			for _, response := range []string{value + "\n", "miss\n", value + "\nmiss\n"} {
+				read(c)
+				write(c, response)
+			}
+			for read(c) == testFence {
+				write(c, testFence)
+			}
+		})
+		h.send(value, 1000)
+		h.expectOwnValue(value)
+		h.send("miss", 1000)
+		h.expectResult("a miss", fleet.Missed)
+		h.endpoint.Send(&exchange.Exchange{Key: []byte("another miss"), ExecuteOnce: effect}, 0, 1000, math.Inf(1))
+		want := fleet.Missed
+		if effect {
+			want = fleet.Reset // it may have been executed
+		}
+		h.expectResult("a miss behind a duplicate", want)
+	}
+}
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -89,5 +89,6 @@
 	errWaitTimeout         = errors.New("the attempt waited too long for a connection")
 	errQueueFull           = errors.New("too many attempts wait for a connection")
 	errDuplicatesSuspected = errors.New("the server sends duplicate responses, and the next one may be for another request")
+	errAmbiguousResponses  = errors.New("two responses arrived, and nothing tells which one is a duplicate")
 	errEarlyResponse       = errors.New("the server responded before the request was sent completely")
 )
--- a/internal/testbed/faultsearch/soak.go
+++ b/internal/testbed/faultsearch/soak.go
@@ -11,33 +11,35 @@
 	"mintspring/internal/testbed/experiment"
 )
 
-// PCG streams of soak runs, of their operators' actions, of their system call faults and of their clients that write bursts. They keep the random numbers of each
-// independent of others with the same seed.
+// PCG streams of soak runs, of their operators' actions, of their system call faults, of their clients that write bursts and of duplicate
+// responses. They keep the random numbers of each independent of others with the same seed.
 const (
 	soakStream      = 37
 	operationStream = 38
 	syscallStream   = 39
 	burstStream     = 40
+	duplicateStream = 41
 )
 
 // Sizes and times of a soak run. Several runs with real processes share a machine.
 const (
-	soakSettle         = 1500 * time.Millisecond
-	soakLength         = 9 * time.Second
-	soakFirstFault     = 300 * time.Millisecond
-	soakLastFault      = 5500 * time.Millisecond
-	soakPause          = 150 * time.Millisecond // the longest pause of a process that the protocol allows
-	soakKeys           = 200
-	soakValueBytes     = 80
-	maxRestartTime     = 4 * time.Second // upper bound on a stop and the start after it
-	standbyDuration    = 4800 * time.Millisecond
-	lastStandby        = 1500 * time.Millisecond // latest start of a standby, so that it ends within the run
-	lastTakeover       = 4500 * time.Millisecond
-	originFailureShare = 0.3
-	floodConnections   = 300                   // more connections than a node has descriptors
-	successorStartup   = 80 * time.Millisecond // approximate time from a successor's start until it serves
-	maxBurstClients    = 2                     // for each node
-	operationsOdds     = 3                     // one in this many runs has operations beyond stopping nodes
+	soakSettle          = 1500 * time.Millisecond
+	soakLength          = 9 * time.Second
+	soakFirstFault      = 300 * time.Millisecond
+	soakLastFault       = 5500 * time.Millisecond
+	soakPause           = 150 * time.Millisecond // the longest pause of a process that the protocol allows
+	soakKeys            = 200
+	soakValueBytes      = 80
+	maxRestartTime      = 4 * time.Second // upper bound on a stop and the start after it
+	standbyDuration     = 4800 * time.Millisecond
+	lastStandby         = 1500 * time.Millisecond // latest start of a standby, so that it ends within the run
+	lastTakeover        = 4500 * time.Millisecond
+	originFailureShare  = 0.3
+	floodConnections    = 300                   // more connections than a node has descriptors
+	successorStartup    = 80 * time.Millisecond // approximate time from a successor's start until it serves
+	maxBurstClients     = 2                     // for each node
+	maxDuplicateDelayMs = 18                    // "some milliseconds" (the operators' page of the standing test), with some for the fakes' own timers
+	operationsOdds      = 3                     // one in this many runs has operations beyond stopping nodes
 )
 
 // signalPauses are the possible intervals between two signals to a node.
@@ -76,10 +78,38 @@
 	for range s.IntN(3) {
 		x.Steps = append(x.Steps, s.soakSystemFault())
 	}
+	duplicates := sampler{rand.New(rand.NewPCG(seed, duplicateStream))}
+	duplicates.soakDuplicates(x)
 	slices.SortStableFunc(x.Steps, func(a, b experiment.Step) int { return cmp.Compare(a.Time, b.Time) })
 	return normalize(x)
 }
 
+// soakDuplicateFaults are the faults in which servers send responses twice.
+var soakDuplicateFaults = []string{"surplus", "late_surplus", "crossing_surplus", "crossing_surplus"}
+
+// soakDuplicates draws, for two of three runs, periods in which the origin or a share of the caches send responses twice, and how soon nodes
+// reuse a connection. Only the first duplicates that a process receives find it unprepared, so that there are many periods at many servers.
+func (s sampler) soakDuplicates(x *experiment.Experiment) {
+	if s.IntN(3) == 0 {
+		return
+	}
+	x.Nodes.Quantum = []tomlfile.Duration{ms(1), ms(5)}[s.IntN(2)]
+	for range 2 + s.IntN(3) {
+		step := experiment.Step{
+			Action: soakDuplicateFaults[s.IntN(len(soakDuplicateFaults))], Server: "origin", Value: roundToMilli(0.02 + 0.3*s.Float64()),
+			Time:     tomlfile.Duration(s.Int64N(int64(soakLastFault))).Round(time.Millisecond),
+			Duration: ms(500 + 2500*s.Float64()),
+		}
+		if step.Action != "surplus" {
+			step.Delay = ms(1 + (maxDuplicateDelayMs-1)*s.Float64())
+		}
+		if s.IntN(2) == 0 {
+			step.Server, step.Share = "", roundToMilli(0.3+0.7*s.Float64())
+		}
+		x.Steps = append(x.Steps, step)
+	}
+}
+
 // soakFaultPlans are system call faults that can be injected into soak runs, in the format of syscalltrace.ParseFaultPlan. They are errors
 // that Linux documents for sockets, injected at random or for short periods.
 var soakFaultPlans = []string{
