Upstream: the fence is a PING, where the settings allow probes, and is sent for duplicates only

Cause: the operators' bench answers SELECT and CLIENT with +OK and ends the connection.

Elsewhere, where the page has it answered at once, cache servers are treated like the origin: an equal miss closes the connection. A response is verified only if the attempt was assigned to its connection within 20 ms of the equal one: a duplicate that is not later than that would have arrived before. In the soak half of the runs with duplicates allow probes.

--- a/cmd/mintspring/nodeprocess_test.go
+++ b/cmd/mintspring/nodeprocess_test.go
@@ -166,7 +166,7 @@
 	// Serve returns when the listener is closed.
 	_ = redcon.Serve(ln, func(c redcon.Conn, cmd redcon.Command) {
 		if fakes.IsFence(cmd.Args) {
-			c.WriteString("OK")
+			c.WriteString("PONG")
 			return
 		}
 		if !fakes.IsCacheRequest(cmd.Args) {
--- a/internal/config/settings/parse.go
+++ b/internal/config/settings/parse.go
@@ -56,6 +56,7 @@
 	MaxRetryAfter  float64         `json:"MaxRetryAfter"`
 	ConnectTimeout float64         `json:"ConnectTimeout"`
 	ConnIdle       float64         `json:"ConnIdle"`
+	Probes         bool            `json:"Probes"`
 }
 
 type penalties struct {
@@ -103,6 +104,7 @@
 		MaxInFlight:     o.PolicyLimits.OpenCap,
 		ConnectTimeout:  o.PolicyLimits.ConnectTimeout * msPerMicrosecond,
 		ConnIdleTimeout: o.PolicyLimits.ConnIdle * msPerMicrosecond,
+		ProbesAllowed:   o.PolicyLimits.Probes,
 	}
 	if o.SelfIndex != nil {
 		d.NodeIndex = *o.SelfIndex
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -14,6 +14,7 @@
 	NodeIndex       int     // this node's number among all nodes, from 0; negative if the settings have none
 	MaxInFlight     int     // requests that the node may have in flight; 0: no limit
 	ConnectTimeout  float64 // a connection attempt fails after this time; 0: not set
+	ProbesAllowed   bool    // nodes may probe servers with PING
 	ConnIdleTimeout float64 // servers close a connection that has been idle for this time; 0: not set
 }
 
--- a/internal/node/cacheserver/protocol.go
+++ b/internal/node/cacheserver/protocol.go
@@ -48,11 +48,11 @@
 	return b
 }
 
-// fence is a command that servers answer with fenceReply, which is the response to no request (the operators' page of the protocol, "Nodes to
-// cache servers").
+// fence is a command that servers answer with fenceReply, which is the response to no request, where the settings allow probes (the operators'
+// page of the protocol, "Nodes to cache servers").
 const (
-	fence      = "*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n"
-	fenceReply = "+OK\r\n"
+	fence      = "*1\r\n$4\r\nPING\r\n"
+	fenceReply = "+PONG\r\n"
 )
 
 // AppendFence implements upstream.Fencer.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -98,6 +98,6 @@
 	if operator != nil && operator.Connections != nil {
 		cache, origin = operator.Connections.PoolConfigs(base)
 	}
-	cache.Fences = true
+	cache.Fences = deployment.ProbesAllowed // elsewhere a PING may be answered before the requests ahead of it
 	return cache, origin
 }
--- a/internal/node/connpool/duplicate.go
+++ b/internal/node/connpool/duplicate.go
@@ -92,7 +92,7 @@
 // a fence: the earlier one was to the same key.
 func (p *Pool[C, A]) expectsEqualResponse(now float64, c *Conn, waiter *Waiter) bool {
 	return slices.ContainsFunc(c.history, func(past pastResponse) bool {
-		return past.recognition == ByFence && past.key == waiter.Key && now-past.at < p.Policy.config.CompareWindow
+		return past.recognition == ByFence && past.key == waiter.Key && now-past.at < p.Policy.config.DuplicateWindow
 	})
 }
 
--- a/internal/node/connpool/history.go
+++ b/internal/node/connpool/history.go
@@ -94,8 +94,8 @@
 		case past.digest != digest || now-past.at >= window:
 		case past.recognition == ByValue && past.key != c.lastKey:
 			return Duplicate
-		case past.recognition == ByFence, past.recognition == AsRepeat && assignedAt-past.at < p.Policy.config.DuplicateWindow:
-			originality = PossibleDuplicate
+		case past.recognition != Unrecognizable && past.recognition != ByValue && assignedAt-past.at < p.Policy.config.DuplicateWindow:
+			originality = PossibleDuplicate // a duplicate of an older response arrived before the attempt was assigned
 		}
 	}
 	return originality
--- a/internal/node/connpool/pool_test.go
+++ b/internal/node/connpool/pool_test.go
@@ -131,7 +131,7 @@
 	}
 	c, wasSuspected := rapid.SampledFrom(unused).Draw(o.t, "duplicate on"), o.pool.Policy.Suspected()
 	lateness := max(0, o.now-c.IdleSince)
-	recognizedAnyway := o.pool.Policy.config.Fences && lateness < o.pool.Policy.config.CompareWindow
+	recognizedAnyway := o.pool.Policy.config.Fences && lateness < o.pool.Policy.config.DuplicateWindow
 	suspected := o.pool.ReceivedUnsolicited(o.now, c)
 	o.pool.RemoveUnused(c)
 	o.pool.CloseConn(c, ClosedBroken)
--- a/internal/node/connpool/unused.go
+++ b/internal/node/connpool/unused.go
@@ -138,7 +138,7 @@
 	}
 	p.counters.Unsolicited.Add(1)
 	lateness := max(0, now-c.IdleSince)
-	if p.Policy.FenceState(now) != FenceUnsupported && lateness < p.Policy.config.CompareWindow {
+	if p.Policy.FenceState(now) != FenceUnsupported && lateness < p.Policy.config.DuplicateWindow {
 		return nil
 	}
 	if !p.Policy.recordUnsolicited(lateness, c.reusedEarly) {
--- a/internal/node/testcluster_test.go
+++ b/internal/node/testcluster_test.go
@@ -24,7 +24,7 @@
 
 const settingsText = `{"Discovery":"subscribe","FamilyInfo":{"Mode":"aside","OriginKind":1},"Kinds":["box","origin"],
  "FailureDomains":["a"],"Guarantees":{"MustAskIn":5000000,"StopSendingWithin":500000,"AnswerSlack":20000},"Quantum":5000,
- "PolicyLimits":{"Cancelling":true,"ConnIdle":5000000,"ConnectTimeout":250000,"MaxExecutions":4,"MaxRetryAfter":900000,
+ "PolicyLimits":{"Cancelling":true,"Probes":true,"ConnIdle":5000000,"ConnectTimeout":250000,"MaxExecutions":4,"MaxRetryAfter":900000,
  "RetryAfter":true,"SecondCopies":true},
  "Workloads":[{"Name":"read","Effect":"pure","SloTime":200000,"StatementTimeout":600000,"Importance":1},
  {"Name":"put","Effect":"token","DedupScope":"all","MemorySpan":5000000,"SloTime":200000,"StatementTimeout":600000,"Importance":3},
@@ -102,7 +102,7 @@
 	go func() {
 		err := redcon.Serve(ln, func(c redcon.Conn, cmd redcon.Command) {
 			if fakes.IsFence(cmd.Args) {
-				c.WriteString("OK")
+				c.WriteString("PONG")
 				return
 			}
 			if !fakes.IsCacheRequest(cmd.Args) {
--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -105,6 +105,7 @@
 	AnswerSlack           tomlfile.Duration `toml:"answer_slack"`
 	MaxAttempts           int               `toml:"max_executions"`
 	Hedging               bool              `toml:"second_copies"`
+	Probes                bool              `toml:"probes"`
 	MaxRetryAfter         tomlfile.Duration `toml:"max_retry_after"`
 	MaxListAge            tomlfile.Duration `toml:"must_ask_in"`
 	ConnectionIdleTimeout tomlfile.Duration `toml:"connection_idle"`
--- a/internal/testbed/experiment/nodesettings.go
+++ b/internal/testbed/experiment/nodesettings.go
@@ -53,9 +53,9 @@
 }
 
 type policyLimits struct {
-	Cancelling, RetryAfter, SecondCopies    bool
-	ConnIdle, ConnectTimeout, MaxRetryAfter micros
-	MaxExecutions                           int
+	Cancelling, RetryAfter, SecondCopies, Probes bool
+	ConnIdle, ConnectTimeout, MaxRetryAfter      micros
+	MaxExecutions                                int
 }
 
 type guarantees struct {
@@ -127,7 +127,7 @@
 		FailureDomains: x.Fleet.Zones, Locality: node % len(x.Fleet.Zones),
 		Kinds: []string{fakes.CacheKind, fakes.OriginKind}, FamilyInfo: family, Quantum: toMicros(x.Nodes.Quantum),
 		PolicyLimits: policyLimits{
-			Cancelling: true, RetryAfter: rules.MaxRetryAfter > 0, SecondCopies: rules.Hedging,
+			Cancelling: true, RetryAfter: rules.MaxRetryAfter > 0, SecondCopies: rules.Hedging, Probes: rules.Probes,
 			ConnIdle: toMicros(rules.ConnectionIdleTimeout), ConnectTimeout: toMicros(rules.ConnectTimeout),
 			MaxRetryAfter: toMicros(rules.MaxRetryAfter), MaxExecutions: rules.MaxAttempts,
 		},
--- a/internal/testbed/fakes/protocol.go
+++ b/internal/testbed/fakes/protocol.go
@@ -80,9 +80,9 @@
 	return false
 }
 
-// IsFence reports whether a command is SELECT, which every cache server answers with +OK and with nothing else.
+// IsFence reports whether a command is PING, which every cache server answers with +PONG.
 func IsFence(words [][]byte) bool {
-	return len(words) > 0 && strings.EqualFold(string(words[0]), "SELECT")
+	return len(words) == 1 && strings.EqualFold(string(words[0]), "PING")
 }
 
 // newRESPReader returns a reader of the commands to a cache server.
--- a/internal/testbed/faultsearch/soak.go
+++ b/internal/testbed/faultsearch/soak.go
@@ -93,6 +93,7 @@
 	if s.IntN(3) == 0 {
 		return
 	}
+	x.Rules.Probes = s.IntN(2) == 0
 	x.Nodes.Quantum = []tomlfile.Duration{ms(1), ms(5)}[s.IntN(2)]
 	for range 2 + s.IntN(3) {
 		step := experiment.Step{
