--- a/internal/node/connpool/history.go
+++ b/internal/node/connpool/history.go
@@ -85,17 +85,19 @@
 )
 
 // Compare compares a response that arrives on a connection, with an attempt in flight, with the earlier ones of which a duplicate may arrive.
+// A duplicate of a response longer before the attempt than the duplicate window would have arrived before the attempt was assigned.
 func (p *Pool[C, A]) Compare(now float64, conn C, digest Digest) Originality {
 	c, window := conn.PoolConn(), p.Policy.config.CompareWindow
 	assignedAt := c.IdleSince + c.IdleDuration
 	originality := Original
 	for _, past := range c.history {
+		mayCross := assignedAt-past.at < p.Policy.config.DuplicateWindow
 		switch {
 		case past.digest != digest || now-past.at >= window:
 		case past.recognition == ByValue && past.key != c.lastKey:
 			return Duplicate
-		case past.recognition != Unrecognizable && past.recognition != ByValue && assignedAt-past.at < p.Policy.config.DuplicateWindow:
-			originality = PossibleDuplicate // a duplicate of an older response arrived before the attempt was assigned
+		case mayCross && (past.recognition == AsRepeat || past.recognition == ByFence):
+			originality = PossibleDuplicate
 		}
 	}
 	return originality
--- a/internal/testbed/simulator/conn.go
+++ b/internal/testbed/simulator/conn.go
@@ -195,10 +195,12 @@
 		return
 	}
 	completion := c.server.parseCompletion(d.attempt.execution)
-	fences := c.link.pool.Policy.FenceState(p.localNow()) != connpool.FenceUnsupported
 	originality := c.link.pool.Compare(p.localNow(), c, completionDigest(&completion))
+	if originality == connpool.PossibleDuplicate && c.link.pool.Policy.FenceState(p.localNow()) != connpool.FenceUnsupported {
+		originality = connpool.Duplicate // a fence tells
+	}
 	switch {
-	case c.current != nil && (originality == connpool.Duplicate || originality == connpool.PossibleDuplicate && fences):
+	case c.current != nil && originality == connpool.Duplicate:
 		c.link.recordUnsolicited(p.localNow(), c)
 	case c.current != nil:
 		c.acceptResponse(c.current, d.attempt.execution, originality == connpool.PossibleDuplicate)
