syscalltrace: trace programs on arm64 too

The package did not compile on arm64: syscall.SYS_EPOLL_WAIT is undefined there, and the deploy build stops with it.

The tests of cmd/mintspring that make system calls fail now run on arm64 as well.

Nothing else of the project is changed.

--- a/cmd/mintspring/systemfaults_test.go
+++ b/cmd/mintspring/systemfaults_test.go
@@ -11,8 +11,8 @@
 // skipUnlessTraceable skips a test that makes system calls fail on platforms where processes cannot be traced.
 func skipUnlessTraceable(t *testing.T) {
 	t.Helper()
-	if runtime.GOOS != "linux" || runtime.GOARCH != "amd64" {
-		t.Skip("system calls are traced on Linux on amd64 only")
+	if runtime.GOOS != "linux" || (runtime.GOARCH != "amd64" && runtime.GOARCH != "arm64") {
+		t.Skip("system calls are traced on Linux on amd64 and arm64 only")
 	}
 }
 
--- a/internal/testbed/syscalltrace/blockedcalls_linux_amd64.go
+++ b/internal/testbed/syscalltrace/blockedcalls_linux.go
@@ -1,11 +1,15 @@
+//go:build amd64 || arm64
+
 package syscalltrace
 
-import "syscall"
+import (
+	"slices"
+	"syscall"
+)
 
 // Numbers of system calls and a flag that package syscall does not define.
 const (
 	sysIOUringSetup = 425
-	sysExecveat     = 322
 	sysClone3       = 435
 	cloneThread     = 0x10000 // CLONE_THREAD
 )
@@ -21,10 +25,8 @@
 
 var blockedFork = &blockedCall{name: "fork", errno: syscall.ENOSYS}
 
-// alwaysBlocked holds the system calls that are blocked whatever their arguments, by number.
+// alwaysBlocked holds the system calls that are blocked whatever their arguments, by number, beside forkCalls.
 var alwaysBlocked = map[uint64]*blockedCall{
-	syscall.SYS_FORK:     blockedFork,
-	syscall.SYS_VFORK:    blockedFork,
 	syscall.SYS_EXECVE:   {name: "execve", errno: syscall.ENOSYS},
 	sysExecveat:          {name: "execve", errno: syscall.ENOSYS},
 	sysIOUringSetup:      {name: "io_uring", errno: syscall.ENOSYS},
@@ -43,6 +45,9 @@
 	case syscall.SYS_SOCKET, syscall.SYS_SOCKETPAIR:
 		return blockedSocket(args[0])
 	}
+	if slices.Contains(forkCalls, number) {
+		return blockedFork
+	}
 	return alwaysBlocked[number]
 }
 
--- a/internal/testbed/syscalltrace/faultinjector_linux_amd64.go
+++ b/internal/testbed/syscalltrace/faultinjector_linux.go
@@ -1,3 +1,5 @@
+//go:build amd64 || arm64
+
 package syscalltrace
 
 import (
@@ -129,7 +131,7 @@
 // shorten limits a transfer to a few bytes, by lowering the length in its third argument.
 func (f *faultInjector) shorten(tid int) {
 	length := 1 + uint64(f.random.IntN(maxShortTransferBytes))
-	changeRegisters(tid, func(registers *syscall.PtraceRegs) { registers.Rdx = min(registers.Rdx, length) })
+	limitThirdArg(tid, length)
 }
 
 // callNames formats the calls of the plan for messages.
--- a/internal/testbed/syscalltrace/faults.go
+++ b/internal/testbed/syscalltrace/faults.go
@@ -38,12 +38,6 @@
 	canShorten bool // the call transfers bytes, and its third argument is their number
 }
 
-// Numbers of system calls that package syscall does not define for this platform.
-const (
-	sysRenameat2 = 316
-	sysAccept4   = 288
-)
-
 // faultableCalls are the calls that a plan can name. server-read and server-write act only on connections that the program has opened:
 // a failed read or write on a client's connection would break that connection for the client too.
 var faultableCalls = map[string]faultableCall{
@@ -58,7 +52,7 @@
 	"sendto":       {numbers: []uint64{syscall.SYS_SENDTO}, target: anySocket, pathArg: -1},
 	"sendmsg":      {numbers: []uint64{syscall.SYS_SENDMSG}, target: anySocket, pathArg: -1},
 	"recvmsg":      {numbers: []uint64{syscall.SYS_RECVMSG}, target: anySocket, pathArg: -1},
-	"wait":         {numbers: []uint64{syscall.SYS_EPOLL_PWAIT, syscall.SYS_EPOLL_WAIT}, pathArg: -1},
+	"wait":         {numbers: waitCalls, pathArg: -1},
 	"sync":         {numbers: []uint64{syscall.SYS_FSYNC, syscall.SYS_FDATASYNC}, pathArg: -1},
 	"open":         {numbers: []uint64{syscall.SYS_OPENAT}, pathArg: 1},
 	"rename":       {numbers: []uint64{syscall.SYS_RENAMEAT, sysRenameat2}, pathArg: 1},
--- a/internal/testbed/syscalltrace/tracer_linux_amd64.go
+++ b/internal/testbed/syscalltrace/tracer_linux.go
@@ -1,3 +1,5 @@
+//go:build amd64 || arm64
+
 package syscalltrace
 
 import (
@@ -21,8 +23,6 @@
 
 	// syscallStop is the stop signal at a system call under PTRACE_O_TRACESYSGOOD.
 	syscallStop = syscall.SIGTRAP | 0x80
-	// invalidSyscallNumber is not the number of a system call. The kernel skips a call whose number is changed to it.
-	invalidSyscallNumber = ^uint64(0)
 
 	traceOptions = ptraceExitKill | syscall.PTRACE_O_TRACESYSGOOD | syscall.PTRACE_O_TRACECLONE
 )
@@ -210,8 +210,7 @@
 
 // failSyscall makes the kernel skip the call that a thread enters, and records the errno that the call returns at its exit.
 func (t *tracer) failSyscall(tid int, errno syscall.Errno) {
-	setNumber := func(registers *syscall.PtraceRegs) { registers.Orig_rax = invalidSyscallNumber }
-	if changeRegisters(tid, setNumber) {
+	if skipSyscall(tid) {
 		t.pendingErrnos[tid] = errno
 	}
 }
@@ -222,22 +221,11 @@
 	if !skipped {
 		return
 	}
-	setResult := func(registers *syscall.PtraceRegs) { registers.Rax = uint64(-int64(errno)) }
-	if changeRegisters(tid, setResult) {
+	if setSyscallResult(tid, uint64(-int64(errno))) {
 		delete(t.pendingErrnos, tid)
 	}
 }
 
-// changeRegisters applies a change to a stopped thread's registers. It returns false if the thread was killed meanwhile.
-func changeRegisters(tid int, change func(*syscall.PtraceRegs)) bool {
-	var registers syscall.PtraceRegs
-	if syscall.PtraceGetRegs(tid, &registers) != nil {
-		return false
-	}
-	change(&registers)
-	return syscall.PtraceSetRegs(tid, &registers) == nil
-}
-
 // peekWord reads eight bytes of a stopped thread's memory. It returns 0 if the thread was killed meanwhile or the address is invalid.
 func peekWord(tid int, address uint64) uint64 {
 	var word [8]byte
--- a/internal/testbed/syscalltrace/tracer_linux_amd64_test.go
+++ b/internal/testbed/syscalltrace/tracer_linux_test.go
@@ -1,3 +1,5 @@
+//go:build amd64 || arm64
+
 package syscalltrace
 
 import (
--- a/internal/testbed/syscalltrace/tracer_other.go
+++ b/internal/testbed/syscalltrace/tracer_other.go
@@ -1,10 +1,10 @@
-//go:build !(linux && amd64)
+//go:build !(linux && (amd64 || arm64))
 
 package syscalltrace
 
 import "errors"
 
-// Run returns an error that wraps errors.ErrUnsupported: tracing needs Linux on amd64.
+// Run returns an error that wraps errors.ErrUnsupported: tracing needs Linux on amd64 or arm64.
 func Run([]string, Mode) error { return errors.ErrUnsupported }
 
 // RunWithFaults returns an error that wraps errors.ErrUnsupported, as Run does.
