Review case 8: large writes have no answer in time while the origin stops

A write that is forwarded as it arrives is timed from when the node reads its last byte, not from when the client has written it. While the origin takes nothing, the node reads nothing.

--- a/review/second/standins.go
+++ b/review/second/standins.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -162,11 +164,21 @@
 
 	mu       sync.Mutex
 	arrivals []arrival
+	stopped  time.Time            // nothing is read or answered before
 	effects  map[string][]float64 // times of the effects, by idempotency key or, without one, by id
 }
 
 func (w *world) newOrigin() *origin {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// A small receive buffer of its own: how much fits into the socket of an origin that does not read depends less on the machine.
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		if controlErr := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 64<<10)
+		}); controlErr != nil {
+			return controlErr
+		}
+		return err
+	}}
+	ln, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	cannotRunIf(err)
 	o := &origin{w: w, addr: ln.Addr().String(), delay: 5 * time.Millisecond, effects: map[string][]float64{}}
 	go func() { _ = http.Serve(ln, o) }()
@@ -181,6 +193,10 @@
 	if r.URL.Path == "/ping" || r.URL.Path == "/_load" {
 		return
 	}
+	o.mu.Lock()
+	stopped := o.stopped
+	o.mu.Unlock()
+	time.Sleep(time.Until(stopped))
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -203,6 +219,14 @@
 	_, _ = io.WriteString(rw, "origin|"+a.key+"|"+a.id)
 }
 
+// stopFor makes the origin stop: its connections stay open, and it reads and answers nothing for a time.
+func (o *origin) stopFor(d time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stopped = time.Now().Add(d)
+	o.w.logf("origin stops for %v", d)
+}
+
 // carryOut carries out a write unless it is a repeat.
 func (o *origin) carryOut(a arrival) {
 	o.mu.Lock()
