Review case 6: a node hangs when the slot of the origin is reused during an upload

A write whose value is forwarded as it arrives may outlive the retention of a removed server's slot. When its client leaves, the attempt is cancelled at the endpoint of the server that has the slot now; the pool panics, and the endpoint's mutex stays locked.

The cases of before have the numbers 7 to 10 now, the gravest first.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -14,10 +14,11 @@
 }
 
 var cases = map[string]func(*world) verdict{
-	"6": unansweredUpload,
-	"7": unclaimedSale,
-	"8": goneServerAfterReload,
-	"9": forgottenPlan,
+	"6":  hangingNode,
+	"7":  unansweredUpload,
+	"8":  unclaimedSale,
+	"9":  goneServerAfterReload,
+	"10": forgottenPlan,
 }
 
 // main runs a case: review-2 CASE FOLDER. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
--- a/review/second/standins.go
+++ b/review/second/standins.go
@@ -193,12 +193,9 @@
 	if r.URL.Path == "/ping" || r.URL.Path == "/_load" {
 		return
 	}
-	o.mu.Lock()
-	stopped := o.stopped
-	o.mu.Unlock()
-	time.Sleep(time.Until(stopped))
-	body, err := io.ReadAll(r.Body)
+	body, err := o.readBody(r.Body)
 	if err != nil {
+		o.w.logf("origin: %s %s broke off after %d bytes: %v", r.Method, r.Header.Get("Req-Id"), len(body), err)
 		return
 	}
 	a := arrival{
@@ -219,6 +216,24 @@
 	_, _ = io.WriteString(rw, "origin|"+a.key+"|"+a.id)
 }
 
+// readBody reads a value, except while the origin is stopped.
+func (o *origin) readBody(from io.Reader) (body []byte, err error) {
+	for piece := make([]byte, 32<<10); ; {
+		o.mu.Lock()
+		stopped := o.stopped
+		o.mu.Unlock()
+		time.Sleep(time.Until(stopped))
+		n, err := from.Read(piece)
+		body = append(body, piece[:n]...)
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+}
+
 // stopFor makes the origin stop: its connections stay open, and it reads and answers nothing for a time.
 func (o *origin) stopFor(d time.Duration) {
 	o.mu.Lock()
