Review: a case that is killed leaves no process behind

A script that was ended by SIGTERM left its node running (case 9, one trial). What a case does and checks is as before.

--- a/review/second/world.go
+++ b/review/second/world.go
@@ -82,6 +82,7 @@
 	cmd := exec.Command("/bin/sh", "-c", command)
 	cmd.Env = append(os.Environ(), env...)
 	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = log, log, files
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if the case itself is killed
 	cannotRunIf(cmd.Start())
 	p := &process{w: w, name: name, cmd: cmd, ended: make(chan struct{})}
 	go func() {
