Servertable: a slot is not reused while a request in flight refers to it

The end of their attempts was applied to the endpoint of the new server: its pool panicked with an index of -1 while the endpoint's mutex was held, and the loop blocked at its next request for that server.

The slot was kept for the longest statement timeout and the grace of drains, on the assumption that no request is in flight for longer. The table now counts the attempts of requests in flight, ended ones included (decide compares a retry's group with them), and reuses a slot when none is left. Mutexes of an endpoint that the loop locks are unlocked by defer, and a second panic while a request is failed is recovered.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -73,8 +73,7 @@
 	return longestTimeout / 4
 }
 
-// SlotRetention returns how long the slot of a removed server is kept, in ms. No request stays in flight longer, so a request for the
-// removed server cannot refer to the next server in the slot.
+// SlotRetention returns how long a removed server that comes back gets its slot in the server table again, in ms.
 func SlotRetention(deployment *settings.Deployment) float64 {
 	_, longestTimeout := deployment.TimeBounds()
 	return longestTimeout + deployment.Limits.StopSendingWithin
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -19,6 +19,7 @@
 
 // Send starts an attempt.
 func (d dispatcher) Send(_ float64, to fleet.ServerID, x *exchange.Exchange, number int, timeout, notAfter float64) *upstream.Attempt {
+	d.node.serverTable.AddAttempt(to)
 	return d.endpoint(to).Send(x, number, timeout, notAfter)
 }
 
@@ -56,4 +57,5 @@
 	}
 	d.node.logRequest(now, entry)
 	d.node.classes.Release(now, entry.Request.Class)
+	d.node.serverTable.ReleaseAttempts(entry.Request)
 }
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -109,6 +111,74 @@
 	}
 }
 
+// A request that is still in flight when its server has been gone for longer than the retention keeps the server's slot: otherwise the end of
+// its attempt is applied to the next server in the slot, and the node answers nothing any more.
+func TestSlotOfUploadInFlightIsNotReused(t *testing.T) {
+	release := make(chan struct{})
+	tc := newTestCluster(t, 1, serveHit, func(rw http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodPut {
+			<-release // nothing of the value is read
+		}
+		writeString(rw, "receipt")
+	}, func(c *Config) { c.MemoryMB = 1 })
+	t.Cleanup(func() { close(release) })
+	const uploads = 3
+	var writers []net.Conn
+	for i := range uploads {
+		c := tc.dial()
+		b := command("KV.SET", fmt.Sprint("w", i), fmt.Sprint("w", i), "c=pay,d=500", strings.Repeat("x", 1<<20))
+		writeBytes(c, b[:len(b)/2])
+		writers = append(writers, c)
+	}
+	waitFor(t, "the uploads to begin", func() (begun bool) {
+		tc.onLoop(func(float64) { begun = tc.node.inflight.Len() == uploads })
+		return begun
+	})
+	const retention = 20.0 // ms
+	var originSlot fleet.ServerID
+	tc.onLoop(func(float64) {
+		tc.node.serverTable.Retention = retention
+		originSlot = tc.node.serverTable.SlotByID["o"]
+	})
+	tc.listUpdates <- `{"revision":2,"complete":false,"members":[{"id":"o","phase":"terminated"}]}`
+	time.Sleep(3 * retention * time.Millisecond)
+	tc.listUpdates <- `{"revision":3,"complete":false,"members":[` + entry("new", tc.startCache(), "box") + `]}`
+	waitFor(t, "the new server to be listed", func() (listed bool) {
+		tc.onLoop(func(float64) {
+			var slot fleet.ServerID
+			if slot, listed = tc.node.serverTable.SlotByID["new"]; listed && slot == originSlot {
+				t.Error("the new server has the slot of the origin, at which attempts are in flight")
+			}
+		})
+		return listed
+	})
+	for _, c := range writers {
+		closeQuietly(c)
+	}
+	waitFor(t, "the uploads to end", func() (ended bool) {
+		tc.onLoop(func(float64) { ended = tc.node.inflight.Len() == 0 })
+		return ended
+	})
+	for i := range 20 {
+		tc.expectPrefix(tc.request("KV.GET", fmt.Sprint("k", i), fmt.Sprint("r", i), "c=read,d=500"), "hit")
+	}
+	tc.listUpdates <- `{"revision":4,"complete":false,"members":[` + entry("next", tc.startCache(), "box") + `]}`
+	waitFor(t, "the slot to be reused once no request refers to it", func() (reused bool) {
+		tc.onLoop(func(float64) { reused = tc.node.serverTable.SlotByID["next"] == originSlot })
+		return reused
+	})
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("waiting for %s", what)
+		}
+	}
+}
+
 // Replacing a server two thousand times leaves nothing behind in the loop, the connection pools and the policy.
 func TestServerChurnDoesNotGrowHeap(t *testing.T) {
 	tc := newTestCluster(t, 1, serveHit, echoOrigin)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -62,7 +62,7 @@
 		}
 		n.logPanic(p)
 		if x != nil {
-			n.inflight.Fail(n.clock.Now(), x, "internal error")
+			n.withRecovery(nil, func() { n.inflight.Fail(n.clock.Now(), x, "internal error") })
 		}
 	}()
 	f()
--- a/internal/node/servertable/servertable_test.go
+++ b/internal/node/servertable/servertable_test.go
@@ -42,3 +42,20 @@
 		t.Errorf("missing: %v", missing)
 	}
 }
+
+// The slot of a server is not reused while a request in flight has an attempt there, however long the server has been gone.
+func TestSlotsOfAttemptsAreNotReused(t *testing.T) {
+	table := New(1000)
+	a, _, _ := table.Assign(0, "a")
+	request := fleet.Request{Attempts: [fleet.MaxAttempts]fleet.Attempt{{Server: a}, {Server: a}}, NumAttempts: 2}
+	table.AddAttempt(a)
+	table.AddAttempt(a)
+	table.SetState(0, a, fleet.Gone)
+	if b, _, _ := table.Assign(1e6, "b"); b == a {
+		t.Error("b has the slot of a server at which a request in flight has an attempt")
+	}
+	table.ReleaseAttempts(&request)
+	if c, _, replaced := table.Assign(1e6, "c"); c != a || replaced != "a" {
+		t.Errorf("c has slot %d and replaced %q", c, replaced)
+	}
+}
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -61,14 +61,17 @@
 // CancelUnsent ends an attempt whose last byte has not been sent, so that the server does not execute a request that no client
 // waits for. An attempt that has been sent continues: opening a new connection costs more than reading the rest of the response.
 func (e *Endpoint) CancelUnsent(a *Attempt) {
-	e.mu.Lock()
-	sent := a.lastByteSent
-	e.mu.Unlock()
-	if !sent {
+	if !e.lastByteSent(a) {
 		e.fail(a, fleet.Cancelled, errWithdrawn)
 	}
 }
 
+func (e *Endpoint) lastByteSent(a *Attempt) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return a.lastByteSent
+}
+
 // markEnded marks an attempt as ended, and reports false if it had already ended. Called with the mutex held.
 func (e *Endpoint) markEnded(a *Attempt) bool {
 	if a.ended {
@@ -82,10 +85,17 @@
 // fail ends an attempt without a response, unless it has already ended, and closes its connection. On an open connection the
 // attempt would still be in flight, and its late response would be read as the response to the next attempt.
 func (e *Endpoint) fail(a *Attempt, result fleet.Result, cause error) {
+	if completion, ended := e.endFailed(a, result, cause); ended {
+		e.group.OnDone(a, completion)
+	}
+}
+
+// endFailed does the work of fail, except that it does not report the completion. It returns false if the attempt had already ended.
+func (e *Endpoint) endFailed(a *Attempt, result fleet.Result, cause error) (completion Completion, ended bool) {
 	e.mu.Lock()
+	defer e.mu.Unlock() // also after a panic, from which the node's loop recovers
 	if !e.markEnded(a) {
-		e.mu.Unlock()
-		return
+		return Completion{}, false
 	}
 	if a.Request.Body != nil && a.progress >= exchange.PartiallyWritten {
 		a.Request.Body.CloseReader(cause)
@@ -102,10 +112,8 @@
 		e.pool.Dispatch(e.group.Clock.Now()) // another connection may be opened now
 	}
 	endedAt := e.group.Clock.Now()
-	trace := a.trace(endedAt)
 	failure := &exchange.AttemptError{Progress: a.progress, Result: result, Stale: a.staleConn, Cause: cause}
-	e.mu.Unlock()
-	e.group.OnDone(a, Completion{EndedAt: endedAt, Failure: failure, Trace: trace})
+	return Completion{EndedAt: endedAt, Failure: failure, Trace: a.trace(endedAt)}, true
 }
 
 // abandon detaches a failed attempt from its connection and closes the connection. Exception: if the attempt timed out while an
--- a/internal/node/upstream/endpoint.go
+++ b/internal/node/upstream/endpoint.go
@@ -75,25 +75,31 @@
 
 // tick runs the pool's due work, and fails the attempts that have waited too long for a connection.
 func (e *Endpoint) tick() {
-	e.mu.Lock()
-	timedOut := e.pool.Tick(e.group.Clock.Now())
-	e.mu.Unlock()
-	for _, a := range timedOut {
+	for _, a := range e.tickPool() {
 		e.fail(a, fleet.Declined, errWaitTimeout)
 	}
 }
 
+func (e *Endpoint) tickPool() (timedOut []*Attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pool.Tick(e.group.Clock.Now())
+}
+
 // SetTarget sets the server's address and whether it is available for attempts. Connections to an earlier address are not
 // reused. If the server is unavailable, attempts that wait for a connection fail as not sent.
 func (e *Endpoint) SetTarget(addr string, available bool) {
-	e.mu.Lock()
-	removed := e.pool.SetTarget(e.group.Clock.Now(), addr, available)
-	e.mu.Unlock()
-	for _, a := range removed {
+	for _, a := range e.setPoolTarget(addr, available) {
 		e.fail(a, fleet.NotSent, errUnavailable)
 	}
 }
 
+func (e *Endpoint) setPoolTarget(addr string, available bool) (removed []*Attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pool.SetTarget(e.group.Clock.Now(), addr, available)
+}
+
 // ServerStarted records when the server's process last started, in Unix ms; 0: long ago.
 func (e *Endpoint) ServerStarted(at float64) {
 	e.mu.Lock()
--- a/internal/testbed/simulator/process.go
+++ b/internal/testbed/simulator/process.go
@@ -270,6 +270,7 @@
 
 // Send implements inflight.Dispatcher.
 func (p *process) Send(now float64, server fleet.ServerID, x *exchange.Exchange, index int, timeoutMs, sendBy float64) *attempt {
+	p.servers.AddAttempt(server)
 	return p.links[server].startAttempt(now, x, index, timeoutMs, sendBy)
 }
 
@@ -301,4 +302,6 @@
 func (p *process) Admitted(*inflight.Entry[*attempt]) {}
 
 // Released implements inflight.Dispatcher.
-func (p *process) Released(float64, *inflight.Entry[*attempt]) {}
+func (p *process) Released(_ float64, entry *inflight.Entry[*attempt]) {
+	p.servers.ReleaseAttempts(entry.Request)
+}
