Large writes: the client's time runs while its value waits for the server

A value without memory is forwarded as it arrives; while the server takes nothing, nothing of the client is read, and its time began only when the node had read its last byte. Now the time runs from when the client was last known to be still sending: while a read waits for it. The deadline of claims, of held requests and the d told to servers follow.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -307,6 +307,7 @@
 		return false
 	}
 	c.bodyCompleteAt = at
+	c.replicaDeadline = min(c.replicaDeadline, x.Deadline-resultGraceMs-responseMarginMs)
 	return true
 }
 
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -24,8 +24,8 @@
 	HandleRequest(request *exchange.Exchange)
 	// ClientGone reports that the client of a request without a response has disconnected.
 	ClientGone(request *exchange.Exchange)
-	// BodyReceived reports that the body of a request has arrived completely. It is called only for requests whose body was still
-	// arriving when HandleRequest was called.
+	// BodyReceived reports that the body of a request has arrived completely, or may have, and since when the client's time runs. It is
+	// called only for requests whose body was still arriving when HandleRequest was called.
 	BodyReceived(request *exchange.Exchange, at float64)
 }
 
--- a/internal/node/clients/upload.go
+++ b/internal/node/clients/upload.go
@@ -19,8 +19,6 @@
 	uploadOverhead = 512
 )
 
-var errTruncatedBody = errors.New("client did not send all of the value")
-
 // readLargeWrite reads a write with a large value completely before it is handed on, so that the write can be attempted more than once.
 // If there is no memory for it, its value is forwarded as it arrives. readLargeWrite returns how many bytes of the command are still to
 // be skipped, and whether the connection is open.
@@ -96,8 +94,8 @@
 }
 
 // streamLargeWrite hands a write to the Handler when the bytes before its value have arrived, and forwards the value as it arrives and as
-// the server reads it. The server executes the write when it has the last byte, and the time limit of the client starts then. The last
-// byte is forwarded only after the end of the command has arrived.
+// the server reads it. The server executes the write when it has the last byte, which is forwarded only after the end of the command has
+// arrived.
 func (r *commandReader) streamLargeWrite(size int) (skip int, open bool) {
 	c := r.conn
 	args, valueStart, length := parseLargeWriteHeader(r.in.Peek())
@@ -113,59 +111,13 @@
 	request.Value, request.Body = nil, exchange.NewBody(int64(length))
 	request.Timeout = request.Deadline - request.ArrivedAt
 	request.Deadline += float64(maxUploadTime / time.Millisecond)
+	request.Body.MarkIncomplete(request.ArrivedAt)
 	if !c.submit(request, nil) {
 		return r.discardCommand(size), true
 	}
 	defer request.Body.CloseWriter(errTruncatedBody)
 	r.in.Discard(valueStart)
-	return r.forwardBody(request, size-valueStart, length)
-}
-
-// forwardBody forwards the body of a request as it arrives. remaining is the number of bytes left of the command; bodyLength is the
-// number of bytes left of the body.
-func (r *commandReader) forwardBody(request *exchange.Exchange, remaining, bodyLength int) (skip int, open bool) {
-	c := r.conn
-	deadline := time.Now().Add(maxUploadTime)
-	for bodyLength > 0 {
-		n, err := r.forwardableBytes(request, bodyLength)
-		if err != nil {
-			c.replyError(malformedMessage, true)
-			return 0, true
-		}
-		if n > 0 {
-			if _, err := request.Body.Write(r.in.Peek()[:n]); err != nil {
-				return r.discardCommand(remaining), true // the request has its response, or cannot be attempted any more
-			}
-			r.in.Discard(n)
-			bodyLength, remaining = bodyLength-n, remaining-n
-			continue
-		}
-		r.in.Grow(exchange.StreamBufferSize)
-		if _, err := c.readUpload(deadline, func() (int, error) { return r.in.ReadOnce(c.net) }); err != nil {
-			request.Body.CloseWriter(errTruncatedBody) // an attempt of the request may wait for the rest, and the reply for the attempt
-			c.uploadFailed(err)
-			return 0, false
-		}
-	}
-	r.in.Discard(len(crlf))
-	return 0, true
-}
-
-// forwardableBytes returns how many bytes in the ring buffer may be forwarded now, if bodyLength bytes of the body are left. If the
-// whole rest of the body and the end of the command are there, it reports the body as received.
-func (r *commandReader) forwardableBytes(request *exchange.Exchange, bodyLength int) (int, error) {
-	b := r.in.Peek()
-	n := min(len(b), bodyLength)
-	switch {
-	case n < bodyLength:
-		return n, nil
-	case len(b) < bodyLength+len(crlf):
-		return n - 1, nil
-	case string(b[bodyLength:bodyLength+len(crlf)]) != crlf:
-		return 0, errTruncatedBody
-	}
-	r.conn.server.Handler.BodyReceived(request, r.conn.server.Clock.Now())
-	return n, nil
+	return r.newStreamedWrite(request, size-valueStart, length).forward()
 }
 
 // discardCommand drops the bytes of a command of the given size that have arrived, and returns how many are still to be skipped.
--- a/internal/node/exchange/body.go
+++ b/internal/node/exchange/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"sync/atomic"
 )
 
@@ -12,6 +13,8 @@
 	reader   *io.PipeReader
 	writer   *io.PipeWriter
 	consumed atomic.Bool
+
+	incompleteAt atomic.Uint64 // bits of the time of MarkIncomplete
 }
 
 // NewBody returns a body for a value of size bytes.
@@ -42,3 +45,17 @@
 func (b *Body) CloseWriter(cause error) {
 	_ = b.writer.CloseWithError(cause) // always returns nil
 }
+
+// MarkIncomplete records that the client had not sent the last byte at the given time. An earlier time than the recorded one has no effect.
+func (b *Body) MarkIncomplete(at float64) {
+	for {
+		recorded := b.incompleteAt.Load()
+		if at <= math.Float64frombits(recorded) || b.incompleteAt.CompareAndSwap(recorded, math.Float64bits(at)) {
+			return
+		}
+	}
+}
+
+// IncompleteAt returns the latest time at which the client is known not to have sent the last byte: its time limit runs from then at the
+// earliest.
+func (b *Body) IncompleteAt() float64 { return math.Float64frombits(b.incompleteAt.Load()) }
--- a/internal/node/inflight/inflight.go
+++ b/internal/node/inflight/inflight.go
@@ -70,15 +70,15 @@
 	t.apply(now, entry, t.Policy.Route(now, request))
 }
 
-// BodyComplete records that the last byte of a streamed value was read at the given time, at which the client's timeout starts.
+// BodyComplete records that the client's timeout of a streamed value has started at the given time.
 func (t *Table[A]) BodyComplete(now float64, x *exchange.Exchange, at float64) {
 	entry := t.byExchange[x]
 	if entry == nil || entry.Request.Closed {
 		return
 	}
 	request := entry.Request
-	request.ArrivedAt, request.Deadline = at, at+x.Timeout
-	request.ValueConsumed = x.Body != nil && x.Body.Consumed()
+	request.ArrivedAt, request.Deadline = at, min(request.Deadline, at+x.Timeout)
+	t.updateValueConsumed(entry)
 	t.Policy.UploadDone(now, request)
 	var none A
 	for i := range request.Attempts[:request.NumAttempts] {
@@ -86,6 +86,16 @@
 			t.dispatcher.BodyComplete(now, a.Server, entry.attempts[i], request.Deadline)
 		}
 	}
+	if request.InFlight == 0 { // it is held, by its earlier deadline
+		t.apply(now, entry, t.Policy.Route(now, request))
+	}
+}
+
+// updateValueConsumed updates whether another attempt of a request could have its value. An attempt in flight may begin to read a streamed value
+// at any time.
+func (t *Table[A]) updateValueConsumed(entry *Entry[A]) {
+	body := entry.Exchange.Body
+	entry.Request.ValueConsumed = body != nil && (body.Consumed() || entry.Request.InFlight > 0)
 }
 
 // ClientGone records that the client of a request has disconnected.
@@ -150,6 +160,7 @@
 		t.apply(now, nil, t.Policy.Route(now, nil))
 		return
 	}
+	t.updateValueConsumed(entry)
 	t.apply(now, entry, t.Policy.Route(now, entry.Request))
 }
 
--- a/internal/node/largevalues_test.go
+++ b/internal/node/largevalues_test.go
@@ -209,3 +209,82 @@
 	tc.expectPrefix(writeSlowly("full", "c=pay,d=500"), "-BUSY")
 	tc.expectPrefix(tc.request("KV.GET", "k", "last", "c=read,d=400"), "read")
 }
+
+// Large writes that are streamed to an origin which stops reading, or reads slowly, are answered when their clients' time is over, counted from
+// the last byte that the client has written: once they were answered when the origin went on.
+func TestStreamedWritesAreAnsweredInTime(t *testing.T) {
+	const clientLimit, allowance = 500 * time.Millisecond, 500 * time.Millisecond // a later answer is lost (STANDING.md)
+	for _, c := range []struct {
+		name  string
+		sizes []int
+		pause time.Duration // of the origin between two reads
+	}{
+		{"stopped", []int{100_000, 300_000, 1 << 20, 4 << 20, 4 << 20}, time.Hour},
+		{"slow", []int{200_000, 1 << 20, 4 << 20}, 100 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ended := make(chan struct{})
+			tc := newTestCluster(t, 1, serveHit, func(_ http.ResponseWriter, req *http.Request) {
+				for b := make([]byte, 16<<10); ; {
+					select {
+					case <-ended:
+						return
+					case <-time.After(c.pause):
+					}
+					if _, err := req.Body.Read(b); err != nil {
+						return
+					}
+				}
+			}, func(c *Config) { c.MemoryMB = 1 })
+			t.Cleanup(func() { close(ended) })
+			var wg sync.WaitGroup
+			for i, size := range c.sizes {
+				for k, class := range []string{"c=pay,d=500", "c=put,d=500,k=1"} {
+					wg.Go(func() {
+						nc, id := tc.dial(), fmt.Sprint("w", i, k)
+						written := make(chan time.Time, 1)
+						go func() {
+							writeBytes(nc, command("KV.SET", id, id, class, strings.Repeat("x", size)))
+							written <- time.Now()
+						}()
+						answer := requestOn(nc) // reads the answer
+						if late := time.Since(<-written) - clientLimit; late > allowance || !strings.HasPrefix(answer, "-") {
+							t.Errorf("%d bytes, %s: answer %.40q, %v late", size, class, answer, late)
+						}
+					})
+				}
+			}
+			wg.Wait()
+			tc.expectPrefix(tc.request("KV.GET", "k", "last", "c=read,d=400"), "hit")
+		})
+	}
+}
+
+// A client that leaves while its large write waits for the origin is noticed, and its attempt ends: once the rest of the value was forwarded when
+// the origin went on.
+func TestClientOfBlockedWriteIsNoticed(t *testing.T) {
+	ended := make(chan struct{})
+	tc := newTestCluster(t, 1, serveHit, func(http.ResponseWriter, *http.Request) { <-ended }, func(c *Config) { c.MemoryMB = 1 })
+	t.Cleanup(func() { close(ended) })
+	c := tc.dial()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		writeBytes(c, command("KV.SET", "w", "w", "c=pay,d=550", strings.Repeat("x", 4<<20)))
+	}()
+	waitFor(t, "the write to begin", func() (begun bool) {
+		tc.onLoop(func(float64) { begun = tc.node.inflight.Len() == 1 })
+		return begun
+	})
+	time.Sleep(50 * time.Millisecond)
+	closeQuietly(c)
+	leftAt := time.Now()
+	waitFor(t, "the write to end", func() (ended bool) {
+		tc.onLoop(func(float64) { ended = tc.node.inflight.Len() == 0 })
+		return ended
+	})
+	if took := time.Since(leftAt); took > 100*time.Millisecond { // "more than 0.1 s after the close is a break" (STANDING.md)
+		t.Errorf("the attempt of a client that has left ends after %v", took)
+	}
+	<-written
+}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -13,7 +13,7 @@
 // ClientGone reports that the client of a request has closed its connection.
 func (n *Node) ClientGone(x *exchange.Exchange) { n.inbox.post(clientGone{x}) }
 
-// BodyReceived reports that the last byte of a value that is streamed to its server was read at the given time.
+// BodyReceived reports that the client has, or may have, sent the last byte of a value that is streamed to its server at the given time.
 func (n *Node) BodyReceived(x *exchange.Exchange, at float64) { n.inbox.post(bodyComplete{x, at}) }
 
 // attemptDone is called by the connections to the servers at the end of an attempt.
@@ -54,7 +54,7 @@
 	return n.inflight.Len()+waitingClaims >= limit
 }
 
-// bodyComplete is the event that the last byte of a streamed value was read. The client's timeout runs from then on.
+// bodyComplete is the event that the client's timeout of a streamed value runs, since the given time.
 type bodyComplete struct {
 	request *exchange.Exchange
 	at      float64
@@ -63,6 +63,7 @@
 func (e bodyComplete) exchange() *exchange.Exchange { return e.request }
 
 func (e bodyComplete) handle(n *Node, now float64) {
+	e.request.Deadline = min(e.request.Deadline, e.at+e.request.Timeout)
 	if n.idempotency == nil || !n.idempotency.bodyComplete(e.request, e.at) {
 		n.inflight.BodyComplete(now, e.request, e.at)
 	}
--- a/internal/node/sockstate/sockstate.go
+++ b/internal/node/sockstate/sockstate.go
@@ -30,6 +30,19 @@
 	return readable, closed || err != nil
 }
 
+// Unread returns how many bytes of a TCP connection have arrived and were not read. It reports false if the system does not tell.
+func Unread(conn net.Conn) (bytes int, ok bool) {
+	tcp, isTCP := conn.(*net.TCPConn)
+	if !isTCP {
+		return 0, false
+	}
+	err := control(tcp, func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		bytes, ok = n, err == nil
+	})
+	return bytes, ok && err == nil
+}
+
 // HasPending reports whether a connection waits to be accepted. For a listener without a file descriptor it reports false.
 func HasPending(listener net.Listener) (pending bool) {
 	tcp, ok := listener.(syscall.Conn)
--- a/internal/node/testcluster_test.go
+++ b/internal/node/testcluster_test.go
@@ -208,9 +208,11 @@
 	return requestOn(c, append([]string{name, key, id, extra}, value...)...)
 }
 
-// requestOn sends one command on a connection and returns the response, or as much of it as was received before the connection ended.
+// requestOn sends one command on a connection, or none, and returns the response, or as much of it as was received before the connection ended.
 func requestOn(c net.Conn, words ...string) string {
-	_, _ = c.Write(command(words...)) // a response may have come before the node closed the connection
+	if len(words) > 0 {
+		_, _ = c.Write(command(words...)) // a response may have come before the node closed the connection
+	}
 	if err := c.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
 		return err.Error()
 	}
--- a/internal/node/upstream/writer.go
+++ b/internal/node/upstream/writer.go
@@ -55,9 +55,10 @@
 // encodeRequest encodes the request of an attempt into out. A large value and its terminator are left out.
 func (c *conn) encodeRequest(out *ringbuf.Ring, a *Attempt) error {
 	request := a.Request
-	timeout := c.endpoint.deadline(a) - c.endpoint.group.Clock.Now()
-	if request.Body != nil {
-		timeout = min(timeout, request.Timeout) // the deadline also covers the time that the client may take to send the body
+	now := c.endpoint.group.Clock.Now()
+	timeout := c.endpoint.deadline(a) - now
+	if request.Body != nil { // the deadline also covers the time that the client may take to send the body
+		timeout = min(timeout, max(0, request.Body.IncompleteAt()+request.Timeout-now))
 	}
 	size := 2*len(request.Extra) + len(request.Key) + len(request.ID) + requestOverhead
 	if !request.IsLarge() {
