Endpoints: a server that a complete list removed stays removed

The removal by a complete list was applied to the state only. Whoever derives the state again took it from the entry, which still says in_service. The removal is now part of what is known of a server, so every derivation has it: reload, operators' commands, imported exclusions, plans.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -15,6 +15,7 @@
 // server is one server of the endpoint list, with the connections to it.
 type server struct {
 	entry     discovery.Entry // merged from all updates
+	removed   bool            // the last complete list did not have it, and no later update has named it
 	startedAt float64         // start of its process by the node's clock; 0: long ago
 	endpoint  *upstream.Endpoint
 }
@@ -39,6 +40,7 @@
 	}
 	if e.mode != fleet.ListDelta {
 		for _, id := range n.serverTable.Missing(endpoints) {
+			n.servers[id].removed = true
 			n.setServerState(now, id, fleet.Gone)
 		}
 	}
@@ -93,7 +95,7 @@
 	} else if entry, err = discovery.Merge(n.servers[id].entry, rawEntry); err != nil {
 		return fleet.Endpoint{}, err
 	}
-	n.servers[id].entry = entry
+	n.servers[id].entry, n.servers[id].removed = entry, false
 	n.servers[id].startedAt = n.serverStarts.Observe(now, entry.ID, entry.UpSince, confirmedAt)
 	return n.effectiveEndpoint(now, id), nil
 }
@@ -121,11 +123,14 @@
 	return cacheserver.Protocol{}, n.cachePoolConfig
 }
 
-// effectiveEndpoint returns a server's entry for the decision module: the entry of the list, changed by the exclusions of operators and
-// of the rolling restart. It applies the state to the server's connections.
+// effectiveEndpoint returns a server's entry for the decision module: the entry of the list, changed by the removal of the server, and the
+// exclusions of operators and of the rolling restart. It applies the state to the server's connections.
 func (n *Node) effectiveEndpoint(now float64, id fleet.ServerID) fleet.Endpoint {
 	s := n.servers[id]
 	endpoint := s.entry.Endpoint(id, &n.deployment)
+	if s.removed {
+		endpoint.State = fleet.Gone
+	}
 	endpoint.StartedAt = n.exclusions.StartedAt(s.entry.ID, s.startedAt)
 	if s.entry.Flavor != discovery.OriginFlavor {
 		endpoint.State = n.exclusions.EffectiveState(s.entry.ID, endpoint.State)
--- a/internal/node/reconfigure_test.go
+++ b/internal/node/reconfigure_test.go
@@ -12,6 +12,7 @@
 	"github.com/tidwall/redcon"
 
 	"mintspring/internal/config/settings"
+	"mintspring/internal/fleet"
 )
 
 // New settings apply while requests are in flight: a new class is known at once and its rules apply, a removed class is an error for new
@@ -139,3 +140,55 @@
 		t.Errorf("the request was executed %d times", n)
 	}
 }
+
+// A server that a complete list does not name stays removed when its endpoint is derived again, by new settings, an operator's command or imported
+// exclusions: once it was ready again, for good. It is ready when an update names it.
+func TestRemovedServerStaysRemoved(t *testing.T) {
+	tc := newTestCluster(t, 2, serveHit, echoOrigin)
+	state := func() (state fleet.State) {
+		tc.onLoop(func(float64) { state = tc.node.serverTable.State(tc.node.serverTable.SlotByID["s1"]) })
+		return state
+	}
+	kept := entry("s0", tc.cacheAddrs[0], "box") + "," + entry("o", tc.originAddr, "origin")
+	tc.listUpdates <- `{"revision":2,"complete":true,"members":[` + kept + `]}`
+	waitFor(t, "the server to be removed", func() bool { return state() == fleet.Gone })
+	for _, step := range []struct {
+		name string
+		do   func()
+	}{
+		{"new settings", func() { tc.reconfigure(`"MaxExecutions":4`, `"MaxExecutions":3`) }},
+		{"the same settings", func() { tc.reconfigure(`"MaxExecutions":4`, `"MaxExecutions":4`) }},
+		{"an exclusion and its end", func() {
+			for _, command := range []string{commandExclude, commandReadmit} {
+				if _, err := tc.node.execute(command, "s1"); err != nil {
+					t.Error(err)
+				}
+			}
+		}},
+		{"imported exclusions", func() { tc.onLoop(tc.node.reapplyEndpoints) }},
+		{"the same list", func() { tc.listUpdates <- `{"revision":3,"complete":true,"members":[` + kept + `]}` }},
+		{"new settings again", func() { tc.reconfigure(`"MaxExecutions":4`, `"MaxExecutions":2`) }},
+	} {
+		step.do()
+		tc.expectNoRequestsTo(1, step.name)
+		if got := state(); got != fleet.Gone {
+			t.Errorf("after %s the removed server is in state %v", step.name, got)
+		}
+	}
+	tc.listUpdates <- `{"revision":4,"complete":false,"members":[` + entry("s1", tc.cacheAddrs[1], "box") + `]}`
+	waitFor(t, "the server to be ready", func() bool { return state() == fleet.Ready })
+}
+
+// expectNoRequestsTo sends reads of many keys, and expects that the cache server with an index has no connection for them.
+func (tc *testCluster) expectNoRequestsTo(index int, after string) {
+	tc.t.Helper()
+	for i := range 30 {
+		tc.expectPrefix(tc.request("KV.GET", fmt.Sprint("k", i), strings.ReplaceAll(fmt.Sprint(after, i), " ", "-"), "c=read,d=500"), "hit")
+	}
+	tc.onLoop(func(float64) {
+		id := tc.node.serverTable.SlotByID[fmt.Sprint("s", index)]
+		if open := tc.node.servers[id].endpoint.State().Open; open > 0 {
+			tc.t.Errorf("after %s there are %d connections to a removed server", after, open)
+		}
+	})
+}
