Handover: the revision that is handed over is that of the list

A successor would miss, for good, a change of the endpoint list that the discovery client has received and the loop has not applied when the state is handed over: it got the new revision with the old list, and a watch tells changes only.

An update carries its source, and the loop hands over the source of what it has applied. TestStateHasRevisionOfItsList failed before (revision 2 with the list of revision 1) and passes. The golden test's update names its source, as those of the discovery client do; the golden bytes are unchanged.

--- a/internal/node/discovery/client.go
+++ b/internal/node/discovery/client.go
@@ -34,7 +34,7 @@
 // Client calls the discovery service. Each call runs in its own goroutine, which ends with the call. The callbacks are called from that
 // goroutine and must not block. The methods are safe for concurrent use.
 type Client struct {
-	Addr       string       // address of the service; guarded by mu after the first call, see SwitchTo and ListSource
+	Addr       string       // address of the service; guarded by mu after the first call, see SwitchTo and ServiceAddr
 	OnUpdate   func(Update) // called for each update, with mu held: it must not call methods of the client
 	OnError    func(error)  // called when a call fails or a watch ends, unless a later watch has replaced it
 	OnActivity func()       // if not nil, called for each line of a response, including empty lines
@@ -90,15 +90,11 @@
 	return c.revision
 }
 
-// ListSource returns the address of the service that sent the endpoint list, and the revision of the list at that service. After SwitchTo
-// the address is empty until the new service has sent its full list, because the revision is not valid there.
-func (c *Client) ListSource() (addr string, revision int64) {
+// ServiceAddr returns the address of the service that is called.
+func (c *Client) ServiceAddr() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.needsFullList {
-		return "", c.revision
-	}
-	return c.Addr, c.revision
+	return c.Addr
 }
 
 // Watch starts a watch for changes since the last revision. A running watch is cancelled without a callback.
@@ -205,7 +201,7 @@
 	} else {
 		c.revision = max(c.revision, u.Revision)
 	}
-	u.ConfirmedAgo = c.confirmList()
+	u.ConfirmedAgo, u.Source = c.confirmList(), Source{addr, c.revision}
 	c.OnUpdate(u)
 	return nil
 }
--- a/internal/node/discovery/entry.go
+++ b/internal/node/discovery/entry.go
@@ -55,6 +55,12 @@
 	return m
 }
 
+// Source says where an endpoint list is from.
+type Source struct {
+	Addr     string // of the discovery service
+	Revision int64  // at that service
+}
+
 // Update is the content of the full list or of one object of a watch.
 type Update struct {
 	Revision int64             `json:"revision"`
@@ -64,6 +70,8 @@
 	// ConfirmedAgo is the time between the last earlier confirmation that the list was complete and the arrival of this update; negative:
 	// there was no earlier confirmation.
 	ConfirmedAgo time.Duration `json:"-"`
+	// Source says which list the receiver has after this update.
+	Source Source `json:"-"`
 }
 
 // errNoID is returned for an entry without an id.
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -25,9 +25,11 @@
 	mode        fleet.ListMode
 	entries     []json.RawMessage
 	confirmedAt float64 // last time at which the list was known to be complete without these entries
+	source      discovery.Source
 }
 
 func (e listChanged) handle(n *Node, now float64) {
+	n.listSource = e.source
 	endpoints := make([]fleet.Endpoint, 0, len(e.entries))
 	confirmedAt := n.earliestStart(now, e)
 	for _, rawEntry := range e.entries {
--- a/internal/node/golden_test.go
+++ b/internal/node/golden_test.go
@@ -51,7 +51,7 @@
 		json.RawMessage(entry("s0", "127.0.0.1:7000", "box")),
 		json.RawMessage(`{"id":"s1","host_port":"127.0.0.1:7001","locality":"a","flavor":"box","cell":3,"phase":"in_service","size":2.5,"up_since_ms":1600000000000}`),
 		json.RawMessage(entry("o", "127.0.0.1:7002", "origin")),
-	}}.handle(n, goldenNow)
+	}, source: n.listSource}.handle(n, goldenNow)
 	for _, c := range []struct {
 		id  string
 		set func(id string, now float64) (bool, error)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,7 +55,8 @@
 	exclusions                        *exclusion.Set // set by operators on the admin port
 	classes                           requestclass.Table
 	serverTable                       *servertable.Table
-	servers                           []*server // indexed by slot of the server table
+	servers                           []*server        // indexed by slot of the server table
+	listSource                        discovery.Source // of the endpoint list as far as the loop has applied it
 	serverStarts                      serverstart.Tracker
 	cachePoolConfig, originPoolConfig connpool.Config
 	traffic                           trafficCounters
@@ -103,7 +104,8 @@
 	n.inflight.Policy = newPolicy(now, &config, &n.inflight.Slab)
 	n.startOptionalParts(&config)
 	n.discovery.SetRevision(config.CachedList.Revision)
-	listChanged{fleet.ListCached, config.CachedList.Members, serverstart.NeverConfirmed()}.handle(n, now)
+	known := discovery.Source{Addr: config.Discovery, Revision: config.CachedList.Revision}
+	listChanged{fleet.ListCached, config.CachedList.Members, serverstart.NeverConfirmed(), known}.handle(n, now)
 	return n
 }
 
@@ -176,7 +178,7 @@
 			if u.ConfirmedAgo >= 0 {
 				confirmedAt = n.clock.Now() - float64(u.ConfirmedAgo)/float64(time.Millisecond)
 			}
-			n.inbox.post(listChanged{mode, u.Members, confirmedAt})
+			n.inbox.post(listChanged{mode, u.Members, confirmedAt, u.Source})
 		},
 		OnError: func(err error) { n.inbox.post(listFailed{err}) },
 	}
--- a/internal/node/transfer.go
+++ b/internal/node/transfer.go
@@ -15,15 +15,14 @@
 
 // stateTransfer returns the state from which a successor starts.
 func (n *Node) stateTransfer(now float64) hotrestart.State {
-	addr, revision := n.discovery.ListSource()
 	state := hotrestart.State{
-		DiscoveryAddr: addr,
+		DiscoveryAddr: n.listSource.Addr,
 		Exclusions:    n.exclusions.Export(true),
 		Descriptors:   n.descriptors.Held(),
 		StandbySince:  n.lifecycle.StandbySince(),
 		Clock:         now,
 		ServerStarts:  n.serverStarts.Export(),
-		Endpoints:     discovery.Update{Complete: true, Revision: revision, Members: n.endpointListEntries()},
+		Endpoints:     discovery.Update{Complete: true, Revision: n.listSource.Revision, Members: n.endpointListEntries()},
 	}
 	if policy, ok := n.inflight.Policy.(snapshotPolicy); ok {
 		var exported fleet.Snapshot
@@ -57,11 +56,12 @@
 	if state.StandbySince > 0 {
 		n.lifecycle.EnterStandby(state.StandbySince)
 	}
-	if addr, _ := n.discovery.ListSource(); state.DiscoveryAddr == addr {
+	if n.discovery.ServiceAddr() == state.DiscoveryAddr {
 		n.discovery.SetRevision(state.Endpoints.Revision)
+		n.listSource = discovery.Source{Addr: state.DiscoveryAddr, Revision: state.Endpoints.Revision}
 	}
 	// The predecessor has watched the discovery service until now, so its list is as current as one from the service.
-	listChanged{fleet.ListCached, state.Endpoints.Members, serverstart.NeverConfirmed()}.handle(n, now)
+	listChanged{fleet.ListCached, state.Endpoints.Members, serverstart.NeverConfirmed(), n.listSource}.handle(n, now)
 	n.discovery.ConfirmList()
 	policy, ok := n.inflight.Policy.(snapshotPolicy)
 	if !ok || len(state.Snapshot) == 0 {
--- a/internal/node/transfer_test.go
+++ b/internal/node/transfer_test.go
@@ -56,3 +56,33 @@
 	}
 	wg.Wait()
 }
+
+// The state for a successor has the revision of the list that it contains. A change that the discovery client has received, and that the loop has
+// not applied yet, used to raise the revision only, so that the successor never heard of the change.
+func TestStateHasRevisionOfItsList(t *testing.T) {
+	tc := newTestCluster(t, 2, serveHit, echoOrigin)
+	entered, resume := make(chan struct{}), make(chan struct{})
+	var state hotrestart.State
+	transferred := make(chan struct{})
+	go func() {
+		defer close(transferred)
+		tc.onLoop(func(now float64) {
+			close(entered)
+			<-resume
+			state = tc.node.stateTransfer(now)
+		})
+	}()
+	<-entered
+	tc.listUpdates <- `{"revision":2,"complete":false,"members":[{"id":"s1","phase":"terminating"}]}`
+	waitFor(t, "the change to be received", func() bool { return tc.node.discovery.Revision() == 2 })
+	close(resume)
+	<-transferred
+	for _, member := range state.Endpoints.Members {
+		if strings.Contains(string(member), `"terminating"`) {
+			return // the change is in the list
+		}
+	}
+	if state.Endpoints.Revision != 1 {
+		t.Errorf("the list of revision 1 is handed over as revision %d", state.Endpoints.Revision)
+	}
+}
