Clients: input that is answered without a server gets a tenth of the time

A node has one processor, and the readers and writers of such connections are always runnable: a request waits behind them at each hop between goroutines. Nothing bounded the time spent on input that needs no server. Over all connections it now gets a tenth of the time, beyond a small allowance of each connection; rejected requests are charged too. Nothing is paced once a connection is to be closed. Connections without requests in flight read nothing ahead.

--- a/cmd/mintspring-bench/main.go
+++ b/cmd/mintspring-bench/main.go
@@ -30,6 +30,7 @@
 	Idempotency  idempotencyCmd  `cmd:"" help:"Run fault-injection rounds of real processes with idempotency records and lost disks: no record may be lost."`
 	Gossip       gossipCmd       `cmd:"" help:"Simulate the gossip of whole fleets: detected and false deaths, its cost, and false evidence."`
 	Duplicates   duplicatesCmd   `cmd:"" help:"Measure wrong responses with late duplicate responses, and what they cost."`
+	ClientFlood  clientFloodCmd  `cmd:"" help:"Measure what ordinary clients of one node get beside clients that send at full speed."`
 	Report       reportCmd       `cmd:"" help:"Write one page about the runs in a directory."`
 	Compare      compareCmd      `cmd:"" help:"Compare the figures of two directories."`
 	Figures      figuresCmd      `cmd:"" help:"List the figures that an expectation can name."`
@@ -41,6 +42,7 @@
 	LeaseProcess       leaseProcessCmd       `cmd:"" hidden:"" help:"A process of a round."`
 	IdempotencyProcess idempotencyProcessCmd `cmd:"" hidden:"" help:"A process of a round."`
 	BaselineNode       baselineNodeCmd       `cmd:"" hidden:"" help:"A node that a baseline decides for."`
+	FloodProcess       floodProcessCmd       `cmd:"" hidden:"" help:"The clients of a flood."`
 	Proxies            proxiesCmd            `cmd:"" hidden:"" help:"Proxies of a control plane."`
 	TraceSyscalls      syscallTraceCmd       `cmd:"" hidden:"" passthrough:"" help:"A program whose system calls are checked."`
 }
--- a/internal/node/clients/conn.go
+++ b/internal/node/clients/conn.go
@@ -144,6 +144,9 @@
 	if request.Body != nil {
 		request.Body.CloseReader(net.ErrClosed) // the rest of the body is not needed
 	}
+	if response.Kind == exchange.Rejected {
+		c.state.rejections++
+	}
 	dropped := c.state.phase == phaseClosed // the client has disconnected
 	size, prepaid, released := bufferedSize(response), isPrepaid(request, response), int64(0)
 	if !prepaid {
--- a/internal/node/clients/dispatch.go
+++ b/internal/node/clients/dispatch.go
@@ -16,11 +16,21 @@
 	maxErrorMessage  = 200
 )
 
-// dispatch replies to a command, or hands its request to the Handler. For a large command, reserved is the memory reserved for it: the
-// request keeps args instead of copying them, and the reply takes over the reservation. For other commands, reserved is nil.
-func (s *Server) dispatch(c *conn, args [][]byte, arrivedAt float64, reserved *reservation) {
+// dispatch replies to a command, or hands its request to the Handler, and counts it as one or the other.
+func (r *commandReader) dispatch(args [][]byte, arrivedAt float64, reserved *reservation) {
+	if r.conn.server.dispatch(r.conn, args, arrivedAt, reserved) {
+		r.cost.forwarded++
+	} else {
+		r.cost.local++
+	}
+}
+
+// dispatch replies to a command, or hands its request to the Handler, and reports whether it did the latter. For a large command, reserved is
+// the memory reserved for it: the request keeps args instead of copying them, and the reply takes over the reservation. For other commands,
+// reserved is nil.
+func (s *Server) dispatch(c *conn, args [][]byte, arrivedAt float64, reserved *reservation) (forwarded bool) {
 	if len(args) == 0 {
-		return
+		return false
 	}
 	switch strings.ToUpper(string(args[0][:min(len(args[0]), maxCommandName)])) {
 	case "PING":
@@ -31,12 +41,13 @@
 		request, err := c.parseRequest(args, arrivedAt, reserved != nil)
 		if err != nil {
 			c.replyError(err.Error(), false)
-			return
+			return false
 		}
-		c.submit(request, reserved)
+		return c.submit(request, reserved)
 	default:
 		c.replyError("unknown command '"+string(args[0][:min(len(args[0]), maxQuotedCommand)])+"'", false)
 	}
+	return false
 }
 
 func (s *Server) ping(c *conn, args [][]byte) {
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -29,6 +29,7 @@
 	deadlineExtended bool // the deadline has been extended since the last complete command
 	// endBy is when the connection ends even if its client does not pause. Zero: requests are forwarded, or one has no response yet.
 	endBy time.Time
+	cost  inputCost // of input that is answered without a server
 }
 
 // lateReadTime is how long the deadline of a command is extended to read bytes that have arrived before it.
@@ -88,11 +89,13 @@
 	now := c.server.Clock.Now()
 	c.lastInputAt = time.Now()
 	c.updateRejecting(false) // the node may be in service again
+	r.cost.begin()
 	accepted, result := r.processCommands(c.arrivalTime(now))
-	if result == processConnClosed {
+	if result == processConnClosed || !r.afterRead(now, accepted, result == processPaused) {
 		return false
 	}
-	return r.afterRead(now, accepted, result == processPaused)
+	r.pace()
+	return true
 }
 
 // commandIsDue reports whether the deadline of a command has passed. If not, the read was interrupted to resume processing commands, and
@@ -241,7 +244,7 @@
 	if !c.reserveReply() {
 		return processPaused
 	}
-	c.server.dispatch(c, args, arrivedAt, nil)
+	r.dispatch(args, arrivedAt, nil)
 	c.releaseUnusedReply()
 	r.args = args[:0]
 	r.in.Discard(len(b) - len(rest))
@@ -330,13 +333,13 @@
 }
 
 // recordRead records a read. While a client does not read its replies, or has many commands waiting, no more of its commands are
-// processed. The connection is still read, up to maxReadAhead bytes: only a read shows a disconnect, and until then the requests of the
-// client are executed.
+// processed. If requests of the client are in flight, the connection is still read, up to maxReadAhead bytes: only a read shows a disconnect,
+// and until then they are executed.
 func (c *conn) recordRead(in *ringbuf.Ring, now float64, skipping, paused bool) readProgress {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	wasMidCommand := c.state.recordRead(now, in.Len() > 0 || skipping, paused)
-	for c.state.atLimit() && in.Len() >= maxReadAhead {
+	for c.state.atLimit() && (in.Len() >= maxReadAhead || !c.state.hasUnanswered()) {
 		c.waitOrCloseDisconnected()
 	}
 	return readProgress{
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -54,6 +54,7 @@
 	buffered         atomic.Int64
 	connsWithRequest atomic.Int64 // open connections on which a request has arrived
 	counters         counters
+	pacer            inputPacer
 
 	mu               sync.Mutex // guards the fields below
 	conns            map[*conn]struct{}
--- a/internal/node/clients/state.go
+++ b/internal/node/clients/state.go
@@ -64,6 +64,7 @@
 	readInProgress bool // bytes have been read that recordRead has not recorded yet
 	midCommand     bool // part of a command has been read
 	paused         bool // no command is processed until one is replied to
+	rejections     int  // requests that were rejected and not charged yet
 	drainRequested bool // the reader is asked to close the connection, or to hand it over, between commands
 
 	// The writer's progress.
--- a/internal/node/clients/upload.go
+++ b/internal/node/clients/upload.go
@@ -42,7 +42,7 @@
 		c.replyError(malformedMessage, true)
 		return 0, true
 	}
-	c.server.dispatch(c, args, c.server.Clock.Now(), reserved)
+	r.dispatch(args, c.server.Clock.Now(), reserved)
 	return 0, true
 }
 
@@ -115,6 +115,7 @@
 	if !c.submit(request, nil) {
 		return r.discardCommand(size), true
 	}
+	r.cost.forwarded++
 	defer request.Body.CloseWriter(errTruncatedBody)
 	r.in.Discard(valueStart)
 	return r.newStreamedWrite(request, size-valueStart, length).forward()
--- a/internal/node/largevalues_test.go
+++ b/internal/node/largevalues_test.go
@@ -223,32 +223,13 @@
 		{"slow", []int{200_000, 1 << 20, 4 << 20}, 100 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			ended := make(chan struct{})
-			tc := newTestCluster(t, 1, serveHit, func(_ http.ResponseWriter, req *http.Request) {
-				for b := make([]byte, 16<<10); ; {
-					select {
-					case <-ended:
-						return
-					case <-time.After(c.pause):
-					}
-					if _, err := req.Body.Read(b); err != nil {
-						return
-					}
-				}
-			}, func(c *Config) { c.MemoryMB = 1 })
-			t.Cleanup(func() { close(ended) })
+			tc := newTestCluster(t, 1, serveHit, readSlowlyUntilEnd(t, c.pause), func(c *Config) { c.MemoryMB = 1 })
 			var wg sync.WaitGroup
 			for i, size := range c.sizes {
 				for k, class := range []string{"c=pay,d=500", "c=put,d=500,k=1"} {
 					wg.Go(func() {
-						nc, id := tc.dial(), fmt.Sprint("w", i, k)
-						written := make(chan time.Time, 1)
-						go func() {
-							writeBytes(nc, command("KV.SET", id, id, class, strings.Repeat("x", size)))
-							written <- time.Now()
-						}()
-						answer := requestOn(nc) // reads the answer
-						if late := time.Since(<-written) - clientLimit; late > allowance || !strings.HasPrefix(answer, "-") {
+						answer, took := tc.writeAtFullSpeed(fmt.Sprint("w", i, k), class, size)
+						if late := took - clientLimit; late > allowance || !strings.HasPrefix(answer, "-") {
 							t.Errorf("%d bytes, %s: answer %.40q, %v late", size, class, answer, late)
 						}
 					})
@@ -260,6 +241,36 @@
 	}
 }
 
+// readSlowlyUntilEnd returns an origin that pauses before each read of a value, until the end of the test.
+func readSlowlyUntilEnd(t *testing.T, pause time.Duration) http.HandlerFunc {
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	return func(_ http.ResponseWriter, req *http.Request) {
+		for b := make([]byte, 16<<10); ; {
+			select {
+			case <-ended:
+				return
+			case <-time.After(pause):
+			}
+			if _, err := req.Body.Read(b); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// writeAtFullSpeed sends a large write, and returns its answer and how long after its last byte that came.
+func (tc *testCluster) writeAtFullSpeed(id, class string, size int) (answer string, took time.Duration) {
+	c := tc.dial()
+	written := make(chan time.Time, 1)
+	go func() {
+		writeBytes(c, command("KV.SET", id, id, class, strings.Repeat("x", size)))
+		written <- time.Now()
+	}()
+	answer = requestOn(c)
+	return answer, time.Since(<-written)
+}
+
 // A client that leaves while its large write waits for the origin is noticed, and its attempt ends: once the rest of the value was forwarded when
 // the origin went on. The client resets its connection, since a FIN would wait behind the bytes that its machine cannot send.
 func TestClientOfBlockedWriteIsNoticed(t *testing.T) {
--- a/internal/testbed/processrunner/loadtest.go
+++ b/internal/testbed/processrunner/loadtest.go
@@ -39,6 +39,7 @@
 	Sent                         int64
 	Completed, Rejected, Aborted int64
 	Unanswered, WrongKey         int64
+	Late                         int64 // answered after the timeout, with whatever outcome
 	RequestsPerSecond            float64
 	P50, P99, P999               float64 // ms
 }
@@ -54,6 +55,7 @@
 	r.Sent += other.Sent
 	r.Completed, r.Rejected, r.Aborted = r.Completed+other.Completed, r.Rejected+other.Rejected, r.Aborted+other.Aborted
 	r.Unanswered, r.WrongKey = r.Unanswered+other.Unanswered, r.WrongKey+other.WrongKey
+	r.Late += other.Late
 }
 
 // Run runs the load test. It fails only if the address cannot be reached at the start.
@@ -175,6 +177,9 @@
 		return
 	}
 	c.latencies.Record(result.answeredMs - dueMs)
+	if result.answeredMs-result.sentMs > float64(c.test.Timeout)/float64(time.Millisecond) {
+		c.result.Late++
+	}
 	switch result.Outcome {
 	case invariants.Completed:
 		c.result.Completed++
