Upstream: a slow answer is not cut off while its time lasts

Callers got -BUSY, -ERR or half a value where a server wrote its answer with pauses: of 0.1 s in a small answer with 590 ms left, of 1.5 s in a large one.

A pause of a quarter of the latency objective ended an attempt whose response had begun, one of the longest timeout a large value. A response may now pause for half of its attempt's remaining time, one that must not be repeated until its deadline, and a large value for 10 s.

TestEndlessUnsizedValue sets the limit that applies to it under its new name; what it checks is the same. The bench's client-faults command has crowds beside floods.

--- a/cmd/mintspring-bench/clientflood.go
+++ b/cmd/mintspring-bench/clientfaults.go
@@ -15,9 +15,9 @@
 	"mintspring/internal/testbed/processrunner"
 )
 
-// clientFloodCmd measures what ordinary clients of one node get beside a flood.
-type clientFloodCmd struct {
-	Kinds    []string      `arg:"" optional:"" help:"Kinds of commands that the flood sends; all otherwise. The kind none is no flood."`
+// clientFaultsCmd measures what ordinary clients of one node get beside a flood or a crowd.
+type clientFaultsCmd struct {
+	Kinds    []string      `arg:"" optional:"" help:"Kinds of floods and crowds; all otherwise. The kind none is neither."`
 	Clients  int           `help:"Connections of the flood." default:"6"`
 	Batch    int           `help:"Commands in one write of the flood." default:"100"`
 	Unread   bool          `help:"The flood does not read its replies."`
@@ -25,6 +25,7 @@
 	Rate     float64       `help:"Ordinary reads a second." default:"300"`
 	Timeout  time.Duration `help:"What ordinary clients wait for an answer." default:"150ms"`
 	Duration time.Duration `default:"5s"`
+	Value    int           `help:"Bytes of the values that are read." default:"200"`
 	MemoryMB int           `help:"The node's memory limit." default:"64"`
 	Sockets  int           `help:"The node's limit on descriptors." default:"512"`
 	Program  string        `help:"The node to measure; that beside this program otherwise."`
@@ -38,10 +39,10 @@
 const floodTenant = "all"
 
 // Run implements the command.
-func (c *clientFloodCmd) Run(ctx context.Context) error {
+func (c *clientFaultsCmd) Run(ctx context.Context) error {
 	kinds := c.Kinds
 	if len(kinds) == 0 {
-		kinds = append([]string{noFlood}, clientfaults.FloodKinds()...)
+		kinds = append([]string{noFlood}, clientfaults.Kinds()...)
 	}
 	fmt.Println("| flood | ordinary reads | completed | late | unanswered | p50 ms | p99 ms | peak MB | descriptors |\n|---|---|---|---|---|---|---|---|---|")
 	for _, kind := range kinds {
@@ -53,12 +54,12 @@
 }
 
 // measure runs a fleet with one kind of flood, and prints a row of the table.
-func (c *clientFloodCmd) measure(ctx context.Context, kind string) (err error) {
+func (c *clientFaultsCmd) measure(ctx context.Context, kind string) (err error) {
 	x, err := readExperiment("")
 	if err != nil {
 		return err
 	}
-	x.Nodes.MemoryMB, x.Nodes.Sockets = c.MemoryMB, c.Sockets
+	x.Nodes.MemoryMB, x.Nodes.Sockets, x.Load.ValueBytes = c.MemoryMB, c.Sockets, c.Value
 	program, err := nodeProgram(c.Program)
 	if err != nil {
 		return err
@@ -107,7 +108,7 @@
 
 // startFlood starts a flood in a process of its own, which would otherwise take the processor from the fake servers, until the context ends. The
 // returned function waits for the end of the process.
-func (c *clientFloodCmd) startFlood(ctx context.Context, kind, addr string) (wait func(), err error) {
+func (c *clientFaultsCmd) startFlood(ctx context.Context, kind, addr string) (wait func(), err error) {
 	if kind == noFlood {
 		return func() {}, nil
 	}
--- a/cmd/mintspring-bench/main.go
+++ b/cmd/mintspring-bench/main.go
@@ -30,7 +30,7 @@
 	Idempotency  idempotencyCmd  `cmd:"" help:"Run fault-injection rounds of real processes with idempotency records and lost disks: no record may be lost."`
 	Gossip       gossipCmd       `cmd:"" help:"Simulate the gossip of whole fleets: detected and false deaths, its cost, and false evidence."`
 	Duplicates   duplicatesCmd   `cmd:"" help:"Measure wrong responses with late duplicate responses, and what they cost."`
-	ClientFlood  clientFloodCmd  `cmd:"" help:"Measure what ordinary clients of one node get beside clients that send at full speed."`
+	ClientFaults clientFaultsCmd `cmd:"" help:"Measure what ordinary clients of one node get beside clients that flood it, are slow or leave."`
 	Report       reportCmd       `cmd:"" help:"Write one page about the runs in a directory."`
 	Compare      compareCmd      `cmd:"" help:"Compare the figures of two directories."`
 	Figures      figuresCmd      `cmd:"" help:"List the figures that an expectation can name."`
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -48,6 +48,10 @@
 	// descriptor, in ms (the operators' page of the service, "The long day").
 	minIdleBeforeEviction = 2000
 
+	// minStreamStall is how long a server may pause within a large value at least, in ms: what it still gives must not be cut off (the operators'
+	// page of daily operation, "Less room"), and the deadlines of requests do not apply once the first bytes have come.
+	minStreamStall = 10_000
+
 	// duplicateWindow is how long after a response a duplicate of it may arrive, in ms. The operators' page of the standing test has second
 	// answers that "come some milliseconds late", which the network may delay by some milliseconds more than the response.
 	duplicateWindow = 20
--- a/internal/node/largevalues_test.go
+++ b/internal/node/largevalues_test.go
@@ -302,3 +302,42 @@
 	}
 	<-written
 }
+
+// An answer that its server writes slowly is passed on whole if its last byte comes in time or, over 64 KiB, its first: once a pause of a quarter of the
+// latency objective ended a small answer, and one of the longest timeout a large one.
+func TestSlowAnswersArePassedOn(t *testing.T) {
+	writeSlowly := func(w io.Writer, flush func(), b []byte, pauses int, pause time.Duration) {
+		for i := range pauses + 1 {
+			writeBytes(w, b[i*len(b)/(pauses+1):(i+1)*len(b)/(pauses+1)])
+			if flush(); i < pauses {
+				time.Sleep(pause)
+			}
+		}
+	}
+	small, large := bytes.Repeat([]byte("s"), 40_000), bytes.Repeat([]byte("l"), 200_000)
+	tc := newTestCluster(t, 1, func(c redcon.Conn, key, _ string) {
+		value, pauses, pause := small, 3, 100*time.Millisecond // the objective is 200 ms
+		if strings.HasPrefix(key, "large") {
+			value, pauses, pause = large, 1, 1500*time.Millisecond // the longest timeout is 600 ms
+		}
+		answer := append(fmt.Appendf(nil, "*3\r\n$%d\r\n", len(value)), value...)
+		writeSlowly(c.NetConn(), func() {}, append(answer, "\r\n$3\r\nhit\r\n$-1\r\n"...), pauses, pause)
+	}, func(rw http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodGet { // a hedged request
+			writeBytes(rw, small)
+			return
+		}
+		writeSlowly(rw, rw.(http.Flusher).Flush, []byte("receipt"), 3, 100*time.Millisecond)
+	})
+	for i := range 4 {
+		if got := tc.request("KV.GET", fmt.Sprint("small", i), fmt.Sprint("s", i), "c=read,d=590"); got != string(small) {
+			t.Errorf("%d bytes of a small answer: %.40q", len(got), got)
+		}
+		if got := tc.request("KV.SET", "k", fmt.Sprint("w", i), "c=pay,d=590", "v"); got != "receipt" {
+			t.Errorf("receipt %.60q", got)
+		}
+	}
+	if got := tc.request("KV.GET", "large", "l", "c=read,d=590"); got != string(large) {
+		t.Errorf("%d bytes of a large answer", len(got))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,7 +141,8 @@
 		OnPanic:            n.logPanic,
 		ConnectTimeout:     ConnectTimeout(&config.Deployment),
 		StallTimeout:       shortestObjective / 4,
-		StreamStallTimeout: longestTimeout,
+		StreamStallTimeout: max(longestTimeout, minStreamStall),
+		DiscardTimeout:     longestTimeout,
 		Memory:             memlimit.New(config.memoryShare()),
 		Random:             n.random,
 	}
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -26,6 +26,15 @@
 	return a
 }
 
+// stallLimit returns how long the response to an attempt may pause once it has begun, in ms; 0: until the attempt's timeout. A request that may be
+// repeated keeps half of its remaining time for another attempt. Another request cannot have a better response. Called with the mutex held.
+func (a *Attempt) stallLimit(now, minLimit float64) float64 {
+	if minLimit == 0 || a.ExecuteOnce {
+		return 0
+	}
+	return max(minLimit, (a.Deadline-now)/2)
+}
+
 // handleAdmission fails an attempt that was not admitted to the pool. Called with the mutex held.
 func (e *Endpoint) handleAdmission(a *Attempt, admission connpool.Admission) {
 	switch admission {
@@ -126,7 +135,7 @@
 		return
 	}
 	c.discarding.Store(true)
-	if timeout := e.group.StreamStallTimeout; timeout > 0 { // the response may never end
+	if timeout := e.group.DiscardTimeout; timeout > 0 { // the response may never end
 		time.AfterFunc(clock.Duration(timeout), func() { e.closeConn(c) })
 	}
 }
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -76,8 +76,11 @@
 		}
 		at, n = e.group.Clock.Now(), 0
 	case n == 0:
+		limit := a.stallLimit(at, e.group.StallTimeout)
 		e.mu.Unlock()
-		r.setStallDeadline()
+		if limit > 0 {
+			r.setDeadline(limit)
+		}
 		return true
 	}
 	return r.acceptResponse(a, n, response, at)
@@ -137,14 +140,6 @@
 	r.clearDeadline()
 }
 
-// setStallDeadline limits how long the next read may take. Without this limit a response that stalls after it has begun would use up
-// the request's remaining time.
-func (r *reader) setStallDeadline() {
-	if timeout := r.conn.endpoint.group.StallTimeout; timeout > 0 {
-		r.setDeadline(timeout)
-	}
-}
-
 // setDeadline limits how long the next read may take, in ms. The limit ends with the response.
 func (r *reader) setDeadline(timeout float64) {
 	r.deadlineSet = true
--- a/internal/node/upstream/stream_test.go
+++ b/internal/node/upstream/stream_test.go
@@ -254,7 +254,7 @@
 		}
 	})
 	h.endpoint.protocol = unsizedProtocol{}
-	h.endpoint.group.Memory, h.endpoint.group.StreamStallTimeout = memlimit.New(600_000), 100
+	h.endpoint.group.Memory, h.endpoint.group.DiscardTimeout = memlimit.New(600_000), 100
 	h.send("q", 30)
 	h.expectResult("timed out", fleet.TimedOut)
 	select {
--- a/internal/testbed/clientfaults/flood.go
+++ b/internal/testbed/clientfaults/flood.go
@@ -11,14 +11,13 @@
 	"net"
 	"slices"
 	"time"
-
-	"github.com/tidwall/redcon"
 )
 
-// Flood is a number of clients that each send commands on one connection as fast as they can.
+// Flood is a number of clients that each send commands on one connection as fast as they can, or a crowd of clients that are slow or leave. The
+// last three fields are for the former.
 type Flood struct {
 	Addr     string
-	Kind     string // of the commands, one of FloodKinds
+	Kind     string // one of Kinds
 	Clients  int
 	Batch    int  // commands in one write
 	Unread   bool // the clients do not read their replies
@@ -41,17 +40,25 @@
 	"new-key":         func(n string) []string { return []string{"KV.GET", "key" + n, n, "c=read,t=all,d=500"} },
 }
 
-// FloodKinds returns the kinds of floods, sorted.
-func FloodKinds() []string { return slices.Sorted(maps.Keys(floodCommands)) }
+// Kinds returns the kinds of floods and then those of crowds, each sorted.
+func Kinds() []string {
+	return append(slices.Sorted(maps.Keys(floodCommands)), slices.Sorted(maps.Keys(crowdClients))...)
+}
 
 // Start starts the clients, which send until the context ends.
 func (f *Flood) Start(ctx context.Context) error {
-	encode, known := floodCommands[f.Kind]
+	if use, known := crowdClients[f.Kind]; known {
+		for i := range f.Clients {
+			go crowdClient(ctx, f.Addr, i, use)
+		}
+		return nil
+	}
+	words, known := floodCommands[f.Kind]
 	if !known {
 		return fmt.Errorf("no kind of flood is called %q", f.Kind)
 	}
 	for i := range f.Clients {
-		client := floodClient{flood: f, encode: encode, prefix: fmt.Sprintf("f%d-", i)}
+		client := floodClient{flood: f, words: words, prefix: fmt.Sprintf("f%d-", i)}
 		go client.run(ctx)
 	}
 	return nil
@@ -63,7 +70,7 @@
 // floodClient is one client of a flood. It is used by one goroutine only.
 type floodClient struct {
 	flood  *Flood
-	encode func(n string) []string
+	words  func(n string) []string
 	prefix string
 	sent   int
 }
@@ -102,12 +109,7 @@
 	var batch bytes.Buffer
 	for range max(1, c.flood.Batch) {
 		c.sent++
-		words := c.encode(fmt.Sprint(c.prefix, c.sent))
-		b := redcon.AppendArray(nil, len(words))
-		for _, word := range words {
-			b = redcon.AppendBulkString(b, word)
-		}
-		batch.Write(b)
+		batch.Write(encode(c.words(fmt.Sprint(c.prefix, c.sent))...))
 	}
 	return batch.Bytes()
 }
