Clients: what slow clients hold is bounded by the memory limit

Each connection held two buffers of 24 KiB for an upload, or a ring of 72 KiB for a command that has not arrived, while its client paused, and no budget counted them. Uploads release their ring while the client pauses and take 8 KiB at the server's side; commands of more than 8 KiB share an eighth of the limit, and wait for it in the sockets.

The load test sends a request again whose connection was closed between requests, as the protocol has it.

--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -30,6 +30,8 @@
 	// endBy is when the connection ends even if its client does not pause. Zero: requests are forwarded, or one has no response yet.
 	endBy time.Time
 	cost  inputCost // of input that is answered without a server
+
+	inputReserved bool // memory for a full ring buffer is reserved
 }
 
 // lateReadTime is how long the deadline of a command is extended to read bytes that have arrived before it.
@@ -53,6 +55,7 @@
 // readLoop reads commands until the client disconnects or the connection ends.
 func (c *conn) readLoop() {
 	r := newCommandReader(c)
+	defer r.releaseInput()
 	defer r.in.Release()
 	defer c.recoverPanic()
 	if !c.hasRequested() {
@@ -151,6 +154,9 @@
 	}
 	r.conn.setInputDeadline(r.readDeadline())
 	if r.skip == 0 {
+		if err := r.awaitInputMemory(); err != nil {
+			return err
+		}
 		_, err := r.in.ReadOnce(r.socket)
 		if err == nil && sockstate.EndedByPeer(r.conn.net) {
 			return io.EOF // the client left while these bytes waited to be read, for instance in the accept backlog
@@ -280,12 +286,14 @@
 		r.endInput()
 		return false
 	}
-	progress := c.recordRead(&r.in, now, r.skip > 0, paused)
+	progress := r.recordRead(now, paused)
 	if progress.ended {
 		c.linger()
 		return false
 	}
-	r.in.ReleaseIfEmpty()
+	if r.in.ReleaseIfEmpty(); r.in.Len() == 0 {
+		r.releaseInput()
+	}
 	if r.in.Len() == 0 && r.skip == 0 {
 		c.dropRetainedConfigs()
 	}
@@ -333,13 +341,14 @@
 }
 
 // recordRead records a read. While a client does not read its replies, or has many commands waiting, no more of its commands are
-// processed. If requests of the client are in flight, the connection is still read, up to maxReadAhead bytes: only a read shows a disconnect,
+// processed. If requests of the client are in flight, the connection is still read, up to readAheadLimit: only a read shows a disconnect,
 // and until then they are executed.
-func (c *conn) recordRead(in *ringbuf.Ring, now float64, skipping, paused bool) readProgress {
+func (r *commandReader) recordRead(now float64, paused bool) readProgress {
+	c, buffered := r.conn, r.in.Len()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wasMidCommand := c.state.recordRead(now, in.Len() > 0 || skipping, paused)
-	for c.state.atLimit() && (in.Len() >= maxReadAhead || !c.state.hasUnanswered()) {
+	wasMidCommand := c.state.recordRead(now, buffered > 0 || r.skip > 0, paused)
+	for c.state.atLimit() && (!c.state.hasUnanswered() || buffered >= r.readAheadLimit()) {
 		c.waitOrCloseDisconnected()
 	}
 	return readProgress{
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -46,9 +46,10 @@
 	LogError func(message string, err error)
 	Random   func() float64 // from [0,1), spreads the closing times of connections; nil: always 0
 
-	CommandTimeout float64      // ms within which the first command, or the rest of one that has begun, must arrive
-	MaxBuffered    int64        // bytes of commands and replies buffered for all clients; 0: no limit
-	ReplyMemory    *ReplyMemory // for the replies to requests that are sent at once; nil: no limit
+	CommandTimeout float64          // ms within which the first command, or the rest of one that has begun, must arrive
+	MaxBuffered    int64            // bytes of commands and replies buffered for all clients; 0: no limit
+	InputMemory    *memlimit.Budget // for commands of more than some KiB that have not arrived completely; nil: no limit
+	ReplyMemory    *ReplyMemory     // for the replies to requests that are sent at once; nil: no limit
 
 	config           atomic.Pointer[Config]
 	buffered         atomic.Int64
--- a/internal/node/clients/streamedwrite.go
+++ b/internal/node/clients/streamedwrite.go
@@ -98,7 +98,7 @@
 // read reads more of the value. While it waits for the client, the client's time does not run.
 func (w *streamedWrite) read() error {
 	r, c := w.reader, w.reader.conn
-	r.in.Grow(exchange.StreamBufferSize)
+	r.resizeForUpload()
 	begunAt := time.Now()
 	_, err := c.readUpload(w.deadline, func() (int, error) { return r.in.ReadOnce(c.net) })
 	body, now := w.request.Body, c.server.Clock.Now()
@@ -111,6 +111,18 @@
 	return err
 }
 
+// resizeForUpload gives the ring buffer room for what has arrived: many clients may pause within a value, and each would hold a large buffer.
+func (r *commandReader) resizeForUpload() {
+	unread, ok := sockstate.Unread(r.conn.net)
+	if !ok {
+		unread = exchange.StreamBufferSize
+	}
+	if unread == 0 {
+		r.in.ReleaseIfEmpty()
+	}
+	r.in.Grow(min(unread, exchange.StreamBufferSize))
+}
+
 // write forwards a part of the value, and waits until the server has taken it.
 func (w *streamedWrite) write(part []byte) error {
 	w.mu.Lock()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -61,8 +61,8 @@
 	// of the duplicateWindow, and the duplicate that crosses it be read after a hold-up.
 	compareWindow = 2*duplicateWindow + maxHoldUp
 
-	// memoryDivisor gives 1/memoryDivisor of the memory limit to each of these: buffered commands and responses, large values of the
-	// origin whose length is not known in advance, and large values that clients write.
+	// memoryDivisor gives 1/memoryDivisor of the memory limit to each of these: buffered commands and responses, commands that have not arrived
+	// completely, large values of the origin whose length is not known in advance, and large values that clients write.
 	memoryDivisor = 8
 	// replyMemoryDivisor gives 1/replyMemoryDivisor of the memory limit to the replies of clients that send many requests at once.
 	replyMemoryDivisor = 4
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,6 +159,7 @@
 		LogError:       func(message string, err error) { n.log.WithError(err).Warn(message) },
 		CommandTimeout: firstRequestTimeout,
 		MaxBuffered:    config.memoryShare(),
+		InputMemory:    memlimit.New(config.memoryShare()),
 		ReplyMemory:    clients.NewReplyMemory(int64(config.MemoryMB) << 20 / replyMemoryDivisor),
 		Memory:         memlimit.New(config.memoryShare()),
 	}
--- a/internal/node/upstream/writer.go
+++ b/internal/node/upstream/writer.go
@@ -13,6 +13,10 @@
 // requestOverhead is an upper bound of the bytes that a protocol adds to the variable parts of a request.
 const requestOverhead = 512
 
+// uploadPieceSize is how many bytes of a body that is still arriving are buffered and written at a time. Each upload holds as many while its client
+// pauses.
+const uploadPieceSize = 8 << 10
+
 // writeLoop sends the attempts that are assigned to the connection, and fences.
 func (c *conn) writeLoop() {
 	var out ringbuf.Ring
@@ -157,7 +161,7 @@
 // piece.
 func (c *conn) writeBody(a *Attempt) error {
 	body := a.Request.Body
-	piece := make([]byte, exchange.StreamBufferSize)
+	piece := make([]byte, uploadPieceSize)
 	for remaining := body.Size; remaining > 0; {
 		n, err := body.Read(piece)
 		if err != nil {
--- a/internal/testbed/processrunner/loadtest.go
+++ b/internal/testbed/processrunner/loadtest.go
@@ -1,8 +1,10 @@
 package processrunner
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -168,7 +170,19 @@
 		Key: fmt.Sprintf("key-%d", c.rng.IntN(max(1, c.test.Keys))), ID: fmt.Sprintf("%s%08x", c.idPrefix, c.requests),
 		Options: commandOptions(c.test.Class, c.test.Tenant, c.test.Timeout.Milliseconds()),
 	}
-	result, err := c.conn.roundTrip(cmd, time.Now().Add(c.test.Timeout+msDuration(experiment.ClientGraceMs)))
+	deadline := time.Now().Add(c.test.Timeout + msDuration(experiment.ClientGraceMs))
+	result, err := c.conn.roundTrip(cmd, deadline)
+	if err != nil && c.conn.reused && !errors.Is(err, os.ErrDeadlineExceeded) {
+		// The node may close a connection between requests; a request that crosses the close is sent once more (PROTOCOL.md, "Clients to nodes").
+		c.conn.close()
+		if c.conn, err = dial(c.test.Addr); err != nil {
+			c.result.Sent++
+			c.result.Unanswered++
+			return
+		}
+		result, err = c.conn.roundTrip(cmd, deadline)
+	}
+	c.conn.reused = true
 	c.result.Sent++
 	if err != nil {
 		c.result.Unanswered++
