Clients: commands of a client that may have left wait for a sign of it

The close waits in the client's machine behind bytes that were not read. Commands that wait for reply memory went on when other connections freed it.

TestCommandsOfUnconfirmedClientWait failed without the limit.

--- a/internal/node/clients/conn.go
+++ b/internal/node/clients/conn.go
@@ -45,7 +45,7 @@
 func (s *Server) newConn(netConn net.Conn, requested bool) *conn {
 	now := s.Clock.Now()
 	c := &conn{server: s, net: netConn, acceptedAt: now}
-	c.state.lastActive = now
+	c.state.lastActive, c.state.confirmedAt = now, now
 	if requested {
 		c.state.usage = usageRequested
 	}
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -216,7 +216,7 @@
 
 func (r *commandReader) processCommand(arrivedAt float64) processResult {
 	c := r.conn
-	if c.atLimit() {
+	if c.atLimit() || r.clientMayHaveLeft() {
 		return processPaused
 	}
 	b := r.in.Peek()
--- a/internal/node/clients/socketreader.go
+++ b/internal/node/clients/socketreader.go
@@ -67,6 +67,7 @@
 		r.err = io.EOF
 	default:
 		r.n, c.state.readInProgress = n, true
+		c.state.recordArrival(c.server.Clock.Now(), n == len(r.buf))
 	}
 	return true
 }
--- a/internal/node/clients/state.go
+++ b/internal/node/clients/state.go
@@ -61,11 +61,14 @@
 	lastActive float64 // when the client was last read from or written to
 
 	// The reader's progress.
-	readInProgress bool // bytes have been read that recordRead has not recorded yet
-	midCommand     bool // part of a command has been read
-	paused         bool // no command is processed until one is replied to
-	rejections     int  // requests that were rejected and not charged yet
-	drainRequested bool // the reader is asked to close the connection, or to hand it over, between commands
+	readInProgress bool    // bytes have been read that recordRead has not recorded yet
+	midCommand     bool    // part of a command has been read
+	paused         bool    // no command is processed until one is replied to
+	mayHaveLeft    bool    // no command is processed until a reply is written: the client may have closed the connection
+	confirmedAt    float64 // when the client was last known to be connected
+	unreadLeft     bool    // the last read filled its buffer, so that more bytes may have arrived before
+	rejections     int     // requests that were rejected and not charged yet
+	drainRequested bool    // the reader is asked to close the connection, or to hand it over, between commands
 
 	// The writer's progress.
 	writer       writerPhase
@@ -108,10 +111,19 @@
 
 // atLimit reports whether the connection must reply to an earlier command before further commands are processed.
 func (s *sharedState) atLimit() bool {
-	full := len(s.replies) >= maxPipelined || s.buffered > maxConnBuffered || s.waitsForMemory && s.hasPending()
+	full := len(s.replies) >= maxPipelined || s.buffered > maxConnBuffered || (s.waitsForMemory || s.mayHaveLeft) && s.hasPending()
 	return full && s.phase != phaseClosed
 }
 
+// recordArrival records that a read has returned bytes. If nothing was left by the read before, they have arrived since, and their client was
+// connected then.
+func (s *sharedState) recordArrival(now float64, filledBuffer bool) {
+	if !s.unreadLeft {
+		s.confirmedAt = now
+	}
+	s.unreadLeft = filledBuffer
+}
+
 // recordRequest records that a request has arrived completely, and returns its position.
 func (s *sharedState) recordRequest() requestOrdinal {
 	switch s.usage {
@@ -195,6 +207,7 @@
 // recordWritten records that replies have been written, or that writing them has failed.
 func (s *sharedState) recordWritten(now float64, last bool) {
 	s.lastActive, s.stream = now, nil
+	s.confirmedAt, s.mayHaveLeft = now, false
 	s.writer = writerWaiting
 	if last {
 		s.writer = writerFinished
