Clients: the id of a request whose client has left is not accepted again

A request with an effect was carried out twice when its id came again on another connection after its client had left while a server had it.

The close freed the id although the attempt went on. TestIDOfDepartedClient failed before (no error, a second request). Open: the two processes of a hot restart do not share ids.

--- a/internal/node/clients/closing.go
+++ b/internal/node/clients/closing.go
@@ -78,7 +78,7 @@
 		r.request.Body.CloseReader(net.ErrClosed)
 	}
 	if response := r.request.Response(); response == nil {
-		c.server.releaseID(r.request)
+		c.server.retainID(r.request)
 		c.server.Handler.ClientGone(r.request)
 	} else if response.Stream != nil {
 		response.Stream.Close()
--- a/internal/node/clients/dispatch.go
+++ b/internal/node/clients/dispatch.go
@@ -63,12 +63,13 @@
 	}
 }
 
-// claimID registers a request under its ID. It reports false if another request in flight has the same ID: cache servers tell requests
+// claimID registers a request under its ID. It reports false if another request in flight has the same ID, or one whose client has left: cache servers tell requests
 // apart by their IDs, and could answer one request with the response to the other, or take one for a duplicate of the other.
 func (s *Server) claimID(request *exchange.Exchange) bool {
+	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, inUse := s.inFlight[string(request.ID)]; inUse {
+	if _, inUse := s.inFlight[string(request.ID)]; inUse || s.departed.contains(now, request.ID) {
 		return false
 	}
 	if s.inFlight == nil {
--- a/internal/node/clients/presence_test.go
+++ b/internal/node/clients/presence_test.go
@@ -47,3 +47,34 @@
 func (c *client) CloseWrite() error {
 	return c.Conn.(interface{ CloseWrite() error }).CloseWrite()
 }
+
+// The id of a request with an effect is not accepted again while a server may execute the request of a client that has left: it was executed twice.
+// It is accepted when the longest timeout is over, and that of a read at once.
+func TestIDOfDepartedClient(t *testing.T) {
+	h := newHarness(t, func(s *Server) { s.Config().LongestTimeout = 300 })
+	send := func(id, class string) *client {
+		c := h.dial()
+		c.send(command("KV.SET", "k", id, class, "v"))
+		return c
+	}
+	for _, id := range []string{"effect", "none"} {
+		class := map[string]string{"effect": "c=pay,d=400", "none": "c=read,d=400"}[id]
+		c := send(id, class)
+		h.nextRequest()
+		c.disconnect()
+		<-h.disconnected
+	}
+	send("none", "c=read,d=400")
+	h.nextRequest()
+	send("effect", "c=pay,d=400").expect("-ERR another query in hand has this id\r\n")
+	time.Sleep(350 * time.Millisecond)
+	send("effect", "c=pay,d=400")
+	h.nextRequest()
+	var ids departedIDs
+	for i := range 2 * maxDepartedIDs {
+		ids.add(0, 1, fmt.Sprint(i))
+	}
+	if len(ids.until) != maxDepartedIDs || len(ids.order) != maxDepartedIDs || !ids.contains(0.5, []byte(fmt.Sprint(maxDepartedIDs))) || ids.contains(2, nil) || ids.until[""] > 0 || len(ids.until) > 0 {
+		t.Errorf("%d ids are remembered", len(ids.until))
+	}
+}
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -64,6 +64,7 @@
 	closed           bool                          // Close was called: only the backlog is still accepted
 	backlogAbandoned bool                          // the backlog is not accepted any more either
 	inFlight         map[string]*exchange.Exchange // requests by the client's id
+	departed         departedIDs
 	listener         net.Listener
 	reuse            reuseStats
 
