--- a/internal/node/clients/departedids.go
+++ b/internal/node/clients/departedids.go
@@ -50,7 +50,7 @@
 // retainID frees the ID of a request whose client has left, or remembers it if a server may still execute the request and must not do so twice.
 func (s *Server) retainID(request *exchange.Exchange) {
 	s.releaseID(request)
-	if !request.ExecuteOnce {
+	if !request.ExecuteOnce || request.Body != nil && !request.Body.Received() {
 		return
 	}
 	now := s.Clock.Now()
--- a/internal/node/clients/streamedwrite.go
+++ b/internal/node/clients/streamedwrite.go
@@ -198,6 +198,7 @@
 func (w *streamedWrite) reportReceivedLocked() {
 	if !w.received {
 		w.received = true
+		w.request.Body.MarkReceived()
 		w.reader.conn.server.Handler.BodyReceived(w.request, w.request.Body.IncompleteAt())
 	}
 }
--- a/internal/node/exchange/body.go
+++ b/internal/node/exchange/body.go
@@ -14,6 +14,7 @@
 	writer   *io.PipeWriter
 	consumed atomic.Bool
 
+	received     atomic.Bool
 	incompleteAt atomic.Uint64 // bits of the time of MarkIncomplete
 }
 
@@ -59,3 +60,9 @@
 // IncompleteAt returns the latest time at which the client is known not to have sent the last byte: its time limit runs from then at the
 // earliest.
 func (b *Body) IncompleteAt() float64 { return math.Float64frombits(b.incompleteAt.Load()) }
+
+// MarkReceived records that the client has, or may have, sent all of the value.
+func (b *Body) MarkReceived() { b.received.Store(true) }
+
+// Received reports whether MarkReceived was called. Before that, no server can have executed the request.
+func (b *Body) Received() bool { return b.received.Load() }
