Endpoints: an address belongs to the process that started last

While discovery still listed a server that had gone, a new server at its address got the old one's requests beside its own, as a warm server.

The server whose process started earlier, or was listed earlier, counts as removed until the list names it again. TestServerAtAddressOfAnother: both ready before, the old one removed now.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"mintspring/internal/fleet"
 	"mintspring/internal/node/cacheserver"
@@ -15,9 +16,11 @@
 // server is one server of the endpoint list, with the connections to it.
 type server struct {
 	entry     discovery.Entry // merged from all updates
-	removed   bool            // the last complete list did not have it, and no later update has named it
+	removed   bool            // not in the last complete list, or another server has its address, and no later update has named it
 	startedAt float64         // start of its process by the node's clock; 0: long ago
 	endpoint  *upstream.Endpoint
+
+	checkedEntry discovery.Entry // the entry for which removeReplaced has compared the address; empty: none
 }
 
 // listChanged is the event that the discovery service has sent entries of the endpoint list.
@@ -40,6 +43,7 @@
 		}
 		endpoints = append(endpoints, endpoint)
 	}
+	endpoints = n.removeReplaced(now, endpoints)
 	if e.mode != fleet.ListDelta {
 		for _, id := range n.serverTable.Missing(endpoints) {
 			n.servers[id].removed = true
@@ -55,6 +59,39 @@
 	}
 }
 
+// removeReplaced removes servers whose address belongs to another server in service: their processes have gone, although the discovery service may
+// be seconds late to say so, and what is sent to them would reach the new process. Of two servers with one address the process that started
+// later has it. removeReplaced returns the updated endpoints with those of servers that it has removed.
+func (n *Node) removeReplaced(now float64, updated []fleet.Endpoint) []fleet.Endpoint {
+	for _, endpoint := range slices.Clone(updated) {
+		s := n.servers[endpoint.ID]
+		if s.checkedEntry == s.entry {
+			continue
+		}
+		s.checkedEntry = s.entry
+		if !s.inService() {
+			continue
+		}
+		for id, other := range n.servers {
+			if other == s || !other.inService() || other.entry.HostPort != s.entry.HostPort {
+				continue
+			}
+			replaced := fleet.ServerID(id)
+			if other.entry.UpSince > s.entry.UpSince {
+				replaced = endpoint.ID
+			}
+			n.servers[replaced].removed, n.servers[replaced].checkedEntry = true, discovery.Entry{}
+			updated = append(updated, n.effectiveEndpoint(now, replaced))
+		}
+	}
+	return updated
+}
+
+// inService reports whether a server is listed as in service with an address that is its own.
+func (s *server) inService() bool {
+	return !s.removed && s.entry.Phase == discovery.PhaseInService && s.entry.HostPort != ""
+}
+
 func (n *Node) hasReadyServer() bool {
 	for id := range n.servers {
 		if n.serverTable.State(fleet.ServerID(id)) == fleet.Ready {
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -169,6 +169,38 @@
 	})
 }
 
+// A new server at the address of one that is still listed takes its place: what was sent to the old one reached the new process, which was cold, as
+// work for a warm server.
+func TestServerAtAddressOfAnother(t *testing.T) {
+	tc := newTestCluster(t, 2, serveHit, echoOrigin)
+	state := func(id string) (state fleet.State) {
+		tc.onLoop(func(float64) {
+			if slot, listed := tc.node.serverTable.SlotByID[id]; listed {
+				state = tc.node.serverTable.State(slot)
+			}
+		})
+		return state
+	}
+	withStart := func(id, addr string, upSince int) string {
+		return strings.Replace(entry(id, addr, "box"), `"size":1`, fmt.Sprintf(`"size":1,"up_since_ms":%d`, upSince), 1)
+	}
+	tc.listUpdates <- `{"revision":2,"complete":false,"members":[` + withStart("new", tc.cacheAddrs[1], 1700000000000) + `]}`
+	waitFor(t, "the new server", func() bool { return state("new") == fleet.Ready })
+	if got := state("s1"); got != fleet.Gone {
+		t.Errorf("the server whose address has a new process is in state %v", got)
+	}
+	tc.listUpdates <- `{"revision":3,"complete":false,"members":[` + withStart("s1", tc.cacheAddrs[1], 0) + `,` + withStart("late", tc.cacheAddrs[0], 1700000000001) + `]}`
+	waitFor(t, "the next update", func() bool { return state("late") == fleet.Ready })
+	if state("s1") != fleet.Gone || state("new") != fleet.Ready || state("s0") != fleet.Gone {
+		t.Errorf("states %v, %v and %v", state("s1"), state("new"), state("s0"))
+	}
+	for i := range 20 {
+		tc.expectPrefix(tc.request("KV.GET", fmt.Sprint("k", i), fmt.Sprint("r", i), "c=read,d=500"), "hit")
+	}
+	tc.listUpdates <- `{"revision":4,"complete":false,"members":[` + withStart("s1", tc.startCache(), 1700000000002) + `]}`
+	waitFor(t, "the old server at another address", func() bool { return state("s1") == fleet.Ready })
+}
+
 // waitFor waits until a condition holds.
 func waitFor(t *testing.T, what string, holds func() bool) {
 	t.Helper()
