--- a/internal/node/clients/upload.go
+++ b/internal/node/clients/upload.go
@@ -50,7 +50,7 @@
 func (c *conn) markMidCommand() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state.midCommand = true
+	c.state.midCommand, c.state.unreadLeft = true, true
 }
 
 // readFull fills b with the rest of a large command.
