Upstream: the end of a large value is logged with its request

At level debug each streamed value now has a line with the id, the connection, the bytes passed on, the time from its beginning, the longest wait for the server, and the cause if it broke off.

Test: TestLargeValueLog.

--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -122,6 +122,26 @@
 	log.WithField("result", resultNames[completion.Response.Result]).Debug("attempt completed")
 }
 
+// logStream logs a streamed value that has ended at level debug. The line of its attempt has the time until the value began.
+func (n *Node) logStream(trace upstream.StreamTrace) {
+	if !n.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	log := n.log.WithFields(logrus.Fields{
+		"id":              string(trace.Request.ID),
+		"connection":      trace.Conn,
+		"bytes":           trace.Size,
+		"received":        trace.Received,
+		"took_ms":         roundToMicroseconds(trace.Took),
+		"longest_read_ms": roundToMicroseconds(trace.LongestRead),
+	})
+	if trace.Failure != nil {
+		log.WithError(trace.Failure).Debug("large value broken off")
+		return
+	}
+	log.Debug("large value complete")
+}
+
 // roundToMicroseconds rounds a duration in ms.
 func roundToMicroseconds(ms float64) float64 { return math.Round(ms*1000) / 1000 }
 
--- a/internal/node/upstream/group.go
+++ b/internal/node/upstream/group.go
@@ -19,6 +19,7 @@
 	Memory  *memlimit.Budget // for buffered values of unknown length
 
 	OnDone       func(*Attempt, Completion) // called once per attempt, from any goroutine; must not block
+	OnStreamEnd  func(StreamTrace)          // called at the end of each streamed value, from any goroutine; may be nil
 	OnPanic      func(any)                  // called after a panic in a connection's goroutine; only that connection is closed
 	OnDuplicates func(*Endpoint)            // called when a server becomes suspected of duplicate responses; may be nil
 	Random       func() float64             // returns a number from [0,1), called from any goroutine; nil: always 0
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -220,7 +220,7 @@
 // connection or closed it. It is called with the endpoint's mutex held, and unlocks it.
 func (r *reader) streamValue(a *Attempt, response Response, at float64) *stream {
 	c, e := r.conn, r.conn.endpoint
-	s := newStream(c, &r.in, response)
+	s := newStream(c, &r.in, response, a.Request, at)
 	response.Stream = s
 	endedNow, trace := e.markEnded(a), a.trace(at)
 	e.mu.Unlock()
--- a/internal/node/upstream/stream.go
+++ b/internal/node/upstream/stream.go
@@ -25,10 +25,17 @@
 	ended     bool
 	err       error // why the value broke off; the connection cannot be reused then
 	tail      Response
+
+	request     *exchange.Exchange
+	startedAt   float64
+	longestRead float64 // ms
 }
 
-func newStream(c *conn, in *ringbuf.Ring, head Response) *stream {
-	return &stream{conn: c, in: in, head: head, remaining: head.LargeValueSize, done: make(chan struct{})}
+func newStream(c *conn, in *ringbuf.Ring, head Response, request *exchange.Exchange, at float64) *stream {
+	return &stream{
+		conn: c, in: in, head: head, remaining: head.LargeValueSize, done: make(chan struct{}),
+		request: request, startedAt: at,
+	}
 }
 
 // Size implements exchange.Stream.
@@ -88,7 +95,10 @@
 		s.conn.setReadTimeout(timeout)
 	}
 	s.in.Grow(exchange.StreamBufferSize)
+	clock := s.conn.endpoint.group.Clock
+	begunAt := clock.Now()
 	_, err := s.in.ReadOnce(s.conn.net)
+	s.longestRead = max(s.longestRead, clock.Now()-begunAt)
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF // Next returns io.EOF only for a complete value
 	}
@@ -114,9 +124,21 @@
 
 // finish ends the stream and lets the connection's reader continue. Called with the mutex held.
 func (s *stream) finish(err error) {
-	if !s.ended {
-		s.ended, s.err = true, err
-		close(s.done)
+	if s.ended {
+		return
+	}
+	s.ended, s.err = true, err
+	close(s.done)
+	if group := s.conn.endpoint.group; group.OnStreamEnd != nil {
+		group.OnStreamEnd(s.trace(group.Clock.Now()))
+	}
+}
+
+// trace returns the trace of a stream that ends now. Called with the mutex held.
+func (s *stream) trace(now float64) StreamTrace {
+	return StreamTrace{
+		Request: s.request, Conn: s.conn.number, Size: s.head.LargeValueSize, Received: s.head.LargeValueSize - s.remaining,
+		Took: now - s.startedAt, LongestRead: s.longestRead, Failure: s.err,
 	}
 }
 
--- a/internal/node/upstream/trace.go
+++ b/internal/node/upstream/trace.go
@@ -1,5 +1,7 @@
 package upstream
 
+import "mintspring/internal/node/exchange"
+
 // Trace says for the log on which connection an attempt was sent, and when. It tells whether a response may be that of another attempt.
 type Trace struct {
 	Conn       int64   // number of the connection among those to the server; 0: the attempt got none
@@ -25,3 +27,14 @@
 	}
 	return trace
 }
+
+// StreamTrace says for the log how a streamed value was read. Durations are ms.
+type StreamTrace struct {
+	Request     *exchange.Exchange
+	Conn        int64   // number of the connection among those to the server
+	Size        int64   // bytes of the value
+	Received    int64   // bytes that were passed on
+	Took        float64 // from the completion of the attempt
+	LongestRead float64 // the longest wait for more bytes of the server
+	Failure     error   // why the value is not complete; nil: it is
+}
