--- a/cmd/mintspring/nodeprocess_test.go
+++ b/cmd/mintspring/nodeprocess_test.go
@@ -126,13 +126,14 @@
 	timeoutMs       int             // timeout of requests, in ms
 	sockets         int             // limit on file descriptors
 	serviceTime     time.Duration   // time that a cache server takes for a request; set before the first request
+	answer          string          // what a cache server answers; set before the first request
 	received        [2]atomic.Int64 // requests, by cache server
 	executions      sync.Map        // number of executions, an *atomic.Int64, by request id
 }
 
 func newTestNode(t *testing.T) *testNode {
 	t.Helper()
-	n := &testNode{t: t, dir: t.TempDir(), timeoutMs: 1200, sockets: 1024, serviceTime: time.Millisecond}
+	n := &testNode{t: t, dir: t.TempDir(), timeoutMs: 1200, sockets: 1024, serviceTime: time.Millisecond, answer: "*3\r\n$3\r\nhit\r\n$3\r\nhit\r\n$-1\r\n"}
 	ln := n.listen()
 	n.addr = ln.Addr().String()
 	var err error
@@ -177,7 +178,7 @@
 		count, _ := n.executions.LoadOrStore(string(cmd.Args[2]), new(atomic.Int64))
 		count.(*atomic.Int64).Add(1)
 		time.Sleep(n.serviceTime)
-		c.WriteRaw([]byte("*3\r\n$3\r\nhit\r\n$3\r\nhit\r\n$-1\r\n"))
+		c.WriteRaw([]byte(n.answer))
 	}, nil, nil)
 }
 
