Upstream: a request's time runs until the first byte of a large value has come

Cause: an answer over 64 KiB is passed on as it arrives, and its attempt counted as completed with its head. That stopped the attempt's timer, closed the request for the decision module and for the end of a stop, and left only the limit on a pause within a value (10 s), while the client had been sent nothing: the length and the value go out together.

Now such an answer completes its attempt with the first byte of its value. Until then the attempt has what every incomplete answer has: its timer, the limit on a pause, the review by the decision module, and the end of a stop.

Class: a time limit handed over before what takes it over has begun.

--- a/cmd/mintspring/silentservers_test.go
+++ b/cmd/mintspring/silentservers_test.go
@@ -82,9 +82,11 @@
 			}
 			time.Sleep(time.Duration(tt.timeoutMs) * time.Millisecond / 2)
 			if tt.successor {
-				successor := n.start()
-				successor.waitForReply("status", "OK")
-				time.AfterFunc(2*time.Second, func() { n.expectStop(successor, syscall.SIGTERM) })
+				predecessor := p
+				p = n.start()
+				p.waitForReply("status", "OK")
+				n.expectStop(predecessor, tt.signals...)
+				time.Sleep(time.Duration(tt.timeoutMs) * time.Millisecond)
 			}
 			n.expectStop(p, tt.signals...)
 			workers.Wait()
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -75,7 +75,7 @@
 			return false
 		}
 		at, n = e.group.Clock.Now(), 0
-	case n == 0:
+	case n == 0 || response.LargeValueSize > 0 && n == r.in.Len(): // the head of a large value alone gives the client nothing
 		limit := a.stallLimit(at, e.group.StallTimeout)
 		e.mu.Unlock()
 		if limit > 0 {
