Upstream: a large value is complete before the rest of its answer has come

Cause: the end of the stream was reported to the client's side only when the rest of the response had been read, since only then the connection can serve another request. That matters to the connection alone.

Now the stream ends with the value's terminator, and the connection's reader reads the rest by itself, with the same limit on a pause.

--- a/internal/node/silentservers_test.go
+++ b/internal/node/silentservers_test.go
@@ -119,3 +119,17 @@
 		})
 	}
 }
+
+// Guards against a value whose end is held back: a server that wrote all of a value over 64 KiB and fell silent before what follows it in the
+// answer once left the client without the value's last two bytes until the connection was closed.
+func TestValueIsCompleteBeforeRestOfItsAnswer(t *testing.T) {
+	value := strings.Repeat("v", 200_000)
+	for _, rest := range []string{"\r\n", "\r\n$3\r\nhi"} {
+		servers := newSilentServers(t, fmt.Sprintf("*3\r\n$%d\r\n%s%s", len(value), value, rest), "")
+		tc := newTestCluster(t, 1, servers.serveCache, servers.serveOrigin)
+		answer, behind, took := pipelinedAnswers(tc.dial(), command("KV.GET", "box", "1", "c=read,d=400"), command("PING"))
+		if answer != value || behind != "+PONG" || took > 2*time.Second { // "holding the rest back for 2 s, loses the request" (DAYS.md, "Less room")
+			t.Errorf("with %q behind the value: %d bytes, %q behind them, %v", rest, len(answer), behind, took)
+		}
+	}
+}
--- a/internal/node/upstream/conn.go
+++ b/internal/node/upstream/conn.go
@@ -60,6 +60,13 @@
 	_ = c.net.SetReadDeadline(deadline) // fails only on a closed connection, and then reading fails too
 }
 
+// setStreamReadTimeout sets the read deadline to the time for which a large or unsized value may stall, if there is one.
+func (c *conn) setStreamReadTimeout() {
+	if timeout := c.endpoint.group.StreamStallTimeout; timeout > 0 {
+		c.setReadTimeout(timeout)
+	}
+}
+
 // fail ends the connection and the attempt on it. The attempt's progress determines whether it may have been executed. Only the
 // writer knows whether the last byte was sent: if the reader fails during a write, the writer ends the attempt.
 func (c *conn) fail(cause error) {
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -186,17 +186,17 @@
 	r.clearDeadline()
 	r.in.Discard(n)
 	if response.LargeValueSize > 0 {
-		s := r.streamValue(a, response, at)
+		var err error
+		response, err = r.streamValue(a, response, at)
 		at = e.group.Clock.Now()
 		e.mu.Lock()
-		if s.err != nil {
+		if err != nil {
 			e.pool.CloseConn(c, connpool.ClosedBroken)
 			e.detach(c)
 			e.pool.Dispatch(at)
 			e.mu.Unlock()
 			return false
 		}
-		response = s.tail
 	}
 	excess := r.in.Len() > 0
 	if excess {
@@ -216,9 +216,9 @@
 	return true
 }
 
-// streamValue completes an attempt with a stream of its large value, and waits until the stream's consumer has read it from the
-// connection or closed it. It is called with the endpoint's mutex held, and unlocks it.
-func (r *reader) streamValue(a *Attempt, response Response, at float64) *stream {
+// streamValue completes an attempt with a stream of its large value, waits until the stream's consumer has read it from the connection or
+// closed it, and returns the rest of the response. It is called with the endpoint's mutex held, and unlocks it.
+func (r *reader) streamValue(a *Attempt, response Response, at float64) (Response, error) {
 	c, e := r.conn, r.conn.endpoint
 	s := newStream(c, &r.in, response, a.Request, at)
 	response.Stream = s
@@ -230,6 +230,27 @@
 		s.Close()
 	}
 	<-s.done
-	c.setReadTimeout(0)
-	return s
+	defer c.setReadTimeout(0)
+	if s.err != nil {
+		return Response{}, s.err
+	}
+	return r.readTail(s.head)
+}
+
+// readTail reads what follows the value of a response with the given head, so that the connection can be reused.
+func (r *reader) readTail(head Response) (Response, error) {
+	for {
+		tail, err := r.conn.endpoint.protocol.ParseTail(r.in.Peek(), head)
+		switch {
+		case err != nil:
+			return Response{}, err
+		case tail.Complete:
+			r.in.Discard(tail.Length)
+			return tail.Response, nil
+		}
+		r.conn.setStreamReadTimeout()
+		if _, err := r.in.ReadOnce(r.conn.net); err != nil {
+			return Response{}, err
+		}
+	}
 }
--- a/internal/node/upstream/stream.go
+++ b/internal/node/upstream/stream.go
@@ -16,7 +16,7 @@
 type stream struct {
 	conn *conn
 	head Response
-	done chan struct{} // closed when the connection's reader may continue; err and tail do not change after that
+	done chan struct{} // closed when the connection's reader may continue; err does not change after that
 
 	mu        sync.Mutex    // held during Next and Close; guards the fields below
 	in        *ringbuf.Ring // the ring of the connection's reader
@@ -24,7 +24,6 @@
 	remaining int64         // bytes of the value that Next has not returned yet
 	ended     bool
 	err       error // why the value broke off; the connection cannot be reused then
-	tail      Response
 
 	request     *exchange.Exchange
 	startedAt   float64
@@ -42,7 +41,8 @@
 func (s *stream) Size() int64 { return s.head.LargeValueSize }
 
 // Next implements exchange.Stream. It returns the last byte of the value only after the value's terminator has arrived: a value
-// whose length differs from the announced one must not be passed on as complete.
+// whose length differs from the announced one must not be passed on as complete. What follows the terminator is left to the connection's
+// reader, so that a server which pauses there does not hold up the client.
 func (s *stream) Next() ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -51,11 +51,11 @@
 		s.returned = 0
 	}
 	for !s.ended {
-		b := s.in.Peek()
 		if s.remaining == 0 {
-			s.readTail(b)
-			continue
+			s.finish(nil)
+			break
 		}
+		b := s.in.Peek()
 		n, err := s.available(b)
 		switch {
 		case err != nil:
@@ -91,9 +91,7 @@
 
 // readMore reads more bytes into the ring. It fails a value that stalls, but not one that keeps arriving slowly.
 func (s *stream) readMore() {
-	if timeout := s.conn.endpoint.group.StreamStallTimeout; timeout > 0 {
-		s.conn.setReadTimeout(timeout)
-	}
+	s.conn.setStreamReadTimeout()
 	s.in.Grow(exchange.StreamBufferSize)
 	clock := s.conn.endpoint.group.Clock
 	begunAt := clock.Now()
@@ -107,21 +105,6 @@
 	}
 }
 
-// readTail parses the tail of the response, so that the connection can be reused.
-func (s *stream) readTail(b []byte) {
-	tail, err := s.conn.endpoint.protocol.ParseTail(b, s.head)
-	switch {
-	case err != nil:
-		s.finish(err)
-	case tail.Complete:
-		s.in.Discard(tail.Length)
-		s.tail = tail.Response
-		s.finish(nil)
-	default:
-		s.readMore()
-	}
-}
-
 // finish ends the stream and lets the connection's reader continue. Called with the mutex held.
 func (s *stream) finish(err error) {
 	if s.ended {
--- a/internal/node/upstream/unsized.go
+++ b/internal/node/upstream/unsized.go
@@ -91,9 +91,7 @@
 type stallReader struct{ conn *conn }
 
 func (r stallReader) Read(b []byte) (int, error) {
-	if timeout := r.conn.endpoint.group.StreamStallTimeout; timeout > 0 {
-		r.conn.setReadTimeout(timeout)
-	}
+	r.conn.setStreamReadTimeout()
 	return r.conn.net.Read(b)
 }
 
