Upstream: an informational response is not the beginning of an answer

Callers got -BUSY for large writes that the origin was still reading, where it wrote "100 Continue" first: at once where the value was forwarded as it arrived, and after half of their time, three times in a row, where it was buffered and the write is idempotent.

Cause: any byte counted as the beginning of the response. During a streamed upload that ends the attempt, since no server can have carried out what it has not received; otherwise it starts the limit on a pause within a response.

Now informational responses are parsed and dropped by themselves; neither applies until the response itself begins.

Class: a time limit started by an event that does not begin what it limits.

--- a/internal/node/origin/protocol.go
+++ b/internal/node/origin/protocol.go
@@ -72,13 +72,18 @@
 	buf := readerPool.Get().(*bufio.Reader)
 	buf.Reset(src)
 	defer readerPool.Put(buf)
-	resp, err := readHead(b, buf) //nolint:bodyclose // see readResponse
-	if resp == nil {
+	resp, headLength, err := readHead(b, buf) //nolint:bodyclose // see readResponse
+	switch {
+	case err != nil:
 		return 0, upstream.Response{}, err
+	case resp == nil && headLength == len(b) && len(b) > 0:
+		return headLength, upstream.Response{Informational: true}, nil
+	case resp == nil:
+		return 0, upstream.Response{}, nil
 	}
 	chunked := len(resp.TransferEncoding) > 0
 	if resp.ContentLength > exchange.MaxBufferedValue {
-		return parseLargeHead(b, resp)
+		return parseLargeHead(headLength, resp)
 	}
 	if resp.ContentLength < 0 && !chunked {
 		return 0, upstream.Response{}, upstream.ErrUnsized // the body ends with the connection
@@ -99,22 +104,23 @@
 	return len(b) - src.Len() - buf.Buffered(), response, nil
 }
 
-// readHead reads the head of the response at the beginning of b, and skips informational (1xx) responses before it. The reader r reads
-// from b. It returns nil without an error while the head is incomplete.
-func readHead(b []byte, r *bufio.Reader) (*http.Response, error) {
-	for rest := b; ; {
-		length := bytes.Index(rest, headEnd)
+// readHead reads the head of the response at the beginning of b, and the informational (1xx) responses before it. The reader r reads from
+// b. It returns nil without an error while the head is incomplete, and the length of what it has read.
+func readHead(b []byte, r *bufio.Reader) (resp *http.Response, length int, err error) {
+	for {
+		rest := b[length:]
+		headLength := bytes.Index(rest, headEnd)
 		switch {
-		case length < 0 && len(rest) > maxHead || length > maxHead:
-			return nil, errTooLong
-		case length < 0:
-			return nil, nil
+		case headLength < 0 && len(rest) > maxHead || headLength > maxHead:
+			return nil, length, errTooLong
+		case headLength < 0:
+			return nil, length, nil
 		}
+		length += headLength + len(headEnd)
 		resp, err := readResponse(r)
 		if err != nil || !isInformational(resp) {
-			return resp, err
+			return resp, length, err
 		}
-		rest = rest[length+len(headEnd):]
 	}
 }
 
@@ -130,28 +136,15 @@
 
 func isInformational(resp *http.Response) bool { return resp.StatusCode/100 == 1 }
 
-// parseLargeHead parses the head of a response whose value is streamed. Only a response with status 200 may have such a value.
-func parseLargeHead(b []byte, resp *http.Response) (int, upstream.Response, error) {
+// parseLargeHead parses the head, of the given length, of a response whose value is streamed. Only a response with status 200 may have such a value.
+func parseLargeHead(length int, resp *http.Response) (int, upstream.Response, error) {
 	if resp.ContentLength > exchange.MaxStreamedValue || resp.StatusCode != http.StatusOK {
 		return 0, upstream.Response{}, errTooLong
 	}
 	response := upstream.Response{
 		Result: fleet.Completed, Close: resp.Close, LargeValueSize: resp.ContentLength, Report: loadReport(resp),
 	}
-	return headLength(b), response, nil
-}
-
-// headLength returns the length of a complete head, including the informational responses before it.
-func headLength(b []byte) int {
-	const statusStart, minStatusLine = len("HTTP/1.1 "), len("HTTP/1.1 200 ")
-	end := 0
-	for {
-		start := end
-		end += bytes.Index(b[end:], headEnd) + len(headEnd)
-		if line := b[start:]; len(line) < minStatusLine || line[statusStart] != '1' {
-			return end
-		}
-	}
+	return length, response, nil
 }
 
 // responseFromHead converts the head of a response. The value is not set.
--- a/internal/node/silentservers_test.go
+++ b/internal/node/silentservers_test.go
@@ -133,3 +133,30 @@
 		}
 	}
 }
+
+// Guards against a large write that is turned away, or cut off while its server still reads it: an informational response once counted as the
+// beginning of the answer.
+func TestInformationalResponseDuringUpload(t *testing.T) {
+	const size = 600_000
+	servers := func(rw http.ResponseWriter, req *http.Request) {
+		conn, in, err := rw.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer closeQuietly(conn)
+		writeString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+		for range 8 { // 400 ms in all, of 590
+			time.Sleep(50 * time.Millisecond)
+			if _, err := io.CopyN(io.Discard, in, size/8); err != nil {
+				return
+			}
+		}
+		writeString(conn, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nreceipt")
+	}
+	for _, memoryMB := range []int{192, 1} {
+		tc := newTestCluster(t, 1, serveHit, servers, func(config *Config) { config.MemoryMB = memoryMB })
+		for _, class := range []string{"c=read,d=590", "c=put,d=590,k=1", "c=pay,d=590"} {
+			tc.expectPrefix(tc.request("KV.SET", "w", class[2:5], class, strings.Repeat("v", size)), "receipt")
+		}
+	}
+}
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -57,6 +57,10 @@
 	switch {
 	case a == nil || c.Closed:
 		return r.closeUnsolicited(at)
+	case response.Informational && a.progress > exchange.NotConnected:
+		e.mu.Unlock()
+		r.discard(n)
+		return true
 	case a.Request.Body != nil && a.progress == exchange.PartiallyWritten:
 		e.mu.Unlock()
 		e.fail(a, fleet.Declined, errEarlyResponse) // whatever the response says: a request is not executed before its last byte is sent
--- a/internal/node/upstream/upstream.go
+++ b/internal/node/upstream/upstream.go
@@ -21,7 +21,8 @@
 	// ValueTerminator returns the bytes that follow a large value in a request.
 	ValueTerminator() string
 	// ParseResponse parses the response at the beginning of b and returns its length, or 0 while it is incomplete. If the value is
-	// too large to be buffered, it parses only the bytes before the value, and sets LargeValueSize.
+	// too large to be buffered, it parses only the bytes before the value, and sets LargeValueSize. If all of b is informational responses,
+	// it returns their length and sets Informational.
 	ParseResponse(b []byte) (n int, response Response, err error)
 	// ParseTail parses the bytes after the large value of a response. The head is what ParseResponse returned for it.
 	ParseTail(b []byte, head Response) (Tail, error)
@@ -41,6 +42,7 @@
 	Value          []byte
 	Cache          fleet.CacheStatus
 	Report         fleet.LoadReport
+	Informational  bool            // the response itself is still to come, and has not begun; nothing else is set
 	Close          bool            // the server accepts no further request on this connection
 	LargeValueSize int64           // bytes of a large value that follows; 0: the value, if any, is in Value
 	TailElements   int             // protocol elements that follow the large value
