Soak: servers silent or slow within answers and uploads

Half of the runs now have values of 66 to 250 KB, read and written, and three to six periods in which the origin or a share of the cache servers writes answers up to a random place (the head, some or all of the value, some of what follows), writes them in pieces with pauses, or pauses within the commands it reads. Steps stalled_answers, slow_answers and slow_uploads of experiments do the same. A client takes the time of the first byte of a value over 64 KiB for its answer's; one that breaks off has failed, and the requests behind it have lost their connection.

A violation by a wrong value shows it.

--- a/internal/testbed/experiment/actions.go
+++ b/internal/testbed/experiment/actions.go
@@ -66,6 +66,15 @@
 	"lost_answers": {inverse: "mend", onServer: setFaults(func(share float64, _ *Step) fakes.Faults {
 		return fakes.Faults{Dropped: share}
 	})},
+	"stalled_answers": {inverse: "mend", onServer: setFaults(func(share float64, _ *Step) fakes.Faults {
+		return fakes.Faults{Stalled: share}
+	})},
+	"slow_answers": {inverse: "mend", onServer: setFaults(func(share float64, s *Step) fakes.Faults {
+		return fakes.Faults{Slow: share, PauseMs: s.Delay.Milliseconds()}
+	})},
+	"slow_uploads": {inverse: "mend", onServer: setFaults(func(share float64, s *Step) fakes.Faults {
+		return fakes.Faults{SlowReads: share, PauseMs: s.Delay.Milliseconds()}
+	})},
 	"mend": {onServer: setFaults(func(float64, *Step) fakes.Faults { return fakes.Faults{} })},
 
 	"kill_node":    {inverse: "start_node", onNode: func(n NodeControl, _ *Step) error { n.Kill(); return nil }},
--- a/internal/testbed/fakes/faults.go
+++ b/internal/testbed/fakes/faults.go
@@ -18,6 +18,11 @@
 	CrossingDuplicate float64
 	Dropped           float64 // no response, although the command was executed
 
+	Stalled   float64 // the response up to a random place in it, and nothing more
+	Slow      float64 // the response in pieces, with pauses of PauseMs
+	SlowReads float64 // a share of reads, not of executions: within a large command the server pauses for PauseMs first
+
+	PauseMs          float64 // of Slow and SlowReads
 	DuplicateDelayMs float64 // of LateDuplicate, and at most of CrossingDuplicate; 0: defaultDuplicateDelayMs
 }
 
@@ -36,6 +41,8 @@
 	DuplicateResponse
 	LateDuplicateResponse
 	CrossingDuplicateResponse
+	StalledResponse
+	SlowResponse
 )
 
 // DrawResponseFault draws the fault of the next response. Only faults with a share above 0 take a number from rng, so that a run
@@ -51,6 +58,8 @@
 		{f.Duplicate, DuplicateResponse},
 		{f.LateDuplicate, LateDuplicateResponse},
 		{f.CrossingDuplicate, CrossingDuplicateResponse},
+		{f.Stalled, StalledResponse},
+		{f.Slow, SlowResponse},
 	} {
 		if candidate.share > 0 && rng.Float64() < candidate.share {
 			return candidate.fault
--- a/internal/testbed/faultsearch/soak.go
+++ b/internal/testbed/faultsearch/soak.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,14 +12,15 @@
 	"mintspring/internal/testbed/experiment"
 )
 
-// PCG streams of soak runs, of their operators' actions, of their system call faults, of their clients that write bursts and of duplicate
-// responses. They keep the random numbers of each independent of others with the same seed.
+// PCG streams of soak runs, of their operators' actions, of their system call faults, of their clients that write bursts, of duplicate
+// responses and of stalls. They keep the random numbers of each independent of others with the same seed.
 const (
 	soakStream      = 37
 	operationStream = 38
 	syscallStream   = 39
 	burstStream     = 40
 	duplicateStream = 41
+	stallStream     = 42
 )
 
 // Sizes and times of a soak run. Several runs with real processes share a machine.
@@ -40,6 +42,11 @@
 	maxBurstClients     = 2                     // for each node
 	maxDuplicateDelayMs = 18                    // "some milliseconds" (the operators' page of the standing test), with some for the fakes' own timers
 	operationsOdds      = 3                     // one in this many runs has operations beyond stopping nodes
+
+	minLargeValueBytes, maxLargeValueBytes = 66_000, 250_000
+	largeValueLoadDivisor                  = 3
+	maxLargeValueClients                   = 5 // persistent clients for each node
+	maxStallPauseMs                        = 1500
 )
 
 // signalPauses are the possible intervals between two signals to a node.
@@ -51,6 +58,9 @@
 	soakSystemFaults = []string{"discovery_down", "discovery_silent", "discovery_late", "discovery_moves", "discovery_anew", "server_clocks"}
 )
 
+// soakStallFaults are the faults in which servers are silent or slow within answers and uploads.
+var soakStallFaults = []string{"stalled_answers", "stalled_answers", "slow_answers", "slow_uploads"}
+
 // GenerateSoak returns the soak run that a seed determines: a small fleet whose nodes are stopped, started, signalled repeatedly and paused
 // while servers and the discovery service have faults. Clients keep using their connections until these end. The run has to follow the
 // rules of package invariants and has no other expectations.
@@ -80,6 +90,8 @@
 	}
 	duplicates := sampler{rand.New(rand.NewPCG(seed, duplicateStream))}
 	duplicates.soakDuplicates(x)
+	stalls := sampler{rand.New(rand.NewPCG(seed, stallStream))}
+	stalls.soakStalls(x)
 	slices.SortStableFunc(x.Steps, func(a, b experiment.Step) int { return cmp.Compare(a.Time, b.Time) })
 	return normalize(x)
 }
@@ -111,6 +123,30 @@
 	}
 }
 
+// soakStalls draws, for half of the runs, large values, and periods in which servers are silent or slow within answers and uploads. Such runs
+// have less load and no bursts, since their values are a thousand times as large.
+func (s sampler) soakStalls(x *experiment.Experiment) {
+	if s.IntN(2) == 0 {
+		return
+	}
+	x.Load.ValueBytes = minLargeValueBytes + s.IntN(maxLargeValueBytes-minLargeValueBytes)
+	x.Load.Rate, x.Load.BurstClients, x.Load.PersistentClients = x.Load.Rate/largeValueLoadDivisor, 0, min(x.Load.PersistentClients, maxLargeValueClients)
+	for range 3 + s.IntN(4) {
+		step := experiment.Step{
+			Action: soakStallFaults[s.IntN(len(soakStallFaults))], Server: "origin", Value: roundToMilli(0.1 + 0.8*s.Float64()),
+			Time:     tomlfile.Duration(s.Int64N(int64(soakLastFault))).Round(time.Millisecond),
+			Duration: ms(500 + 2500*s.Float64()),
+		}
+		if step.Action != "stalled_answers" {
+			step.Delay = ms(maxStallPauseMs * math.Pow(s.Float64(), 3)) // most pauses are short, so that answers and uploads end in time
+		}
+		if s.IntN(2) == 0 {
+			step.Server, step.Share = "", roundToMilli(0.2+0.5*s.Float64())
+		}
+		x.Steps = append(x.Steps, step)
+	}
+}
+
 // soakFaultPlans are system call faults that can be injected into soak runs, in the format of syscalltrace.ParseFaultPlan. They are errors
 // that Linux documents for sockets, injected at random or for short periods.
 var soakFaultPlans = []string{
--- a/internal/testbed/invariants/invariants.go
+++ b/internal/testbed/invariants/invariants.go
@@ -55,15 +55,23 @@
 	Outcome              Outcome
 	DuplicateResponse    bool    // a second response arrived
 	WrongKey             bool    // the response had the value of another key
+	WrongValue           string  // the beginning of that value, for violation messages
 	ClientClosedAt       float64 // when its client closed the connection without a response; 0: it did not
 	ResentAfterConnEnd   bool    // the client resends the request on another connection if it crossed the end of this one
 	ConnEndedAt          float64 // when the node ended the connection without a response; 0: it did not
 	ConnEndReason        string  // how the connection ended, for violation messages
 	NewConnClosedCleanly bool    // the connection was new and closed without a reset, so a node that was not stopping had read the request
 	BecomesStricter      bool    // the class becomes non-idempotent while the node has stricter settings
+	BlockedFor           float64 // ms that it waited for the responses before it on its connection
 	ExtraSlack           float64 // in addition to Evidence.Slack, for stalls of the machine
 }
 
+// SetBlockedUntil records when the response before that of the attempt arrived on their connection, in Unix ms; 0: there is none.
+func (a *ClientAttempt) SetBlockedUntil(at float64) {
+	a.BlockedFor = max(0, at-a.Sent)
+	a.ExtraSlack = max(0, at-a.Deadline)
+}
+
 // Downtime is a time in which a node was down, paused or stopping.
 type Downtime struct {
 	Node            servermodel.NodeID
--- a/internal/testbed/invariants/invariants_test.go
+++ b/internal/testbed/invariants/invariants_test.go
@@ -123,6 +123,12 @@
 	return e
 }
 
+// blockedEvidence makes the attempt wait some ms for the response before it on its connection.
+func blockedEvidence(e Evidence, waitMs float64) Evidence {
+	e.Attempts[0].SetBlockedUntil(e.Attempts[0].Sent + waitMs)
+	return e
+}
+
 // frozenEvidence adds a pause of the node's process.
 func frozenEvidence(e Evidence) Evidence {
 	e.Downtimes = []Downtime{{Node: 0, From: 0, To: 50}}
@@ -241,6 +247,8 @@
 		"read and closed, new":    {connEndEvidence(1, func(a *ClientAttempt) { a.NewConnClosedCleanly = true }), "rule 1: request q was never answered"},
 		"deadline within limit":   {forwardedDeadlineEvidence(deadlineExcessLimit + 40), ""},
 		"deadline too late":       {forwardedDeadlineEvidence(deadlineExcessLimit + 60), "rule 1: request q was sent with 210 ms more"},
+		"waited behind others":    {blockedEvidence(forwardedDeadlineEvidence(deadlineExcessLimit+60), 20), ""},
+		"waited, and too late":    {blockedEvidence(forwardedDeadlineEvidence(deadlineExcessLimit+90), 20), "rule 1: request q was sent with 240 ms more"},
 		"late deadline, frozen":   {frozenEvidence(forwardedDeadlineEvidence(deadlineExcessLimit + 60)), ""},
 		"client has closed":       {clientClosedEvidence(clientCloseLimit + 40), ""},
 		"sent after its close":    {clientClosedEvidence(clientCloseLimit + 60), "rule 1: request q was sent to a server"},
--- a/internal/testbed/processrunner/client.go
+++ b/internal/testbed/processrunner/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"mintspring/internal/testbed/experiment"
 	"mintspring/internal/testbed/fakes"
 	"mintspring/internal/testbed/invariants"
 )
@@ -69,8 +70,12 @@
 	return fmt.Sprintf("c=%s,t=%s,d=%d", class, tenant, timeoutMs)
 }
 
+// largeValueBytes is the size in bytes above which the first byte of a value counts for its deadline, and not the last one (DAYS.md, "Less room").
+const largeValueBytes = 64 << 10
+
 // response is a node's response to a command.
 type response struct {
+	BegunMs      float64 // when the first byte of a large value arrived, in Unix ms, also if the value broke off; 0: it is not large
 	Outcome      invariants.Outcome
 	Value        string
 	RetryAfterMs float64 // set for a rejection
@@ -116,8 +121,11 @@
 	case '-':
 		return parseError(line[1:]), nil
 	case '$':
-		value, err := readBulk(r, line)
-		return response{Outcome: invariants.Completed, Value: value}, err
+		value, begunMs, err := readValue(r, line)
+		if err != nil {
+			return response{Outcome: invariants.Aborted, BegunMs: begunMs, Error: err.Error()}, err
+		}
+		return response{Outcome: invariants.Completed, BegunMs: begunMs, Value: value}, nil
 	case '*':
 		value, err := readFirstOfArray(r, line)
 		return response{Outcome: invariants.Completed, Value: value}, err
@@ -191,6 +199,29 @@
 	return string(b[:length]), nil
 }
 
+// readValue reads a bulk string whose header line has already been read. For a large one, it also returns when its first byte arrived.
+func readValue(r *bufio.Reader, line string) (value string, begunMs float64, err error) {
+	if length, err := strconv.Atoi(line[1:]); err == nil && length > largeValueBytes {
+		if _, err := r.Peek(1); err != nil {
+			return "", 0, err
+		}
+		begunMs = fakes.NowMs()
+	}
+	value, err = readBulk(r, line)
+	return value, begunMs, err
+}
+
+// maxShownValue is how many bytes of a wrong value a violation shows.
+const maxShownValue = 60
+
+// record records the response to an attempt of a request, which was read completely, or broke off, at a time in Unix ms.
+func (r *response) record(attempt *invariants.ClientAttempt, request *experiment.GeneratedRequest, endedMs float64) {
+	attempt.Outcome, attempt.AnsweredAt = r.Outcome, cmp.Or(r.BegunMs, endedMs)
+	if r.Outcome == invariants.Completed && !experiment.IsValueOf(r.Value, request.Key) {
+		attempt.WrongKey, attempt.WrongValue = true, request.Key+": "+r.Value[:min(len(r.Value), maxShownValue)]
+	}
+}
+
 // SingleRequest is one request sent to a node by hand.
 type SingleRequest struct {
 	Addr           string
--- a/internal/testbed/processrunner/loadgenerator.go
+++ b/internal/testbed/processrunner/loadgenerator.go
@@ -164,6 +164,11 @@
 		return result.response, true
 	}
 	attempt.Sent, attempt.Deadline = result.sentMs, result.sentMs+timeoutMs
+	if err != nil && result.BegunMs > 0 { // a value that breaks off has failed
+		c.close()
+		result.record(attempt, r, result.answeredMs)
+		return result.response, false
+	}
 	if err != nil {
 		c.close()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -180,9 +185,8 @@
 		l.clients.markFailed(node)
 		return result.response, false
 	}
-	attempt.Outcome, attempt.AnsweredAt = result.Outcome, result.answeredMs
+	result.record(attempt, r, result.answeredMs)
 	attempt.DuplicateResponse = c.reader.Buffered() > 0
-	attempt.WrongKey = result.Outcome == invariants.Completed && !experiment.IsValueOf(result.Value, r.Key)
 	l.clients.put(node, c, attempt.DuplicateResponse || l.experiment.Load.DropsConnections())
 	return result.response, false
 }
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -169,7 +169,7 @@
 func addPipelineSlack(unanswered []pendingRequest, blockedUntilMs float64) {
 	for i := range unanswered {
 		a := &unanswered[i].attempt
-		a.ExtraSlack = max(0, blockedUntilMs-a.Deadline)
+		a.SetBlockedUntil(blockedUntilMs)
 		blockedUntilMs = max(blockedUntilMs, a.Deadline)
 	}
 }
@@ -181,6 +181,11 @@
 	for i := range batch {
 		a := &batch[i].attempt
 		answer := <-responses
+		if answer.err != nil && answer.BegunMs > 0 {
+			a.SetBlockedUntil(blockedUntilMs)
+			p.valueBrokeOff(batch[i:], answer)
+			return
+		}
 		if answer.err != nil {
 			addPipelineSlack(batch[i:], blockedUntilMs)
 			p.connectionEnded(batch[i:], answer, leavesEarly)
@@ -188,8 +193,8 @@
 		}
 		p.conn.reused = true
 		recordResponse(&batch[i], answer.response, answer.atMs)
-		a.ExtraSlack = max(0, blockedUntilMs-a.Deadline)
-		blockedUntilMs = a.AnsweredAt
+		a.SetBlockedUntil(blockedUntilMs)
+		blockedUntilMs = answer.atMs
 	}
 	if len(batch) == cap(responses) { // otherwise the background reader still uses the buffer
 		batch[len(batch)-1].attempt.DuplicateResponse = p.conn.reader.Buffered() > 0
@@ -198,8 +203,16 @@
 
 // recordResponse records the response to a request.
 func recordResponse(r *pendingRequest, answer response, atMs float64) {
-	r.attempt.Outcome, r.attempt.AnsweredAt = answer.Outcome, atMs
-	r.attempt.WrongKey = answer.Outcome == invariants.Completed && !experiment.IsValueOf(answer.Value, r.generated.Key)
+	answer.record(&r.attempt, r.generated, atMs)
+}
+
+// valueBrokeOff records that the value of the first of the unanswered requests broke off, which ends the connection for all of them.
+func (p *persistentClient) valueBrokeOff(unanswered []pendingRequest, answer timedResponse) {
+	p.disconnect()
+	recordResponse(&unanswered[0], answer.response, answer.atMs)
+	for i := range unanswered[1:] {
+		unanswered[i+1].attempt.ClientClosedAt = answer.atMs
+	}
 }
 
 // connectionEnded records the end of the connection, or the client's early disconnect, for the unanswered requests.
