Decide: a server that has begun to write its answer has done its work

Cause: until its last byte an attempt counted as work of its server. The response time of the origin, from which its window follows, had all of the transfer in it, and an attempt that took longer than usual while its server answered others was taken for one on a lost connection, and cancelled.

Now a connection reports once that a response has begun which gives the client nothing yet. From then on the attempt takes up no capacity of the server, its response time ends there, and it is not replaced where only one attempt may be out.

Class: a time limit and a measure that take the transfer for the work.

TestSlowAnswersArePassedOn asks for its large value first: its cache server is found slow by the small ones after that, and the origin, whose writes are no longer taken for slow, gets the read. What is checked is the same.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -40,7 +40,6 @@
 func (l *originLimiter) recordOutcome(n *Node, req *fleet.Request, attempt *fleet.Attempt, o fleet.Outcome) {
 	timeLimit, late, growth := n.limits.minObjective/2, 1.0, 0.17
 	if req.Write {
-		l.writesInFlight--
 		timeLimit = n.limits.classes[req.Class].objective
 	}
 	if o.Result == fleet.Completed {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -239,6 +239,19 @@
 // attempt and no other answer.
 func (n *Node) ResponseStarted(now float64, req *fleet.Request) { n.now, req.Streaming = now, true }
 
+// ServerResponding reports that the server of the attempt with the given number has begun to write a response of which the client has
+// nothing yet. The server has done its work: the attempt no longer counts as in flight there, but ends as any other.
+func (n *Node) ServerResponding(now float64, req *fleet.Request, number int) {
+	n.now = now
+	attempt := &req.Attempts[number]
+	if number >= req.NumAttempts || attempt.Result != fleet.Pending || attempt.RespondingAt > 0 || req.Uploading {
+		return
+	}
+	s := n.servers[attempt.Server]
+	attempt.RespondingAt, s.silentSince = now, now
+	n.releaseCapacity(s, req)
+}
+
 // UploadDone reports that the value of req is complete and its deadline is set. An attempt in flight counts as sent only
 // now.
 func (n *Node) UploadDone(now float64, req *fleet.Request) {
--- a/decide/health.go
+++ b/decide/health.go
@@ -89,20 +89,35 @@
 	}
 }
 
+// releaseCapacity records that an attempt of req at s no longer takes up the server's capacity.
+func (n *Node) releaseCapacity(s *server, req *fleet.Request) {
+	s.inFlight--
+	switch {
+	case s != n.origin:
+		n.cacheInFlight--
+	case req.Write:
+		n.originLimit.writesInFlight--
+	}
+}
+
 // recordOutcome updates the latency and health of s and the share of late responses with the outcome of an attempt.
 func (n *Node) recordOutcome(s *server, req *fleet.Request, attempt *fleet.Attempt, o fleet.Outcome) {
-	s.inFlight--
+	respondedAt := n.now
+	if attempt.RespondingAt == 0 {
+		n.releaseCapacity(s, req)
+	} else if o.Result == fleet.Completed {
+		respondedAt, o.Took = attempt.RespondingAt, attempt.RespondingAt-attempt.SentAt // the rest was its transfer
+	}
 	n.recordReport(s, o.Report)
 	objective, responsive := n.limits.classes[req.Class].objective, s.silentSince > attempt.SentAt
 	if s == n.origin {
 		n.originLimit.recordOutcome(n, req, attempt, o)
 	} else {
-		n.cacheInFlight--
 		countsAsResponse := o.Result == fleet.Completed || o.Result == fleet.TimedOut || responsive && !o.Result.NotExecuted()
 		switch {
 		case o.Result == fleet.Declined:
 			n.lateShare += 0.05 * (0.2 - n.lateShare)
-		case countsAsResponse && n.now-req.ArrivedAt > 0.8*objective:
+		case countsAsResponse && respondedAt-req.ArrivedAt > 0.8*objective:
 			n.lateShare += 0.05 * (1 - n.lateShare)
 		case countsAsResponse:
 			n.lateShare -= 0.05 * n.lateShare
@@ -193,8 +208,9 @@
 func (n *Node) reviewAttempt(req *fleet.Request) fleet.Decision {
 	attempt, class := &req.Attempts[req.NumAttempts-1], &n.limits.classes[req.Class]
 	s, nextReview := n.servers[attempt.Server], n.now+class.objective/8
-	valueTaken := req.Uploading || req.ValueConsumed // no other attempt could have the value
-	if valueTaken || !class.mayHedgeOrCancel || req.InFlight != 1 || attempt.Result != fleet.Pending || attempt.Cancelled ||
+	valueTaken := req.Uploading || req.ValueConsumed                // no other attempt could have the value
+	mustNotReplace := attempt.RespondingAt > 0 && !n.limits.hedging // the response is on its way; its connection notices a pause
+	if valueTaken || mustNotReplace || !class.mayHedgeOrCancel || req.InFlight != 1 || attempt.Result != fleet.Pending || attempt.Cancelled ||
 		req.NumAttempts >= class.maxAttempts || nextReview >= req.Deadline-n.limits.deadlineMargin {
 		return fleet.Decision{Action: fleet.Hold}
 	}
--- a/internal/node/inflight/inflight.go
+++ b/internal/node/inflight/inflight.go
@@ -109,6 +109,13 @@
 	t.release(now, entry)
 }
 
+// ServerResponding records that the server of the attempt with the given number has begun to write a response of which the client has nothing yet.
+func (t *Table[A]) ServerResponding(now float64, x *exchange.Exchange, number int) {
+	if entry := t.byExchange[x]; entry != nil {
+		t.Policy.ServerResponding(now, entry.Request, number)
+	}
+}
+
 // AttemptDone records the end of the attempt with the given number and executes the next decision for the request.
 func (t *Table[A]) AttemptDone(now float64, x *exchange.Exchange, number int, completion Completion) {
 	entry := t.byExchange[x]
--- a/internal/node/inflight/policy.go
+++ b/internal/node/inflight/policy.go
@@ -18,6 +18,8 @@
 	UpdateEndpoints(now float64, mode fleet.ListMode, entries []fleet.Endpoint)
 	// ClientGone reports that the client of a request has disconnected.
 	ClientGone(now float64, request *fleet.Request)
+	// ServerResponding reports that the server of the attempt with the given number has begun to write a response of which the client has nothing yet.
+	ServerResponding(now float64, request *fleet.Request, number int)
 	// UploadDone reports that the streamed value of a request is complete and the request's deadline is set.
 	UploadDone(now float64, request *fleet.Request)
 }
--- a/internal/node/largevalues_test.go
+++ b/internal/node/largevalues_test.go
@@ -329,6 +329,9 @@
 		}
 		writeSlowly(rw, rw.(http.Flusher).Flush, []byte("receipt"), 3, 100*time.Millisecond)
 	})
+	if got := tc.request("KV.GET", "large", "l", "c=read,d=590"); got != string(large) {
+		t.Errorf("%d bytes of a large answer", len(got))
+	}
 	for i := range 4 {
 		if got := tc.request("KV.GET", fmt.Sprint("small", i), fmt.Sprint("s", i), "c=read,d=590"); got != string(small) {
 			t.Errorf("%d bytes of a small answer: %.40q", len(got), got)
@@ -337,7 +340,4 @@
 			t.Errorf("receipt %.60q", got)
 		}
 	}
-	if got := tc.request("KV.GET", "large", "l", "c=read,d=590"); got != string(large) {
-		t.Errorf("%d bytes of a large answer", len(got))
-	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,6 +138,7 @@
 		Clock:              n.clock,
 		Sockets:            n.descriptors,
 		OnDone:             n.attemptDone,
+		OnResponding:       n.serverResponding,
 		OnStreamEnd:        n.logStream,
 		OnPanic:            n.logPanic,
 		ConnectTimeout:     ConnectTimeout(&config.Deployment),
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -21,6 +21,9 @@
 	n.inbox.post(attemptDone{attempt, completion})
 }
 
+// serverResponding is called by the connections to the servers when a response has begun that is not complete.
+func (n *Node) serverResponding(attempt *upstream.Attempt) { n.inbox.post(serverResponding{attempt}) }
+
 // requestArrived is the event that a client has sent a request.
 type requestArrived struct{ request *exchange.Exchange }
 
@@ -80,6 +83,15 @@
 	}
 }
 
+// serverResponding is the event that the server of an attempt has begun to write its response.
+type serverResponding struct{ attempt *upstream.Attempt }
+
+func (e serverResponding) exchange() *exchange.Exchange { return e.attempt.Request }
+
+func (e serverResponding) handle(n *Node, now float64) {
+	n.inflight.ServerResponding(now, e.attempt.Request, e.attempt.Number)
+}
+
 // attemptDone is the event that an attempt has ended.
 type attemptDone struct {
 	attempt    *upstream.Attempt
--- a/internal/node/upstream/group.go
+++ b/internal/node/upstream/group.go
@@ -19,6 +19,7 @@
 	Memory  *memlimit.Budget // for buffered values of unknown length
 
 	OnDone       func(*Attempt, Completion) // called once per attempt, from any goroutine; must not block
+	OnResponding func(*Attempt)             // called when a response has begun that is not complete and gives its client nothing yet; must not block; may be nil
 	OnStreamEnd  func(StreamTrace)          // called at the end of each streamed value, from any goroutine; may be nil
 	OnPanic      func(any)                  // called after a panic in a connection's goroutine; only that connection is closed
 	OnDuplicates func(*Endpoint)            // called when a server becomes suspected of duplicate responses; may be nil
--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -79,17 +79,35 @@
 			return false
 		}
 		at, n = e.group.Clock.Now(), 0
-	case n == 0 || response.LargeValueSize > 0 && n == r.in.Len(): // the head of a large value alone gives the client nothing
-		limit := a.stallLimit(at, e.group.StallTimeout)
-		e.mu.Unlock()
-		if limit > 0 {
-			r.setDeadline(limit)
-		}
+	case n == 0:
+		r.awaitRest(a, a.stallLimit(at, e.group.StallTimeout))
+		return true
+	case response.LargeValueSize > 0 && n == r.in.Len(): // the client has nothing of it yet, so that the time of the attempt runs on
+		r.awaitRest(a, a.valueStallLimit(at, e.group.StallTimeout))
 		return true
 	}
 	return r.acceptResponse(a, n, response, at)
 }
 
+// awaitRest prepares to read more of a response that has begun, for which the server may pause for limit ms; 0: until the attempt ends. It is called
+// with the endpoint's mutex held, and unlocks it.
+func (r *reader) awaitRest(a *Attempt, limit float64) {
+	r.conn.endpoint.reportResponding(a)
+	if limit > 0 {
+		r.setDeadline(limit)
+	}
+}
+
+// reportResponding reports, once, that the response to an attempt has begun. It is called with the mutex held, and unlocks it.
+func (e *Endpoint) reportResponding(a *Attempt) {
+	first := !a.responding && !a.ended
+	a.responding = true
+	e.mu.Unlock()
+	if first && e.group.OnResponding != nil {
+		e.group.OnResponding(a)
+	}
+}
+
 // acceptResponse completes an attempt with a response of n bytes, unless that is, or may be, a duplicate of an earlier one on the connection.
 // It reports whether to read on. It is called with the endpoint's mutex held, and unlocks it.
 func (r *reader) acceptResponse(a *Attempt, n int, response Response, at float64) bool {
@@ -163,8 +181,8 @@
 func (r *reader) readUnsizedResponse(a *Attempt) (Response, bool) {
 	c, e := r.conn, r.conn.endpoint
 	c.readingUnsized = true
-	e.mu.Unlock()
-	response, err := c.readUnsized(&r.in)
+	e.reportResponding(a)
+	response, err := c.readUnsized(a, &r.in)
 	if err != nil {
 		c.fail(err)
 		return Response{}, false
--- a/internal/testbed/baseline/base.go
+++ b/internal/testbed/baseline/base.go
@@ -77,6 +77,9 @@
 	return fleet.NoRequest, max(0, b.listRequestAt-now)
 }
 
+// ServerResponding does nothing: the baselines do not count what is in flight at a server.
+func (b *Base) ServerResponding(float64, *fleet.Request, int) {}
+
 // UploadDone records that the value of a request has arrived completely.
 func (b *Base) UploadDone(_ float64, q *fleet.Request) { q.Uploading = false }
 
