--- a/internal/testbed/faultsearch/soak.go
+++ b/internal/testbed/faultsearch/soak.go
@@ -43,9 +43,9 @@
 	maxDuplicateDelayMs = 18                    // "some milliseconds" (the operators' page of the standing test), with some for the fakes' own timers
 	operationsOdds      = 3                     // one in this many runs has operations beyond stopping nodes
 
-	minLargeValueBytes, maxLargeValueBytes = 66_000, 250_000
+	minLargeValueBytes, maxLargeValueBytes = 66_000, 160_000
 	largeValueLoadDivisor                  = 3
-	maxLargeValueClients                   = 5 // persistent clients for each node
+	maxLargeValueClients                   = 3 // persistent clients for each node
 	maxStallPauseMs                        = 1500
 )
 
--- a/internal/testbed/processrunner/persistentclient.go
+++ b/internal/testbed/processrunner/persistentclient.go
@@ -96,7 +96,11 @@
 		p.disconnect()
 		return
 	}
-	responses := p.conn.readResponses(len(batch))
+	patience := msDuration(readTimeoutMs)
+	if leavesEarly {
+		patience = 0
+	}
+	responses := p.conn.readResponses(len(batch), patience)
 	sent := p.writeBatch(batch)
 	p.receive(sent, responses, leavesEarly)
 	if len(sent) < len(batch) {
@@ -149,8 +153,9 @@
 	err  error
 }
 
-// readResponses reads up to count responses in the background, and stops at the first error.
-func (c *client) readResponses(count int) <-chan timedResponse {
+// readResponses reads up to count responses in the background, and stops at the first error. Each response extends the deadline of the next one by
+// the patience; with 0 the deadline stays.
+func (c *client) readResponses(count int, patience time.Duration) <-chan timedResponse {
 	responses := make(chan timedResponse, count)
 	go func() { // ends at the deadline or the end of the connection
 		for range count {
@@ -159,6 +164,9 @@
 			if err != nil {
 				return
 			}
+			if patience > 0 {
+				_ = c.netConn.SetReadDeadline(time.Now().Add(patience)) // fails only on a closed connection, and then reading fails too
+			}
 		}
 	}()
 	return responses
