Decide: a read whose server stopped within its response goes to another one

Callers got -BUSY where the cache server of a key stopped in the middle of its answers: each further attempt went to the same server, since a reset connection says little about a server, and a stop is reported as one.

A server that had begun to respond is now excluded from the request like one that timed out. Before a response has begun nothing changes.

Test: TestServerThatStopsWithinItsResponseIsAvoided (the second attempt went to the first server before). Three comments in this package told how a rule came about; they give its reason now.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -105,8 +105,8 @@
 	// A response after the latency objective keeps only lateFactor of its value.
 	timeLeft = max(timeLeft*class.lateFactor, min(timeLeft, req.ArrivedAt+class.objective-n.now))
 	wait := float64(len(l.waiting)+1) * latency / l.window
-	// The expected response time is a mean. When requests were queued behind others for up to all of timeLeft, half of
-	// the responses to queued requests were late and delayed other requests.
+	// The expected response time is a mean: half of the responses to requests that are queued behind others for all of timeLeft would be late, and
+	// delay other requests.
 	behindOthers := len(l.waiting) > 1 || len(l.waiting) > 0 && req.Stage != stageQueued
 	if wait+latency > timeLeft || behindOthers && wait+latency > maxQueuedTimeShare*timeLeft {
 		return n.reject(wait)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -347,7 +347,7 @@
 	case fleet.Send:
 		s := n.servers[d.Server]
 		d.SendBy = n.repeatableUntil(req, s)
-		// WakeAt is reset: the timer of an earlier hold once led to the cancellation of an attempt that was still needed.
+		// WakeAt is reset, since the timer of an earlier hold would have this attempt reviewed, and perhaps cancelled, too early.
 		d.Attempt, req.WakeAt = req.NumAttempts, 0
 		req.Attempts[req.NumAttempts] = fleet.Attempt{Server: s.id, SentAt: n.now, RequestsAhead: s.requestsAhead()}
 		req.NumAttempts++
--- a/decide/health.go
+++ b/decide/health.go
@@ -186,8 +186,9 @@
 // for a key of the outlier's arc.
 func (n *Node) accepts(ring *hashRing, s *server, req *fleet.Request, owner bool) bool {
 	for _, earlier := range req.Attempts[:req.NumAttempts] {
-		// A healthy server has a copy of the key: it may be sent req again after a connection was reset or went silent.
-		lost := earlier.Result == fleet.Reset || earlier.Result == fleet.Cancelled && s.silentSince > earlier.SentAt
+		// A healthy server has a copy of the key: it may be sent req again after a connection was reset or went silent, but not after it
+		// stopped within its response.
+		lost := earlier.Result == fleet.Reset && earlier.RespondingAt == 0 || earlier.Result == fleet.Cancelled && s.silentSince > earlier.SentAt
 		if earlier.Server == s.id && earlier.Result != fleet.Missed && earlier.Result != fleet.NotSent && !lost {
 			return false
 		}
@@ -240,7 +241,7 @@
 // servers refuse connects (limits.serversRefuseWhenFull), a failed connect means that the nodes together hold too many
 // connections. The node then halves the number of servers that it stays connected to, first closes the connections that
 // it has used least recently, and slowly raises the number again. If full servers do not refuse connects, it closes
-// nothing: the loss of one server once made nodes close nearly all connections.
+// nothing, since one lost server would make it close nearly all connections.
 func (n *Node) pickIdleServer(s *server, result fleet.Result) *server {
 	refused := result == fleet.ConnectFailed && n.limits.serversRefuseWhenFull
 	if refused {
--- a/decide/responding_test.go
+++ b/decide/responding_test.go
@@ -48,3 +48,24 @@
 	}
 	h.expectNoViolation(t)
 }
+
+// A request whose server has stopped within its response goes to another server; after a connection was reset before the response, it goes to the same
+// one, which has the key.
+func TestServerThatStopsWithinItsResponseIsAvoided(t *testing.T) {
+	for _, responding := range []bool{false, true} {
+		limits := testLimits()
+		limits.Hedging = false
+		h := newHarness(limits)
+		h.listServers(4)
+		trace := h.read(5)
+		if responding {
+			h.node.ServerResponding(h.now, trace.req, 0)
+		}
+		h.advance(10)
+		h.endAttempt(trace, 0, fleet.Reset, fleet.CacheUnknown)
+		if len(trace.attempts) != 2 || (trace.attempts[1].server != trace.attempts[0].server) != responding {
+			t.Errorf("responding %v: attempts %+v", responding, trace.attempts)
+		}
+		h.expectNoViolation(t)
+	}
+}
