Upstream: a connection is not reused while a large value is written to it

Callers got no answer from a server in time, though it was well, where it had answered a large write before it had read all of it, and read no more: the connection counted as free, and the next request waited behind the rest of the value until its own time was over.

A response that comes while its request's large value is still being written is now the last on its connection. Small requests are not concerned: the writer may only be late to say that it has finished.

Test: TestEarlyResponseToLargeValueEndsConnection (timed out before).

--- a/internal/node/upstream/reader.go
+++ b/internal/node/upstream/reader.go
@@ -228,8 +228,9 @@
 	r.in.ReleaseIfEmpty()
 	c.current = nil
 	endedNow, trace := e.markEnded(a), a.trace(at)
+	stillWriting := c.writing && isBufferedLargeValue(a.Request) // the server may not read the rest, which the next request would wait behind
 	e.pool.Responded(at, c, connpool.Response{
-		Rejected: response.Result == fleet.Declined, Last: response.Close || excess, CloseReason: r.closeReason, Digest: r.digest, Recognition: r.recognition,
+		Rejected: response.Result == fleet.Declined, Last: response.Close || excess || stillWriting, CloseReason: r.closeReason, Digest: r.digest, Recognition: r.recognition,
 	})
 	e.mu.Unlock()
 	if endedNow {
--- a/internal/node/upstream/stream_test.go
+++ b/internal/node/upstream/stream_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"strings"
 	"testing"
@@ -263,3 +264,23 @@
 		t.Error("the response is still being read")
 	}
 }
+
+// A connection on which a server has responded before it has read all of a large value is not used again: the next request once waited behind the
+// rest of the value until its time was over.
+func TestEarlyResponseToLargeValueEndsConnection(t *testing.T) {
+	h := newHarness(t, func(c net.Conn) {
+		if request := read(c); !strings.HasPrefix(request, "large") {
+			write(c, request)
+			return
+		}
+		write(c, "early\n") // and reads nothing more
+	})
+	h.endpoint.Send(&exchange.Exchange{Key: []byte("large"), Value: testValue(64 << 20)}, 0, 1000, math.Inf(1))
+	h.expectResult("large", fleet.Completed)
+	time.Sleep(20 * time.Millisecond)
+	h.send("next", 300)
+	h.expectResult("next", fleet.Completed)
+	if n := len(h.accepted); n != 2 {
+		t.Errorf("%d connections were opened", n)
+	}
+}
