Decide: a response that is written slowly gives way to a faster server

An attempt whose response has begun and takes much longer than usual is now replaced if another server is expected to be faster, and only then; the request does not go to the same server again.

The origin of TestSlowAnswersBesideOthersAreWaitedFor now has the whole value of a slow cache server's key, so that a read that goes there is served.

--- a/decide/health.go
+++ b/decide/health.go
@@ -187,8 +187,9 @@
 func (n *Node) accepts(ring *hashRing, s *server, req *fleet.Request, owner bool) bool {
 	for _, earlier := range req.Attempts[:req.NumAttempts] {
 		// A healthy server has a copy of the key: it may be sent req again after a connection was reset or went silent, but not after it
-		// stopped within its response.
-		lost := earlier.Result == fleet.Reset && earlier.RespondingAt == 0 || earlier.Result == fleet.Cancelled && s.silentSince > earlier.SentAt
+		// stopped within its response or wrote that slowly.
+		lost := earlier.RespondingAt == 0 &&
+			(earlier.Result == fleet.Reset || earlier.Result == fleet.Cancelled && s.silentSince > earlier.SentAt)
 		if earlier.Server == s.id && earlier.Result != fleet.Missed && earlier.Result != fleet.NotSent && !lost {
 			return false
 		}
@@ -205,21 +206,22 @@
 
 // reviewAttempt decides whether to hedge or replace an attempt that takes long. An attempt at a silent server is
 // hedged or replaced. A server that responds to other requests works, and req is heavy or queued there; only an attempt
-// that takes much longer than expected is assumed to have lost its connection.
+// that takes much longer than expected is assumed to have lost its connection. If its response has begun, it is slow
+// instead, and is replaced only by one at a faster server.
 func (n *Node) reviewAttempt(req *fleet.Request) fleet.Decision {
 	attempt, class := &req.Attempts[req.NumAttempts-1], &n.limits.classes[req.Class]
 	s, nextReview := n.servers[attempt.Server], n.now+class.objective/8
-	valueTaken := req.Uploading || req.ValueConsumed                // no other attempt could have the value
-	mustNotReplace := attempt.RespondingAt > 0 && !n.limits.hedging // the response is on its way; its connection notices a pause
-	if valueTaken || mustNotReplace || !class.mayHedgeOrCancel || req.InFlight != 1 || attempt.Result != fleet.Pending || attempt.Cancelled ||
+	valueTaken := req.Uploading || req.ValueConsumed // no other attempt could have the value
+	if valueTaken || !class.mayHedgeOrCancel || req.InFlight != 1 || attempt.Result != fleet.Pending || attempt.Cancelled ||
 		req.NumAttempts >= class.maxAttempts || nextReview >= req.Deadline-n.limits.deadlineMargin {
 		return fleet.Decision{Action: fleet.Hold}
 	}
 	age := n.now - attempt.SentAt
-	connectionLost := s.silentSince > attempt.SentAt && n.lateShare <= overloadLateShare &&
+	tooLong := s.silentSince > attempt.SentAt && n.lateShare <= overloadLateShare &&
 		age > max(class.objective/2, 6*s.expectedLatency(n))
+	connectionLost := tooLong && attempt.RespondingAt == 0
 	silent := s != n.origin && n.now-max(s.silentSince, attempt.SentAt) >= n.silenceLimit(req, s)
-	if n.hedgeBudget < 1 || !connectionLost && !silent {
+	if n.hedgeBudget < 1 || !tooLong && !silent {
 		return n.hold(req, nextReview)
 	}
 	target := n.origin // another cache seldom has the key; the origin always does, and writes go there
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -37,7 +37,7 @@
 	SentAt        float64
 	Result        Result
 	Cancelled     bool    // cancelled by this node; the result may still be pending
-	RespondingAt  float64 // when the server had begun to write a response that the client has nothing of; 0: it has not, or there is more
+	RespondingAt  float64 // when a response had begun of which the client has nothing yet; 0: none has, or it came at once
 	RequestsAhead float64 // requests at the server when the attempt was sent
 }
 
--- a/internal/node/slowservers_test.go
+++ b/internal/node/slowservers_test.go
@@ -79,9 +79,13 @@
 				writeInPieces(conn.NetConn(), append(answer, "\r\n$3\r\nhit\r\n$-1\r\n"...))
 			}
 		}, func(rw http.ResponseWriter, req *http.Request) {
-			if !strings.HasPrefix(req.URL.Path, "/slow") || !c.atOrigin {
+			switch {
+			case !strings.HasPrefix(req.URL.Path, "/slow"):
 				writeString(rw, "hit")
 				return
+			case !c.atOrigin: // in place of a slow cache server
+				writeBytes(rw, value)
+				return
 			}
 			if c.announce {
 				rw.Header().Set("Content-Length", fmt.Sprint(c.size))
