Clients: a large write behind another one is not held back

The rest of a large command is always unread when its head is processed, so that each one waited, and its time began with the reply.

Bytes that belong to the command itself do not count now: it is read, which shows whether its client has left; if so, it is not handed on.

Test: TestLargeWriteBehindAnotherIsNotHeldBack (waited before); TestCommandsOfUnconfirmedClientWait holds.

--- a/internal/node/clients/presence.go
+++ b/internal/node/clients/presence.go
@@ -8,14 +8,18 @@
 
 // clientMayHaveLeft reports whether the client may have closed the connection some time ago, unseen because more of its bytes have arrived than were
 // read. The next commands then wait until one of its replies is written, to which the machine of a client that has left answers with a
-// reset.
-func (r *commandReader) clientMayHaveLeft() bool {
+// reset. Bytes of the command that is processed next, of which rest are still to be read, do not count: a client that sends them is there, and if
+// it leaves then, that shows once they are read.
+func (r *commandReader) clientMayHaveLeft(rest int) bool {
 	c := r.conn
 	now := c.server.Clock.Now()
 	if c.rejecting || !c.isUnconfirmed(now) {
 		return false
 	}
 	unread, closed := sockstate.Peek(c.net)
+	if count, ok := sockstate.Unread(c.net); unread && ok && count <= rest {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !unread && !closed {
--- a/internal/node/clients/presence_test.go
+++ b/internal/node/clients/presence_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mintspring/internal/node/exchange"
+	"mintspring/internal/node/memlimit"
 )
 
 // The commands of a client that has closed its connection, behind more bytes than fit into the sockets, are not handed on: nothing shows the close
@@ -43,6 +44,25 @@
 	h.nextRequest() // a client that is still connected gets its replies
 }
 
+// A large write behind another one that takes long is handed on as soon as it has arrived: it once waited for the reply to that one, and its time
+// ran from then, so that its answer came after its time.
+func TestLargeWriteBehindAnotherIsNotHeldBack(t *testing.T) {
+	h := newHarness(t, func(s *Server) { s.Memory = memlimit.New(8 << 20) })
+	c := h.dial()
+	write := func(id string) { c.send(command("KV.SET", "k", id, "c=pay,d=400", strings.Repeat("v", 1<<20))) }
+	go write("slow")
+	slow := h.nextRequest()
+	time.Sleep(2 * maxUnconfirmed * time.Millisecond)
+	go write("large")
+	select {
+	case large := <-h.requests:
+		large.Respond(exchange.Response{Value: []byte("v")})
+	case <-time.After(200 * time.Millisecond):
+		t.Error("the large write waits for the reply to the request before it")
+	}
+	slow.Respond(exchange.Response{Value: []byte("v")})
+}
+
 // CloseWrite closes the sending side of the connection.
 func (c *client) CloseWrite() error {
 	return c.Conn.(interface{ CloseWrite() error }).CloseWrite()
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -216,11 +216,11 @@
 
 func (r *commandReader) processCommand(arrivedAt float64) processResult {
 	c := r.conn
-	if c.atLimit() || r.clientMayHaveLeft() {
-		return processPaused
-	}
 	b := r.in.Peek()
 	size := oversizedLength(b)
+	if c.atLimit() || r.clientMayHaveLeft(size-len(b)) {
+		return processPaused
+	}
 	switch {
 	case size < 0 || b[0] != '*':
 		c.replyError(malformedMessage, true)
--- a/internal/node/clients/upload.go
+++ b/internal/node/clients/upload.go
@@ -9,6 +9,7 @@
 
 	"mintspring/internal/clock"
 	"mintspring/internal/node/exchange"
+	"mintspring/internal/node/sockstate"
 )
 
 const (
@@ -24,6 +25,9 @@
 // be skipped, and whether the connection is open.
 func (r *commandReader) readLargeWrite(size int) (skip int, open bool) {
 	c := r.conn
+	if c.closeIfClientLeft() {
+		return 0, false
+	}
 	c.markMidCommand()
 	reserved := reserve(c.server.Memory, int64(size+uploadOverhead))
 	if reserved == nil {
@@ -37,6 +41,9 @@
 		c.uploadFailed(err)
 		return 0, false
 	}
+	if c.closeIfClientLeft() {
+		return 0, false
+	}
 	complete, args, _, _, err := redcon.ReadNextCommand(b, nil)
 	if err != nil || !complete {
 		c.replyError(malformedMessage, true)
@@ -46,6 +53,15 @@
 	return 0, true
 }
 
+// closeIfClientLeft closes the connection if the client has ended its side, and reports whether it did: nothing may be sent for it any more.
+func (c *conn) closeIfClientLeft() bool {
+	ended := sockstate.EndedByPeer(c.net)
+	if ended {
+		c.close()
+	}
+	return ended
+}
+
 // markMidCommand marks the connection as not between requests while a large command is read.
 func (c *conn) markMidCommand() {
 	c.mu.Lock()
