Start: take connections only once their requests can be read

What callers saw: after a start with thousands of servers, requests of the first moments had no answer within half a second of their time.

Cause: the process listened first and then prepared the node, which takes 0.15 s of a core with 3,200 servers. The system accepted connections meanwhile, and their requests waited unread. Their time began when they were read.

Change: the node's own listener is opened when the node is ready to read from it. Until then connections are refused, as while the process was down.

--- a/cmd/mintspring-bench/node.go
+++ b/cmd/mintspring-bench/node.go
@@ -26,10 +26,6 @@
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(p.Limits.Cores)))
-	listener, err := net.Listen("tcp", p.Listen)
-	if err != nil {
-		return fmt.Errorf("listening for clients: %w", err)
-	}
 	config := p.NodeConfig()
 	config.NewPolicy = func(now float64, limits fleet.Limits, _ *fleet.Slab) node.Policy {
 		policy, err := baseline.New(c.Policy, now, limits)
@@ -38,5 +34,10 @@
 		}
 		return policy
 	}
-	return node.New(config, logrus.New()).Serve(listener)
+	n := node.New(config, logrus.New())
+	listener, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return fmt.Errorf("listening for clients: %w", err)
+	}
+	return n.Serve(listener)
 }
--- /dev/null
+++ b/cmd/mintspring/largelist_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"mintspring/internal/testbed/coreshare"
+	"mintspring/internal/testbed/logrecorder"
+	"mintspring/internal/testbed/loopbacktest"
+	"mintspring/internal/testbed/reservedport"
+)
+
+// largestFleet is the greatest number of cache servers of a fleet (STANDING.md, "What production adds").
+const largestFleet = 3200
+
+// largeFleet is a node that knows thousands of cache servers, with the discovery service that lists them.
+type largeFleet struct {
+	t         *testing.T
+	addr      string // of the node
+	discovery string
+	members   string // the entries of the list, separated by commas
+	timeoutMs int
+}
+
+// newLargeFleet lists count servers. Their machines accept connections, and nothing answers.
+func newLargeFleet(t *testing.T, count, timeoutMs int) *largeFleet {
+	t.Helper()
+	f := &largeFleet{t: t, timeoutMs: timeoutMs}
+	port, err := reservedport.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { closeAll(port) })
+	f.addr = port.Addr()
+	f.members = f.listMembers(count)
+	list := `{"revision":41,"complete":true,"members":[` + f.members + `]}` + "\n"
+	service := loopbacktest.StartServer(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = fmt.Fprint(w, list) // the node may have closed the connection
+		w.(http.Flusher).Flush()
+		if req.URL.Query().Has("watch") {
+			<-req.Context().Done()
+		}
+	}))
+	t.Cleanup(service.CloseClientConnections)
+	f.discovery = service.Listener.Addr().String()
+	return f
+}
+
+// listMembers returns the entries of count servers with addresses of their own.
+func (f *largeFleet) listMembers(count int) string {
+	f.t.Helper()
+	entries := make([]string, 0, count)
+	for i := range count {
+		ln := loopbacktest.Listen(f.t)
+		f.t.Cleanup(func() { closeAll(ln) })
+		entries = append(entries, fmt.Sprintf(
+			`{"id":"s-%08x","host_port":%q,"locality":"a","flavor":"box","cell":3,"phase":"in_service","size":1.0,"up_since_ms":0}`, uint32(i)*2654435761, ln.Addr()))
+	}
+	return strings.Join(entries, ",")
+}
+
+// start starts a process of the node, which gets a share of a core.
+func (f *largeFleet) start(share float64) {
+	f.t.Helper()
+	text := strings.NewReplacer(
+		"127.0.0.1:1\"", f.addr+`"`,
+		"127.0.0.1:2", f.discovery,
+		`{"id":"s"}`, f.members,
+		`"SloTime":1000,"StatementTimeout":2000}]`, fmt.Sprintf(`"Effect":"pure","SloTime":%d000,"StatementTimeout":%d000,"Importance":1}],
+		"PolicyLimits":{"MaxExecutions":4,"ConnectTimeout":250000},"Quantum":5000,"Guarantees":{"StopSendingWithin":500000}`, f.timeoutMs/3, f.timeoutMs),
+	).Replace(validConfig)
+	file := filepath.Join(f.t.TempDir(), "config.json")
+	writeFile(f.t, file, text)
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), nodeEnv+"=1", "LB_CONFIG="+file, "TMPDIR="+f.t.TempDir(), operatorEnv+"=", faultsEnv+"=")
+	log := &logrecorder.Recorder{}
+	c.Stderr = log
+	if err := c.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	limiter := coreshare.Limit(c.Process.Pid, share)
+	p := &nodeProcess{c, file, "", make(chan error, 1), log, f.t}
+	go func() {
+		p.exited <- c.Wait()
+		close(p.exited)
+	}()
+	f.t.Cleanup(p.kill)
+	f.t.Cleanup(limiter.Stop)
+}
+
+// connect connects to the node as soon as its machine accepts a connection.
+func (f *largeFleet) connect(deadline time.Time) (net.Conn, error) {
+	for {
+		conn, err := net.Dial("tcp", f.addr)
+		if err == nil || time.Now().After(deadline) {
+			return conn, err
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// expectAnswerInTime sends a read as soon as the node's machine accepts a connection, and returns an error if the read has no answer in its time.
+func (f *largeFleet) expectAnswerInTime(client int) error {
+	conn, err := f.connect(time.Now().Add(6 * testTimeout))
+	if err != nil {
+		return err
+	}
+	defer closeAll(conn)
+	request := redcon.AppendArray(nil, 4)
+	for _, arg := range []string{"KV.GET", fmt.Sprint("k", client), fmt.Sprint("r", client), fmt.Sprintf("c=read,d=%d", f.timeoutMs)} {
+		request = redcon.AppendBulkString(request, arg)
+	}
+	if _, err := conn.Write(request); err != nil {
+		return err
+	}
+	sentAt := time.Now()
+	limit := time.Duration(f.timeoutMs)*time.Millisecond + maxLate
+	if err := conn.SetReadDeadline(sentAt.Add(limit)); err != nil {
+		return err
+	}
+	answer := make([]byte, 256)
+	switch _, err := conn.Read(answer); {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fmt.Errorf("the request of client %d has no answer %v after its time", client, maxLate)
+	case err != nil:
+		return fmt.Errorf("the request of client %d was taken, and its connection ended after %v: %w", client, time.Since(sentAt), err)
+	}
+	return nil
+}
+
+// Guards against requests lost at a start with thousands of servers (incident 40): the machine of the node took connections before the process could
+// read them, and the time of their requests began when they were read.
+func TestRequestsDuringStartWithLargestFleetAreAnsweredInTime(t *testing.T) {
+	const clients, share = 8, 0.2
+	for _, timeoutMs := range []int{60, 400} {
+		t.Run(fmt.Sprint(timeoutMs, " ms"), func(t *testing.T) {
+			f := newLargeFleet(t, largestFleet, timeoutMs)
+			f.start(share)
+			var workers sync.WaitGroup
+			for client := range clients {
+				workers.Go(func() {
+					if err := f.expectAnswerInTime(client); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+			workers.Wait()
+		})
+	}
+}
--- a/cmd/mintspring/listen.go
+++ b/cmd/mintspring/listen.go
@@ -25,11 +25,11 @@
 // firstInheritedFD is the first descriptor after standard input, output and error.
 const firstInheritedFD = 3
 
-// clientListener returns a listener on the socket that the platform holds. If the platform holds no socket, the process opens its own.
-func clientListener(addr string) (net.Listener, error) {
+// inheritedListener returns a listener on the socket that the platform holds for the clients, or nil if it holds none.
+func inheritedListener() (net.Listener, error) {
 	text := os.Getenv(socketFDEnv)
 	if text == "" {
-		return listen(addr, listenTimeout)
+		return nil, nil
 	}
 	fd, err := strconv.Atoi(text)
 	if err != nil || fd < firstInheritedFD {
--- a/cmd/mintspring/run.go
+++ b/cmd/mintspring/run.go
@@ -41,7 +41,7 @@
 	node.SetMemoryLimit(config.Limits.MemoryMB, 1)
 	debug.SetGCPercent(gcPercent)
 	log := newLogger(operator)
-	clients, err := clientListener(config.Listen)
+	clients, err := inheritedListener()
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
@@ -53,6 +53,12 @@
 	}
 	n := node.New(nodeConfig, log)
 	n.StartHandover(dir, handover)
+	if clients == nil {
+		// Not earlier: from now on the system accepts connections, and requests on them count as received.
+		if clients, err = listen(config.Listen, listenTimeout); err != nil {
+			return fmt.Errorf("listening for clients: %w", err)
+		}
+	}
 	if config.Admin != "" {
 		server, err := serveAdmin(config.Admin, n, log)
 		if err != nil {
