Clients: a connection that waited silently to be accepted keeps its requests' time

What callers would see: -BUSY for the first request on a connection that was opened, and stood silent, while accepts failed, however much later it is sent.

Cause: the time that bytes may have waited in the accept backlog was taken off also where no bytes had waited; and an accept that failed with nothing in the backlog left the outage on until the next connection, whenever that came.

Change: only a connection on which bytes wait when it is accepted counts as one that waited, and an outage ends before the next accept if nothing is in the backlog.

--- a/internal/node/clients/conn.go
+++ b/internal/node/clients/conn.go
@@ -30,12 +30,12 @@
 	net        net.Conn
 	jitter     float64 // from [0,1), spreads the closing times of connections that are drained together
 	acceptedAt float64
-	// backloggedSince is the earliest time at which bytes may have arrived on a connection that waited in the accept backlog. It is 0 if
-	// the connection did not wait, and once all bytes that arrived during the wait have been read. Owned by the reader.
-	backloggedSince float64
-	held            heldInput // owned by the reader
-	rejecting       bool      // requests are rejected without being forwarded (lifecycle.RejectInput); owned by the reader
-	lastInputAt     time.Time // when bytes were last read; owned by the reader
+	// backlogged is the outage during which bytes may have arrived on a connection in the accept backlog. It is zero if the connection did not
+	// wait, and once all bytes that arrived during the wait have been read. Owned by the reader.
+	backlogged  acceptOutage
+	held        heldInput // owned by the reader
+	rejecting   bool      // requests are rejected without being forwarded (lifecycle.RejectInput); owned by the reader
+	lastInputAt time.Time // when bytes were last read; owned by the reader
 
 	mu       sync.Mutex // guards state and retained
 	retained []retainedConfig
--- a/internal/node/clients/limits_test.go
+++ b/internal/node/clients/limits_test.go
@@ -339,6 +339,7 @@
 	failing := &failingListener{listener.(*net.TCPListener), time.Now().Add(outage), stall}
 	go func() { _ = h.server.Serve(failing) }() // it returns when the test ends
 	time.Sleep(outage / 4)
+	silent := h.dial()
 	c := h.dial()
 	sentAt := h.server.Clock.Now()
 	var commands strings.Builder // more than are read at once
@@ -355,7 +356,7 @@
 		x.Respond(exchange.Response{Value: []byte("v")})
 		c.expect("$1\r\nv\r\n")
 	}
-	for i, c := range []*client{c, h.dial()} { // nothing waits in the backlog any more
+	for i, c := range []*client{c, silent, h.dial()} { // nothing waits in the backlog any more
 		c.send(command("KV.GET", "k", fmt.Sprint("again", i), "c=read,d=480"))
 		if left := h.nextRequest().Deadline - h.server.Clock.Now(); left < 400 {
 			t.Errorf("request %d after the outage has %.0f ms left", i, left)
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -138,14 +138,14 @@
 // arrivalTime returns the arrival time of requests that were read at readAt. On a connection that waited in the accept backlog, requests
 // count as arrived when the wait began, until all bytes that arrived meanwhile have been read.
 func (c *conn) arrivalTime(readAt float64) float64 {
-	if c.backloggedSince == 0 {
+	if c.backlogged.since == 0 {
 		return readAt
 	}
-	since := c.backloggedSince
+	arrivedAt := c.backlogged.since
 	if unread, _ := sockstate.Peek(c.net); !unread {
-		c.backloggedSince = 0
+		c.backlogged = acceptOutage{}
 	}
-	return since
+	return arrivedAt
 }
 
 // fill reads once, or returns at once if commands that were read before may be processed now. The rest of a rejected command is dropped.
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -135,6 +135,7 @@
 	s.mu.Unlock()
 	var outage acceptOutage
 	for s.waitUntilAccepting() {
+		outage.endIfDrained(listener)
 		netConn, err := listener.Accept()
 		now := s.Clock.Now()
 		switch {
@@ -155,8 +156,7 @@
 			s.counters.rejected.Add(1)
 			_ = netConn.Close() // nothing was written
 		default:
-			s.serveConn(netConn, false, outage.since)
-			outage.endIfDrained(listener)
+			s.serveConn(netConn, false, outage.of(netConn))
 		}
 	}
 	return nil
@@ -177,10 +177,21 @@
 	return true
 }
 
+// of returns the outage for a connection that was accepted during it, which is none if no bytes wait on the connection.
+func (o *acceptOutage) of(netConn net.Conn) acceptOutage {
+	if o.since == 0 {
+		return acceptOutage{}
+	}
+	if unread, _ := sockstate.Peek(netConn); !unread {
+		return acceptOutage{}
+	}
+	return *o
+}
+
 // endIfDrained ends the outage once the backlog is empty: connections that are accepted later have arrived after the outage.
 func (o *acceptOutage) endIfDrained(listener net.Listener) {
 	if o.since > 0 && !sockstate.HasPending(listener) {
-		o.since = 0
+		*o = acceptOutage{}
 	}
 }
 
@@ -215,11 +226,10 @@
 	return s.closed
 }
 
-// serveConn serves a connection whose descriptor is counted. If the connection may have waited in the accept backlog, backloggedSince is
-// the earliest time at which bytes may have arrived on it; otherwise it is 0.
-func (s *Server) serveConn(netConn net.Conn, requested bool, backloggedSince float64) {
+// serveConn serves a connection whose descriptor is counted. The connection may have waited in the accept backlog during an outage.
+func (s *Server) serveConn(netConn net.Conn, requested bool, outage acceptOutage) {
 	c := s.newConn(netConn, requested)
-	c.backloggedSince = backloggedSince
+	c.backlogged = outage
 	if requested {
 		s.connsWithRequest.Add(1)
 	}
@@ -261,7 +271,7 @@
 // process does not limit how long the client may be silent.
 func (s *Server) Adopt(netConn net.Conn, requested bool) {
 	s.Sockets.AcquireLent()
-	s.serveConn(netConn, requested, 0)
+	s.serveConn(netConn, requested, acceptOutage{})
 }
 
 // SetHandover makes the server hand connections over between requests instead of closing them, and stop accepting in favor of another
