Start on a held socket: requests that waited there have the time that is left to them

What callers would see where the platform holds the listening socket and no process of the node runs for a while (a kill, then a start): an answer up to all of the request's time late, so that it is lost.

The process can't know since when others have not accepted from a socket that is older than itself.

--- a/cmd/mintspring/largelist_test.go
+++ b/cmd/mintspring/largelist_test.go
@@ -31,6 +31,7 @@
 	discovery string
 	members   string // the entries of the list, separated by commas
 	timeoutMs int
+	socket    *os.File // listens for the clients of all processes of the node; nil: each process listens itself
 }
 
 // newLargeFleet lists count servers. Their machines accept connections, and nothing answers.
@@ -86,6 +87,10 @@
 	c.Env = append(os.Environ(), nodeEnv+"=1", "LB_CONFIG="+file, "TMPDIR="+f.t.TempDir(), operatorEnv+"=", faultsEnv+"=")
 	log := &logrecorder.Recorder{}
 	c.Stderr = log
+	if f.socket != nil {
+		c.ExtraFiles = []*os.File{f.socket}
+		c.Env = append(c.Env, "LB_SOCKET_FD=3")
+	}
 	if err := c.Start(); err != nil {
 		f.t.Fatal(err)
 	}
@@ -110,33 +115,43 @@
 	}
 }
 
-// expectAnswerInTime sends a read as soon as the node's machine accepts a connection, and returns an error if the read has no answer in its time.
-func (f *largeFleet) expectAnswerInTime(client int) error {
+// send sends a read as soon as the node's machine accepts a connection.
+func (f *largeFleet) send(client int) (*sentRequest, error) {
 	conn, err := f.connect(time.Now().Add(6 * testTimeout))
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer closeAll(conn)
 	request := redcon.AppendArray(nil, 4)
 	for _, arg := range []string{"KV.GET", fmt.Sprint("k", client), fmt.Sprint("r", client), fmt.Sprintf("c=read,d=%d", f.timeoutMs)} {
 		request = redcon.AppendBulkString(request, arg)
 	}
 	if _, err := conn.Write(request); err != nil {
-		return err
+		closeAll(conn)
+		return nil, err
 	}
-	sentAt := time.Now()
-	limit := time.Duration(f.timeoutMs)*time.Millisecond + maxLate
-	if err := conn.SetReadDeadline(sentAt.Add(limit)); err != nil {
-		return err
+	return &sentRequest{conn: conn, sentAt: time.Now(), timeout: time.Duration(f.timeoutMs) * time.Millisecond}, nil
+}
+
+// sentRequest is a read that was sent on a connection of its own.
+type sentRequest struct {
+	conn    net.Conn
+	sentAt  time.Time
+	timeout time.Duration
+}
+
+// expectAnswerInTime waits for the answer and returns how long it took. It returns an error if it does not come in time.
+func (r *sentRequest) expectAnswerInTime() (took time.Duration, err error) {
+	defer closeAll(r.conn)
+	if err := r.conn.SetReadDeadline(r.sentAt.Add(r.timeout + maxLate)); err != nil {
+		return 0, err
 	}
-	answer := make([]byte, 256)
-	switch _, err := conn.Read(answer); {
+	switch _, err := r.conn.Read(make([]byte, 256)); {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return fmt.Errorf("the request of client %d has no answer %v after its time", client, maxLate)
+		return 0, fmt.Errorf("a request has no answer %v after its time", maxLate)
 	case err != nil:
-		return fmt.Errorf("the request of client %d was taken, and its connection ended after %v: %w", client, time.Since(sentAt), err)
+		return 0, fmt.Errorf("a request was taken, and its connection ended after %v: %w", time.Since(r.sentAt), err)
 	}
-	return nil
+	return time.Since(r.sentAt), nil
 }
 
 // Guards against requests lost at a start with thousands of servers (incident 40): the machine of the node took connections before the process could
@@ -150,7 +165,11 @@
 			var workers sync.WaitGroup
 			for client := range clients {
 				workers.Go(func() {
-					if err := f.expectAnswerInTime(client); err != nil {
+					request, err := f.send(client)
+					if err == nil {
+						_, err = request.expectAnswerInTime()
+					}
+					if err != nil {
 						t.Error(err)
 					}
 				})
--- a/cmd/mintspring/run.go
+++ b/cmd/mintspring/run.go
@@ -48,6 +48,7 @@
 	dir, handover := joinPredecessor(config, log)
 	nodeConfig := config.NodeConfig()
 	nodeConfig.Operator = operator
+	nodeConfig.UnattendedListener = clients != nil && handover == nil
 	if handover != nil && handover.State.Clock > 0 {
 		nodeConfig.Clock = clock.StartAt(handover.State.ClockNow())
 	}
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -51,6 +51,9 @@
 	InputMemory    *memlimit.Budget // for commands of more than some KiB that have not arrived completely; nil: no limit
 	ReplyMemory    *ReplyMemory     // for the replies to requests that are sent at once; nil: no limit
 
+	// UnattendedListener is set if connections may have waited on the listener for any time before Serve, because no process accepted them.
+	UnattendedListener bool
+
 	config           atomic.Pointer[Config]
 	buffered         atomic.Int64
 	connsWithRequest atomic.Int64 // open connections on which a request has arrived
@@ -134,6 +137,10 @@
 	s.listener, s.serveEnded = listener, ended
 	s.mu.Unlock()
 	var outage acceptOutage
+	if s.UnattendedListener {
+		outage.begin(s.Clock.Now())
+		outage.unattended = true
+	}
 	for s.waitUntilAccepting() {
 		outage.endIfDrained(listener)
 		netConn, err := listener.Accept()
@@ -162,10 +169,11 @@
 	return nil
 }
 
-// acceptOutage records since when accepts have failed, so that connections may have waited in the backlog. The zero value means that there
+// acceptOutage records since when no connections were accepted, so that they may have waited in the backlog. The zero value means that there
 // is no outage.
 type acceptOutage struct {
-	since float64 // time of the first failure, in ms of the server's clock; 0: no outage
+	since      float64 // time of the first failure, in ms of the server's clock; 0: no outage
+	unattended bool    // nothing was accepted for an unknown time before
 }
 
 // begin records that an accept failed. It reports whether this is the first failure of the outage.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,6 +26,9 @@
 	AdminEnabled   bool               // the admin port is open
 	Operator       *operatorfile.File // nil: every optional part is off
 
+	// UnattendedListener is set if the listener is older than this process and no other process accepts clients from it.
+	UnattendedListener bool
+
 	// PeerListen is the address on which datagrams of peers are received, and Peers the addresses of all nodes by their number. The
 	// operator's file has precedence over both.
 	PeerListen string
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,6 +163,8 @@
 		InputMemory:    memlimit.New(config.memoryShare()),
 		ReplyMemory:    clients.NewReplyMemory(int64(config.MemoryMB) << 20 / replyMemoryDivisor),
 		Memory:         memlimit.New(config.memoryShare()),
+
+		UnattendedListener: config.UnattendedListener,
 	}
 }
 
--- a/internal/node/sockstate/sockstate.go
+++ b/internal/node/sockstate/sockstate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 	"unsafe"
 
 	"golang.org/x/sys/unix"
@@ -91,6 +92,22 @@
 	return ended || err != nil
 }
 
+// SinceLastArrival returns how long ago the last bytes arrived on a TCP connection. It reports false if none have, or if the system does not tell.
+func SinceLastArrival(conn net.Conn) (age time.Duration, known bool) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return 0, false
+	}
+	err := control(tcp, func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil || info.Bytes_received == 0 {
+			return
+		}
+		age, known = time.Duration(info.Last_data_recv)*time.Millisecond, true
+	})
+	return age, known && err == nil
+}
+
 // control calls f with the descriptor of a connection or listener, which stays open during the call. It fails if conn is closed.
 func control(conn syscall.Conn, f func(fd uintptr)) error {
 	raw, err := conn.SyscallConn()
--- a/internal/node/sockstate/sockstate_test.go
+++ b/internal/node/sockstate/sockstate_test.go
@@ -129,3 +129,21 @@
 		t.Error("a pending connection is reported for a listener without a file descriptor")
 	}
 }
+
+func TestSinceLastArrival(t *testing.T) {
+	client, server := tcpPair(t)
+	if age, known := SinceLastArrival(server); known {
+		t.Errorf("before any bytes: %v", age)
+	}
+	if _, err := client.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	sentAt := time.Now()
+	waitForPeek(t, server, true, false)
+	const wait, tolerance = 100 * time.Millisecond, 20 * time.Millisecond // the kernel counts in steps of up to 10 ms
+	time.Sleep(wait)
+	age, known := SinceLastArrival(server)
+	if most := time.Since(sentAt) + tolerance; !known || age < wait-tolerance || age > most {
+		t.Errorf("%v, known: %v; want %v to %v", age, known, wait, most)
+	}
+}
