List: servers at one address are found without a look at all of them

Change: an index of the slots by address, in the order of the slots, so that the same servers are found.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -72,11 +72,12 @@
 		if !s.inService() {
 			continue
 		}
-		for id, other := range n.servers {
-			if other == s || !other.inService() || other.entry.HostPort != s.entry.HostPort {
+		for _, id := range n.addresses.at(s.entry.HostPort) {
+			other := n.servers[id]
+			if other == s || !other.inService() {
 				continue
 			}
-			replaced := fleet.ServerID(id)
+			replaced := id
 			if other.entry.UpSince > s.entry.UpSince {
 				replaced = endpoint.ID
 			}
@@ -134,6 +135,7 @@
 	} else if entry, err = discovery.Merge(n.servers[id].entry, rawEntry); err != nil {
 		return fleet.Endpoint{}, err
 	}
+	n.addresses.move(id, n.servers[id].entry.HostPort, entry.HostPort)
 	n.servers[id].entry, n.servers[id].removed = entry, false
 	n.servers[id].startedAt = n.serverStarts.Observe(now, entry.ID, entry.UpSince, confirmedAt)
 	return n.effectiveEndpoint(now, id), nil
@@ -144,6 +146,7 @@
 	if replacedID != "" {
 		n.exclusions.ForgetReadmission(replacedID)
 		n.serverStarts.Forget(replacedID)
+		n.addresses.move(id, n.servers[id].entry.HostPort, "")
 		n.servers[id].endpoint.Remove()
 	} else {
 		n.servers = append(n.servers, nil)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,7 @@
 	classes                           requestclass.Table
 	serverTable                       *servertable.Table
 	servers                           []*server        // indexed by slot of the server table
+	addresses                         addressIndex     // of the entries of servers
 	listSource                        discovery.Source // of the endpoint list as far as the loop has applied it
 	serverStarts                      serverstart.Tracker
 	cachePoolConfig, originPoolConfig connpool.Config
