List: slots and endpoints of removed servers are found without a look at all of them

Change: removals are kept in the order of their times, so that the slot is reused whose server has been gone longest (before: the first one in the table); endpoints are filtered once for many removals. TestCloseOldestUnused asks for the endpoints as the node does, instead of reading the slice.

--- a/internal/node/listcost_test.go
+++ b/internal/node/listcost_test.go
@@ -74,6 +74,13 @@
 			gone, added := listedServers(0, servers/2, discovery.PhaseTerminated), listedServers(servers, servers/2, discovery.PhaseInService)
 			return known(t, deployment, servers, func(n *Node, now float64) { update(n, fleet.ListDelta, now, append(gone, added...)) })
 		}},
+		{"slots of half of the servers are reused", func(t testing.TB, deployment settings.Deployment, servers int) func() {
+			gone, added := listedServers(0, servers/2, discovery.PhaseTerminated), listedServers(servers, servers/2, discovery.PhaseInService)
+			return known(t, deployment, servers, func(n *Node, now float64) {
+				update(n, fleet.ListDelta, now, gone)
+				update(n, fleet.ListDelta, now+2*SlotRetention(&n.deployment), added)
+			})
+		}},
 		{"one server after another drains", func(t testing.TB, deployment settings.Deployment, servers int) func() {
 			return known(t, deployment, servers, func(n *Node, now float64) {
 				for i := range 10 {
--- a/internal/node/servertable/servertable.go
+++ b/internal/node/servertable/servertable.go
@@ -4,7 +4,11 @@
 // Times of type float64 are ms on the caller's clock. A Table is not safe for concurrent use.
 package servertable
 
-import "mintspring/internal/fleet"
+import (
+	"slices"
+
+	"mintspring/internal/fleet"
+)
 
 type slot struct {
 	id        string
@@ -18,7 +22,14 @@
 	SlotByID  map[string]fleet.ServerID // read only for callers
 	Retention float64                   // time in ms for which a removed server that comes back gets its slot again
 
-	slots []slot
+	slots    []slot
+	removals []removal // of servers that may still be gone, the earliest first
+}
+
+// removal is the time at which the server of a slot was removed. It is out of date once the server has come back, or the slot is reused.
+type removal struct {
+	slot fleet.ServerID
+	at   float64
 }
 
 // New returns an empty table.
@@ -33,28 +44,63 @@
 	if known, ok := t.SlotByID[id]; ok {
 		return known, false, ""
 	}
-	index := t.reusableSlot(now)
-	if index < 0 {
-		index = len(t.slots)
+	slotID, reused := t.takeReusableSlot(now)
+	if !reused {
+		slotID = fleet.ServerID(len(t.slots))
 		t.slots = append(t.slots, slot{})
 	}
-	if replaced = t.slots[index].id; replaced != "" {
+	if replaced = t.slots[slotID].id; replaced != "" {
 		delete(t.SlotByID, replaced)
 	}
-	t.slots[index] = slot{id: id, goneSince: now}
-	t.SlotByID[id] = fleet.ServerID(index)
-	return fleet.ServerID(index), true, replaced
+	t.slots[slotID] = slot{id: id}
+	t.recordRemoval(now, slotID) // until SetState
+	t.SlotByID[id] = slotID
+	return slotID, true, replaced
 }
 
-// reusableSlot returns the first slot whose server has been gone for longer than the retention and to which no request in flight refers, or -1
-// if there is none.
-func (t *Table) reusableSlot(now float64) int {
-	for i := range t.slots {
-		if s := &t.slots[i]; s.state == fleet.Gone && s.attempts == 0 && now-s.goneSince > t.Retention {
-			return i
+// takeReusableSlot returns the slot whose server has been gone longest, if that is longer than the retention and no request in flight refers to
+// the slot.
+func (t *Table) takeReusableSlot(now float64) (slotID fleet.ServerID, found bool) {
+	for i := 0; i < len(t.removals) && now-t.removals[i].at > t.Retention; {
+		r := t.removals[i]
+		if t.isCurrent(r) && t.slots[r.slot].attempts > 0 {
+			i++
+			continue
 		}
+		found = t.isCurrent(r)
+		t.dropRemoval(i)
+		if found {
+			return r.slot, true
+		}
+	}
+	return 0, false
+}
+
+// isCurrent reports whether the server of a removal is still gone since then.
+func (t *Table) isCurrent(r removal) bool {
+	s := &t.slots[r.slot]
+	return s.state == fleet.Gone && s.goneSince == r.at
+}
+
+// dropRemoval removes the removal at index i. The first one, nearly always, is removed without a copy of the others.
+func (t *Table) dropRemoval(i int) {
+	if i == 0 {
+		t.removals = t.removals[1:]
+		return
+	}
+	t.removals = slices.Delete(t.removals, i, i+1)
+}
+
+// maxRemovalsPerSlot bounds the removals that are kept, also of servers that leave and come back again and again.
+const maxRemovalsPerSlot = 2
+
+// recordRemoval records that the server of a slot is gone from now on.
+func (t *Table) recordRemoval(now float64, slotID fleet.ServerID) {
+	t.slots[slotID].goneSince = now
+	if len(t.removals) >= maxRemovalsPerSlot*len(t.slots) {
+		t.removals = slices.DeleteFunc(t.removals, func(r removal) bool { return !t.isCurrent(r) })
 	}
-	return -1
+	t.removals = append(t.removals, removal{slotID, now})
 }
 
 // AddAttempt keeps the slot of a server from being reused until the attempt is released by ReleaseAttempts: the request refers to the server
@@ -73,11 +119,11 @@
 
 // SetState sets the state of the server in a slot.
 func (t *Table) SetState(now float64, id fleet.ServerID, state fleet.State) {
-	s := &t.slots[id]
-	if state == fleet.Gone && s.state != fleet.Gone {
-		s.goneSince = now
+	wasGone := t.slots[id].state == fleet.Gone
+	t.slots[id].state = state
+	if state == fleet.Gone && !wasGone {
+		t.recordRemoval(now, id)
 	}
-	s.state = state
 }
 
 // Missing returns the slots whose servers are not in a complete list of endpoints, including the slots of servers that are already gone.
--- a/internal/node/servertable/servertable_test.go
+++ b/internal/node/servertable/servertable_test.go
@@ -59,3 +59,27 @@
 		t.Errorf("c has slot %d and replaced %q", c, replaced)
 	}
 }
+
+// Servers that leave and come back again and again leave no records of that behind, and a slot is reused after its server has been gone for long, not
+// after it was gone for the first time.
+func TestServersThatComeBackAgainAndAgain(t *testing.T) {
+	table := New(1000)
+	a, _, _ := table.Assign(0, "a")
+	table.SetState(0, a, fleet.Ready)
+	now := 0.0
+	for range 1000 {
+		now += 2000
+		table.SetState(now, a, fleet.Gone)
+		table.SetState(now+1, a, fleet.Ready)
+	}
+	if len(table.removals) > 4 {
+		t.Errorf("%d removals are kept of one server", len(table.removals))
+	}
+	table.SetState(now+2, a, fleet.Gone)
+	if b, _, _ := table.Assign(now+1001, "b"); b == a {
+		t.Error("b has the slot of a server that has been gone for less than the retention")
+	}
+	if c, _, _ := table.Assign(now+1003, "c"); c != a {
+		t.Errorf("c has slot %d, want that of a", c)
+	}
+}
--- a/internal/node/upstream/group.go
+++ b/internal/node/upstream/group.go
@@ -32,8 +32,9 @@
 
 	counters connpool.Counters
 
-	mu        sync.Mutex // guards endpoints
+	mu        sync.Mutex // guards the fields below
 	endpoints []*Endpoint
+	removed   map[*Endpoint]struct{} // removed since endpoints was last filtered
 }
 
 // Stats counts events of the node's pools since its start.
@@ -81,17 +82,37 @@
 	g.endpoints = append(g.endpoints, e)
 }
 
-// remove removes an endpoint. It copies the slice, because callers of snapshot may still be reading it.
+// remove removes an endpoint. The slice is filtered once half of it is removed, and else when it is needed, so that the removal of many
+// endpoints takes a time in proportion to their number.
 func (g *Group) remove(e *Endpoint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.endpoints = slices.DeleteFunc(slices.Clone(g.endpoints), func(other *Endpoint) bool { return other == e })
+	if g.removed == nil {
+		g.removed = map[*Endpoint]struct{}{}
+	}
+	g.removed[e] = struct{}{}
+	if 2*len(g.removed) > len(g.endpoints) {
+		g.filterRemoved()
+	}
+}
+
+// filterRemoved drops the removed endpoints from a copy of the slice, because callers of snapshot may still be reading it. Called with the
+// mutex held.
+func (g *Group) filterRemoved() {
+	g.endpoints = slices.DeleteFunc(slices.Clone(g.endpoints), func(e *Endpoint) bool {
+		_, removed := g.removed[e]
+		return removed
+	})
+	g.removed = nil
 }
 
 // snapshot returns the endpoints; the slice must not be changed.
 func (g *Group) snapshot() []*Endpoint {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if len(g.removed) > 0 {
+		g.filterRemoved()
+	}
 	return g.endpoints
 }
 
--- a/internal/node/upstream/pooling_test.go
+++ b/internal/node/upstream/pooling_test.go
@@ -180,8 +180,8 @@
 			t.Errorf("after call %d: %d and %d connections are open", i+1, other.pool.State().Open, h.endpoint.pool.State().Open)
 		}
 	}
-	if other.Remove(); len(h.endpoint.group.endpoints) != 1 {
-		t.Errorf("%d endpoints after one was removed", len(h.endpoint.group.endpoints))
+	if other.Remove(); len(h.endpoint.group.snapshot()) != 1 {
+		t.Errorf("%d endpoints after one was removed", len(h.endpoint.group.snapshot()))
 	}
 }
 
