Decide: the even ring is laid out on its points instead of on the servers

Change: points and loads lie side by side while the ring is laid out. The arithmetic is the same; TestEvenRingIsThatOfTheThesis compares with the plain form for 0 to 3,200 servers, to the last bit.

--- a/decide/ring.go
+++ b/decide/ring.go
@@ -1,7 +1,9 @@
 package decide
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 
 	"mintspring/internal/fleet"
@@ -23,6 +25,14 @@
 	positionIndex int // in server.positions
 	servers       []*server
 	capacity      float64 // sum of its servers' capacity shares
+
+	layout []placedServer // of the even ring; kept for reuse
+}
+
+// placedServer is a server with its point while the even ring is laid out.
+type placedServer struct {
+	point, load float64 // load: relative to that of the other servers, for equal arcs
+	server      *server
 }
 
 // position is the place of a server on one ring.
@@ -57,25 +67,49 @@
 // thesis's own move, made layoutRounds times from the hash points, evens the arcs. The result depends on the endpoint
 // list alone, so that all nodes agree on it, and each point depends on few neighbors, so that a join moves few keys.
 func (r *hashRing) layOutEvenly() {
-	sort.Slice(r.servers, func(i, j int) bool { return r.servers[i].hashPoint < r.servers[j].hashPoint })
+	r.layout = r.layout[:0]
 	for _, s := range r.servers {
-		s.positions[r.positionIndex].point = s.hashPoint
+		r.layout = append(r.layout, placedServer{s.hashPoint, 1 / s.size, s})
 	}
+	sortByPoint(r.layout)
 	for range layoutRounds {
-		for i := len(r.servers) - 1; i >= 0; i-- {
-			s, next := r.servers[i], r.serverAt(i+1)
-			x := pointShift(1/s.size, 1/next.size, r.arcLength(i), r.arcLength(i+1))
-			if x = min(x, r.arcLength(i)*0.9); x > 0 && s != next {
-				s.positions[r.positionIndex].point = fleet.ArcLength(x, s.positions[r.positionIndex].point)
-			}
-		}
+		moveTowardsEvenArcs(r.layout)
+	}
+	sortByPoint(r.layout)
+	for i, placed := range r.layout {
+		r.servers[i] = placed.server
+		r.servers[i].positions[r.positionIndex].point = placed.point
 	}
-	sort.Slice(r.servers, func(i, j int) bool { return r.pointAt(i) < r.pointAt(j) })
 	for i, s := range r.servers {
 		s.positions[r.positionIndex] = position{i, r.pointAt(i), r.arcLength(i), r.pointAt(i)}
 	}
 }
 
+func sortByPoint(layout []placedServer) {
+	slices.SortFunc(layout, func(a, b placedServer) int { return cmp.Compare(a.point, b.point) })
+}
+
+// moveTowardsEvenArcs makes one round of moves of the thesis, from the last point to the first. The points stay in their order on the ring.
+func moveTowardsEvenArcs(layout []placedServer) {
+	last := len(layout) - 1
+	if last < 1 {
+		return
+	}
+	successor := &layout[0]
+	for i := last; i >= 0; i-- {
+		placed, predecessor := &layout[i], &layout[last]
+		if i > 0 {
+			predecessor = &layout[i-1]
+		}
+		arc := fleet.ArcLength(predecessor.point, placed.point)
+		x := pointShift(placed.load, successor.load, arc, fleet.ArcLength(placed.point, successor.point))
+		if x = min(x, arc*0.9); x > 0 {
+			placed.point = fleet.ArcLength(x, placed.point)
+		}
+		successor = placed
+	}
+}
+
 // applyShedShares sets each point by its server's shedShare, within the server's arc of the even ring, and sums up the
 // rings' capacities.
 func (n *Node) applyShedShares() {
