Discovery: each entry of a list is parsed once

Change: the goroutine that reads the list parses its entries; the loop gets them parsed (EntryUpdate). Entries of stored lists that cannot be parsed are logged and left out as before.

--- a/internal/controlplane/controller/endpoints.go
+++ b/internal/controlplane/controller/endpoints.go
@@ -64,20 +64,19 @@
 
 // updateEndpoint merges an entry of the endpoint list into the slot of its server. A new server gets a slot first.
 func (c *core) updateEndpoint(now float64, text json.RawMessage, confirmedAt float64) (fleet.Endpoint, error) {
-	entry, err := discovery.Merge(discovery.Entry{}, text)
+	update, err := discovery.ParseEntry(text)
 	if err != nil {
 		return fleet.Endpoint{}, err
 	}
-	id, known := c.slotByID[entry.ID]
+	id, known := c.slotByID[update.ID]
+	var previous discovery.Entry
 	if known {
-		if entry, err = discovery.Merge(c.slots[id].entry, text); err != nil {
-			return fleet.Endpoint{}, err
-		}
+		previous = c.slots[id].entry
 	} else {
 		id = c.allocateSlot(now)
-		c.slotByID[entry.ID] = id
+		c.slotByID[update.ID] = id
 	}
-	previous := c.slots[id].entry
+	entry := update.ApplyTo(previous)
 	c.slots[id].entry = entry
 	endpoint := entry.Endpoint(id, &c.config.Deployment)
 	endpoint.StartedAt = c.starts.Observe(now, entry.ID, entry.UpSince, confirmedAt)
--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -84,15 +84,15 @@
 			t.Error(err)
 			return
 		}
-		listChanged{mode: fleet.ListDelta, entries: []json.RawMessage{json.RawMessage(`{"id":"s0","phase":"terminated"}`)}}.handle(n, now)
+		listChanged{mode: fleet.ListDelta, entries: entryUpdates(t, `{"id":"s0","phase":"terminated"}`)}.handle(n, now)
 		for i := range 3 {
 			later := now + float64(i+1)*(n.serverTable.Retention+1000)
-			listChanged{mode: fleet.ListDelta, entries: []json.RawMessage{json.RawMessage(entry(fmt.Sprint("n", i), tc.cacheAddrs[1], "box"))}}.handle(n, later)
+			listChanged{mode: fleet.ListDelta, entries: entryUpdates(t, entry(fmt.Sprint("n", i), tc.cacheAddrs[1], "box"))}.handle(n, later)
 		}
 		if _, known := n.serverTable.SlotByID["s0"]; known {
 			t.Error("the slot of s0 was not reused")
 		}
-		listChanged{mode: fleet.ListDelta, entries: []json.RawMessage{s0}}.handle(n, now+1e6)
+		listChanged{mode: fleet.ListDelta, entries: entryUpdates(t, string(s0))}.handle(n, now+1e6)
 		if state := n.serverTable.State(n.serverTable.SlotByID["s0"]); state != fleet.Draining {
 			t.Errorf("listed again, s0 is in state %v", state)
 		}
--- a/internal/node/discovery/client.go
+++ b/internal/node/discovery/client.go
@@ -184,7 +184,7 @@
 
 // deliver passes an update to OnUpdate. An update with an entry that cannot be parsed fails the call and changes nothing.
 func (c *Client) deliver(ctx context.Context, addr string, u Update) error {
-	if err := u.validate(); err != nil {
+	if err := u.parseMembers(); err != nil {
 		return fmt.Errorf("reading the endpoint list: %w", err)
 	}
 	// mu is held during the callback, so that an update of a call that was replaced cannot follow an update of the call that replaced it.
--- a/internal/node/discovery/entry.go
+++ b/internal/node/discovery/entry.go
@@ -65,8 +65,10 @@
 type Update struct {
 	Revision int64             `json:"revision"`
 	Complete bool              `json:"complete"` // Members is the complete list, not only the changed entries
-	Members  []json.RawMessage `json:"members"`  // entries, parsed by Merge
+	Members  []json.RawMessage `json:"members"`  // entries, to be parsed by ParseEntries
 
+	// Entries are the parsed Members of an update that a Client delivers.
+	Entries []EntryUpdate `json:"-"`
 	// ConfirmedAgo is the time between the last earlier confirmation that the list was complete and the arrival of this update; negative:
 	// there was no earlier confirmation.
 	ConfirmedAgo time.Duration `json:"-"`
@@ -77,21 +79,67 @@
 // errNoID is returned for an entry without an id.
 var errNoID = errors.New("an entry without an id")
 
-// Merge parses an entry into the known entry of the endpoint, so that missing fields keep their values.
-func Merge(known Entry, text json.RawMessage) (Entry, error) {
-	err := json.Unmarshal(text, &known)
-	if err == nil && known.ID == "" {
+// EntryUpdate is an entry as the discovery service has sent it. Missing fields are nil.
+type EntryUpdate struct {
+	ID       string   `json:"id"`
+	HostPort *string  `json:"host_port"`
+	Locality *string  `json:"locality"`
+	Flavor   *string  `json:"flavor"`
+	Cell     *int32   `json:"cell"`
+	Phase    *string  `json:"phase"`
+	Size     *float64 `json:"size"`
+	UpSince  *float64 `json:"up_since_ms"`
+}
+
+// ParseEntry parses an entry.
+func ParseEntry(text json.RawMessage) (EntryUpdate, error) {
+	var u EntryUpdate
+	err := json.Unmarshal(text, &u)
+	if err == nil && u.ID == "" {
 		err = errNoID
 	}
-	return known, err
+	return u, err
 }
 
-// validate returns an error if an entry cannot be parsed.
-func (u *Update) validate() error {
-	for _, text := range u.Members {
-		if _, err := Merge(Entry{}, text); err != nil {
-			return err
+// ParseEntries parses the entries of a stored list. It leaves out those that cannot be parsed, and returns an error for each.
+func ParseEntries(texts []json.RawMessage) (entries []EntryUpdate, errs []error) {
+	entries = make([]EntryUpdate, 0, len(texts))
+	for _, text := range texts {
+		entry, err := ParseEntry(text)
+		if err != nil {
+			errs = append(errs, err)
+			continue
 		}
+		entries = append(entries, entry)
+	}
+	return entries, errs
+}
+
+// ApplyTo returns the known entry of the endpoint with the fields of the update. Missing fields keep their values.
+func (u *EntryUpdate) ApplyTo(known Entry) Entry {
+	known.ID = u.ID
+	replaceIfPresent(&known.HostPort, u.HostPort)
+	replaceIfPresent(&known.Locality, u.Locality)
+	replaceIfPresent(&known.Flavor, u.Flavor)
+	replaceIfPresent(&known.Cell, u.Cell)
+	replaceIfPresent(&known.Phase, u.Phase)
+	replaceIfPresent(&known.Size, u.Size)
+	replaceIfPresent(&known.UpSince, u.UpSince)
+	return known
+}
+
+func replaceIfPresent[T any](field, value *T) {
+	if value != nil {
+		*field = *value
+	}
+}
+
+// parseMembers sets Entries. It returns an error if an entry cannot be parsed.
+func (u *Update) parseMembers() error {
+	entries, errs := ParseEntries(u.Members)
+	if len(errs) > 0 {
+		return errs[0]
 	}
+	u.Entries = entries
 	return nil
 }
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -26,7 +26,7 @@
 // listChanged is the event that the discovery service has sent entries of the endpoint list.
 type listChanged struct {
 	mode        fleet.ListMode
-	entries     []json.RawMessage
+	entries     []discovery.EntryUpdate
 	confirmedAt float64 // last time at which the list was known to be complete without these entries
 	source      discovery.Source
 }
@@ -35,13 +35,8 @@
 	n.listSource = e.source
 	endpoints := make([]fleet.Endpoint, 0, len(e.entries))
 	confirmedAt := n.earliestStart(now, e)
-	for _, rawEntry := range e.entries {
-		endpoint, err := n.applyEntry(now, rawEntry, confirmedAt)
-		if err != nil {
-			n.log.WithError(err).Warn("cannot parse an endpoint list entry")
-			continue
-		}
-		endpoints = append(endpoints, endpoint)
+	for i := range e.entries {
+		endpoints = append(endpoints, n.applyEntry(now, &e.entries[i], confirmedAt))
 	}
 	endpoints = n.removeReplaced(now, endpoints)
 	if e.mode != fleet.ListDelta {
@@ -123,22 +118,28 @@
 	return e.confirmedAt
 }
 
-// applyEntry merges an entry of the endpoint list into the known entry of its server, and updates the connections to it.
-func (n *Node) applyEntry(now float64, rawEntry json.RawMessage, confirmedAt float64) (fleet.Endpoint, error) {
-	entry, err := discovery.Merge(discovery.Entry{}, rawEntry)
-	if err != nil {
-		return fleet.Endpoint{}, err
+// applyStoredList applies a list that was stored, by the platform or by the predecessor. Entries that cannot be parsed are logged and skipped.
+func (n *Node) applyStoredList(now float64, texts []json.RawMessage, source discovery.Source) {
+	entries, errs := discovery.ParseEntries(texts)
+	for _, err := range errs {
+		n.log.WithError(err).Warn("cannot parse an endpoint list entry")
 	}
-	id, added, replacedID := n.serverTable.Assign(now, entry.ID)
+	listChanged{fleet.ListCached, entries, serverstart.NeverConfirmed(), source}.handle(n, now)
+}
+
+// applyEntry merges an entry of the endpoint list into the known entry of its server, and updates the connections to it.
+func (n *Node) applyEntry(now float64, update *discovery.EntryUpdate, confirmedAt float64) fleet.Endpoint {
+	id, added, replacedID := n.serverTable.Assign(now, update.ID)
 	if added {
+		entry := update.ApplyTo(discovery.Entry{})
 		n.addServer(id, &entry, replacedID)
-	} else if entry, err = discovery.Merge(n.servers[id].entry, rawEntry); err != nil {
-		return fleet.Endpoint{}, err
 	}
-	n.addresses.move(id, n.servers[id].entry.HostPort, entry.HostPort)
-	n.servers[id].entry, n.servers[id].removed = entry, false
-	n.servers[id].startedAt = n.serverStarts.Observe(now, entry.ID, entry.UpSince, confirmedAt)
-	return n.effectiveEndpoint(now, id), nil
+	s := n.servers[id]
+	entry := update.ApplyTo(s.entry)
+	n.addresses.move(id, s.entry.HostPort, entry.HostPort)
+	s.entry, s.removed = entry, false
+	s.startedAt = n.serverStarts.Observe(now, entry.ID, entry.UpSince, confirmedAt)
+	return n.effectiveEndpoint(now, id)
 }
 
 // addServer creates the endpoint of a new server, in a new slot or, if replacedID is not empty, in the slot of that removed server.
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -71,8 +70,8 @@
 			fleet.Endpoint{ID: 3, Name: "d", Zone: -1, State: fleet.Draining},
 		},
 	} {
-		if got, err := n.applyEntry(1700000010000, []byte(c.text), 0); err != nil || got != c.want {
-			t.Errorf("%s: %+v, %v", c.text, got, err)
+		if got := n.applyEntry(1700000010000, &entryUpdates(t, c.text)[0], 0); got != c.want {
+			t.Errorf("%s: %+v", c.text, got)
 		}
 	}
 }
@@ -84,11 +83,7 @@
 	n := New(Config{Deployment: tc.node.deployment, Discovery: "127.0.0.1:1"}, logrus.New())
 	now := 0.0
 	update := func(mode fleet.ListMode, entries ...string) {
-		var raw []json.RawMessage
-		for _, e := range entries {
-			raw = append(raw, json.RawMessage(e))
-		}
-		listChanged{mode: mode, entries: raw}.handle(n, now)
+		listChanged{mode: mode, entries: entryUpdates(t, entries...)}.handle(n, now)
 	}
 	for i := range 300 {
 		update(fleet.ListDelta, entry(fmt.Sprint("s", i), fmt.Sprint("127.0.0.1:", 1000+i%3), "box"))
@@ -228,10 +223,7 @@
 	var heapAfter200 float64
 	for i := range 2000 {
 		removal := fmt.Sprintf(`{"id":"s%d","phase":"terminated"}`, i-3)
-		listChanged{mode: fleet.ListDelta, entries: []json.RawMessage{
-			json.RawMessage(removal),
-			json.RawMessage(entry(fmt.Sprint("s", i), "127.0.0.1:1", "box")),
-		}}.handle(n, now)
+		listChanged{mode: fleet.ListDelta, entries: entryUpdates(t, removal, entry(fmt.Sprint("s", i), "127.0.0.1:1", "box"))}.handle(n, now)
 		if now += n.serverTable.Retention / 2; i == 199 {
 			heapAfter200 = heap()
 		}
--- a/internal/node/golden_test.go
+++ b/internal/node/golden_test.go
@@ -47,11 +47,11 @@
 			return decide.New(goldenNow, limits, slab)
 		},
 	}, log)
-	listChanged{mode: fleet.ListFull, entries: []json.RawMessage{
-		json.RawMessage(entry("s0", "127.0.0.1:7000", "box")),
-		json.RawMessage(`{"id":"s1","host_port":"127.0.0.1:7001","locality":"a","flavor":"box","cell":3,"phase":"in_service","size":2.5,"up_since_ms":1600000000000}`),
-		json.RawMessage(entry("o", "127.0.0.1:7002", "origin")),
-	}, source: n.listSource}.handle(n, goldenNow)
+	listChanged{mode: fleet.ListFull, entries: entryUpdates(
+		t, entry("s0", "127.0.0.1:7000", "box"),
+		`{"id":"s1","host_port":"127.0.0.1:7001","locality":"a","flavor":"box","cell":3,"phase":"in_service","size":2.5,"up_since_ms":1600000000000}`,
+		entry("o", "127.0.0.1:7002", "origin"),
+	), source: n.listSource}.handle(n, goldenNow)
 	for _, c := range []struct {
 		id  string
 		set func(id string, now float64) (bool, error)
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mintspring/internal/fleet"
+	"mintspring/internal/node/discovery"
 	"mintspring/internal/node/fdlimit"
 	"mintspring/internal/node/hotrestart"
 	"mintspring/internal/node/lifecycle"
@@ -46,7 +47,11 @@
 	channel, _ := predecessor.node.handover.otherProcess()
 	channel.Close()
 	recorder.WaitFor(t, "predecessor disconnected")
-	n.inbox.post(listChanged{mode: fleet.ListFull, entries: servers.Members})
+	entries, errs := discovery.ParseEntries(servers.Members)
+	if len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	n.inbox.post(listChanged{mode: fleet.ListFull, entries: entries})
 	recorder.WaitFor(t, "took over from the predecessor")
 
 	const grace = 400 * time.Millisecond
--- a/internal/node/listcost_test.go
+++ b/internal/node/listcost_test.go
@@ -25,24 +25,28 @@
 )
 
 // listedServers returns the entries of count servers with addresses of their own, numbered from first on.
-func listedServers(first, count int, phase string) []json.RawMessage {
-	entries := make([]json.RawMessage, 0, count)
+func listedServers(first, count int, phase string) []string {
+	entries := make([]string, 0, count)
 	for i := first; i < first+count; i++ {
-		entries = append(entries, json.RawMessage(fmt.Sprintf(
+		entries = append(entries, fmt.Sprintf(
 			`{"id":"s-%08x","host_port":"127.%d.%d.%d:6379","locality":"a","flavor":"box","cell":3,"phase":%q,"size":1.0,"up_since_ms":0}`,
-			uint32(i)*2654435761, i>>16, i>>8&0xff, i&0xff, phase)))
+			uint32(i)*2654435761, i>>16, i>>8&0xff, i&0xff, phase))
 	}
 	return entries
 }
 
 // newListedNode returns a node that is not served and knows a list of servers from its start.
-func newListedNode(t testing.TB, deployment settings.Deployment, entries []json.RawMessage) *Node {
+func newListedNode(t testing.TB, deployment settings.Deployment, entries []string) *Node {
 	t.Helper()
+	members := make([]json.RawMessage, 0, len(entries))
+	for _, text := range entries {
+		members = append(members, json.RawMessage(text))
+	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return New(Config{
 		Name: "n0", Discovery: "127.0.0.1:1", Deployment: deployment, MaxDescriptors: 1024, MemoryMB: 192,
-		CachedList: discovery.Update{Complete: true, Members: entries},
+		CachedList: discovery.Update{Complete: true, Members: members},
 	}, log)
 }
 
@@ -54,8 +58,8 @@
 
 // listOperations returns everything that a node does for each change of the list, or for all servers at a time.
 func listOperations() []listOperation {
-	update := func(n *Node, mode fleet.ListMode, now float64, entries []json.RawMessage) {
-		listChanged{mode: mode, entries: entries, confirmedAt: now}.handle(n, now)
+	update := func(t testing.TB, n *Node, mode fleet.ListMode, now float64, entries []string) {
+		listChanged{mode: mode, entries: entryUpdates(t, entries...), confirmedAt: now}.handle(n, now)
 	}
 	known := func(t testing.TB, deployment settings.Deployment, servers int, timed func(n *Node, now float64)) func() {
 		n := newListedNode(t, deployment, listedServers(0, servers, discovery.PhaseInService))
@@ -68,23 +72,23 @@
 		}},
 		{"full list", func(t testing.TB, deployment settings.Deployment, servers int) func() {
 			entries := listedServers(0, servers, discovery.PhaseInService)
-			return known(t, deployment, servers, func(n *Node, now float64) { update(n, fleet.ListFull, now, entries) })
+			return known(t, deployment, servers, func(n *Node, now float64) { update(t, n, fleet.ListFull, now, entries) })
 		}},
 		{"half of the servers are replaced", func(t testing.TB, deployment settings.Deployment, servers int) func() {
 			gone, added := listedServers(0, servers/2, discovery.PhaseTerminated), listedServers(servers, servers/2, discovery.PhaseInService)
-			return known(t, deployment, servers, func(n *Node, now float64) { update(n, fleet.ListDelta, now, append(gone, added...)) })
+			return known(t, deployment, servers, func(n *Node, now float64) { update(t, n, fleet.ListDelta, now, append(gone, added...)) })
 		}},
 		{"slots of half of the servers are reused", func(t testing.TB, deployment settings.Deployment, servers int) func() {
 			gone, added := listedServers(0, servers/2, discovery.PhaseTerminated), listedServers(servers, servers/2, discovery.PhaseInService)
 			return known(t, deployment, servers, func(n *Node, now float64) {
-				update(n, fleet.ListDelta, now, gone)
-				update(n, fleet.ListDelta, now+2*SlotRetention(&n.deployment), added)
+				update(t, n, fleet.ListDelta, now, gone)
+				update(t, n, fleet.ListDelta, now+2*SlotRetention(&n.deployment), added)
 			})
 		}},
 		{"one server after another drains", func(t testing.TB, deployment settings.Deployment, servers int) func() {
 			return known(t, deployment, servers, func(n *Node, now float64) {
 				for i := range 10 {
-					update(n, fleet.ListDelta, now, listedServers(i, 1, "terminating"))
+					update(t, n, fleet.ListDelta, now, listedServers(i, 1, "terminating"))
 				}
 			})
 		}},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,7 +106,7 @@
 	n.startOptionalParts(&config)
 	n.discovery.SetRevision(config.CachedList.Revision)
 	known := discovery.Source{Addr: config.Discovery, Revision: config.CachedList.Revision}
-	listChanged{fleet.ListCached, config.CachedList.Members, serverstart.NeverConfirmed(), known}.handle(n, now)
+	n.applyStoredList(now, config.CachedList.Members, known)
 	return n
 }
 
@@ -184,7 +184,7 @@
 			if u.ConfirmedAgo >= 0 {
 				confirmedAt = n.clock.Now() - float64(u.ConfirmedAgo)/float64(time.Millisecond)
 			}
-			n.inbox.post(listChanged{mode, u.Members, confirmedAt, u.Source})
+			n.inbox.post(listChanged{mode, u.Entries, confirmedAt, u.Source})
 		},
 		OnError: func(err error) { n.inbox.post(listFailed{err}) },
 	}
--- a/internal/node/serverclock_test.go
+++ b/internal/node/serverclock_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"strings"
@@ -70,10 +69,9 @@
 		cachedList.Members = append(cachedList.Members, []byte(restartedEntry("s1", "127.0.0.1:1", hourAgo)))
 		config.CachedList = cachedList
 	})
-	firstList := listChanged{mode: fleet.ListFull, confirmedAt: serverstart.NeverConfirmed(), entries: []json.RawMessage{
-		[]byte(restartedEntry("s0", tc.cacheAddrs[0], hourAgo)), []byte(restartedEntry("s1", tc.cacheAddrs[1], hourAgo)),
-		[]byte(entry("o", tc.originAddr, "origin")),
-	}}
+	firstList := listChanged{mode: fleet.ListFull, confirmedAt: serverstart.NeverConfirmed(), entries: entryUpdates(
+		t, restartedEntry("s0", tc.cacheAddrs[0], hourAgo), restartedEntry("s1", tc.cacheAddrs[1], hourAgo), entry("o", tc.originAddr, "origin"),
+	)}
 	for listed := false; !listed; { // the list of the test cluster has to arrive first
 		tc.onLoop(func(float64) { _, listed = tc.node.serverTable.SlotByID["s0"] })
 	}
--- a/internal/node/testcluster_test.go
+++ b/internal/node/testcluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -189,6 +190,19 @@
 	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","flavor":%q,"phase":"in_service","size":1}`, id, addr, flavor)
 }
 
+// entryUpdates parses entries of the endpoint list.
+func entryUpdates(t testing.TB, texts ...string) (updates []discovery.EntryUpdate) {
+	t.Helper()
+	for _, text := range texts {
+		update, err := discovery.ParseEntry(json.RawMessage(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		updates = append(updates, update)
+	}
+	return updates
+}
+
 // command encodes a client's command.
 func command(words ...string) []byte {
 	b := redcon.AppendArray(nil, len(words))
--- a/internal/node/transfer.go
+++ b/internal/node/transfer.go
@@ -9,7 +9,6 @@
 	"mintspring/internal/fleet"
 	"mintspring/internal/node/discovery"
 	"mintspring/internal/node/hotrestart"
-	"mintspring/internal/node/serverstart"
 	"mintspring/internal/state/snapshot"
 )
 
@@ -61,7 +60,7 @@
 		n.listSource = discovery.Source{Addr: state.DiscoveryAddr, Revision: state.Endpoints.Revision}
 	}
 	// The predecessor has watched the discovery service until now, so its list is as current as one from the service.
-	listChanged{fleet.ListCached, state.Endpoints.Members, serverstart.NeverConfirmed(), n.listSource}.handle(n, now)
+	n.applyStoredList(now, state.Endpoints.Members, n.listSource)
 	n.discovery.ConfirmList()
 	policy, ok := n.inflight.Policy.(snapshotPolicy)
 	if !ok || len(state.Snapshot) == 0 {
