--- a/internal/config/platform/complete.go
+++ b/internal/config/platform/complete.go
@@ -23,16 +23,40 @@
 // truncated or partially written file may still parse; its missing keys reveal it. Only the active configuration says which
 // keys a deployment's file has to have.
 func (c *Config) CheckComplete(other *Config) error {
-	var active, reloaded any
-	if json.Unmarshal(c.raw, &active) != nil || json.Unmarshal(other.raw, &reloaded) != nil {
+	active, err := c.checkedKeys()
+	if err != nil {
 		return nil // cannot happen: Load has parsed both
 	}
+	reloaded, err := other.checkedKeys()
+	if err != nil {
+		return nil
+	}
 	if path := missingPath(active, reloaded, ""); path != "" {
 		return &MissingKeyError{Path: path[1:]} // without the leading dot
 	}
 	return nil
 }
 
+// checkedKeys parses the file without its optional keys: the list of known servers is by far the largest part of it.
+func (c *Config) checkedKeys() (map[string]any, error) {
+	var texts map[string]json.RawMessage
+	if err := json.Unmarshal(c.raw, &texts); err != nil {
+		return nil, err
+	}
+	parsed := make(map[string]any, len(texts))
+	for key, text := range texts {
+		if optionalKeys[key] {
+			continue
+		}
+		var value any
+		if err := json.Unmarshal(text, &value); err != nil {
+			return nil, err
+		}
+		parsed[key] = value
+	}
+	return parsed, nil
+}
+
 // missingPath returns the path of the first value in active that reloaded lacks, or an empty string.
 func missingPath(active, reloaded any, path string) string {
 	switch a := active.(type) {
