Decide: the order of servers on the ring is kept from one list to the next

Change: the order by hash point is kept, and sorted again only if a server is new; the moves leave it but for the points that they take past 0. The servers, their order and their points are the same (TestEvenRingIsThatOfTheThesis).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,14 +37,15 @@
 	now                 float64
 	seed, randomCounter uint64
 
-	servers                    []*server // by ServerID; nil for an id that was never listed
-	ring                       hashRing  // all caches
-	zoneRing                   hashRing  // the caches of this node's zone
-	meanUtil, zoneShare        float64   // meanUtil: of caches; zoneShare: share of keys routed by zoneRing
-	origin                     *server   // nil: none is ready
-	pollAt                     float64   // time of the next request for the endpoint list; +Inf: a watch is open
-	adjustAt                   float64   // time of the next adjustment of ring points
-	failedPolls, cacheInFlight int       // failedPolls: consecutive; cacheInFlight: attempts in flight at caches
+	servers                    []*server        // by ServerID; nil for an id that was never listed
+	hashOrder                  []fleet.ServerID // all of servers, by hashPoint
+	ring                       hashRing         // all caches
+	zoneRing                   hashRing         // the caches of this node's zone
+	meanUtil, zoneShare        float64          // meanUtil: of caches; zoneShare: share of keys routed by zoneRing
+	origin                     *server          // nil: none is ready
+	pollAt                     float64          // time of the next request for the endpoint list; +Inf: a watch is open
+	adjustAt                   float64          // time of the next adjustment of ring points
+	failedPolls, cacheInFlight int              // failedPolls: consecutive; cacheInFlight: attempts in flight at caches
 
 	timers              fleet.TimerHeap
 	originLimit         originLimiter
--- a/decide/list.go
+++ b/decide/list.go
@@ -67,6 +67,9 @@
 		n.servers = append(n.servers, nil)
 	}
 	s := n.servers[endpoint.ID]
+	if s == nil {
+		n.hashOrder = append(n.hashOrder, endpoint.ID)
+	}
 	if s == nil || endpoint.State == fleet.Ready && (s.state != fleet.Ready || endpoint.StartedAt != s.started) {
 		restarted := &server{
 			id: endpoint.ID, report: fleet.NewLoadReport(), step: firstStep, backoff: n.limits.adjustInterval,
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -46,11 +46,13 @@
 func (n *Node) rebuild() {
 	n.ring.servers, n.zoneRing.servers, n.origin = n.ring.servers[:0], n.zoneRing.servers[:0], nil
 	for _, s := range n.servers {
-		switch {
-		case s == nil || s.state != fleet.Ready:
-		case n.limits.originKind >= 0 && s.kind == n.limits.originKind:
+		if s != nil && s.state == fleet.Ready && n.isOrigin(s) {
 			n.origin = s
-		default:
+		}
+	}
+	n.sortByHashPoint()
+	for _, id := range n.hashOrder {
+		if s := n.servers[id]; s.state == fleet.Ready && !n.isOrigin(s) {
 			n.ring.servers = append(n.ring.servers, s)
 			if s.zone == n.limits.zone {
 				n.zoneRing.servers = append(n.zoneRing.servers, s)
@@ -63,6 +65,16 @@
 	n.applyShedShares()
 }
 
+func (n *Node) isOrigin(s *server) bool { return n.limits.originKind >= 0 && s.kind == n.limits.originKind }
+
+// sortByHashPoint sorts hashOrder, which is in order unless a server is new.
+func (n *Node) sortByHashPoint() {
+	byHashPoint := func(a, b fleet.ServerID) int { return cmp.Compare(n.servers[a].hashPoint, n.servers[b].hashPoint) }
+	if !slices.IsSortedFunc(n.hashOrder, byHashPoint) {
+		slices.SortFunc(n.hashOrder, byHashPoint)
+	}
+}
+
 // layOutEvenly puts the points on the even ring. Deviation from the thesis: without reports all loads are equal, so the
 // thesis's own move, made layoutRounds times from the hash points, evens the arcs. The result depends on the endpoint
 // list alone, so that all nodes agree on it, and each point depends on few neighbors, so that a join moves few keys.
@@ -85,8 +97,25 @@
 	}
 }
 
+// sortByPoint sorts a layout, which mostly is in order but for its beginning: moves take the first points back past 0.
 func sortByPoint(layout []placedServer) {
-	slices.SortFunc(layout, func(a, b placedServer) int { return cmp.Compare(a.point, b.point) })
+	byPoint := func(a, b placedServer) int { return cmp.Compare(a.point, b.point) }
+	for i := 1; i < len(layout); i++ {
+		if byPoint(layout[i-1], layout[i]) > 0 {
+			rotate(layout, i)
+			break
+		}
+	}
+	if !slices.IsSortedFunc(layout, byPoint) {
+		slices.SortFunc(layout, byPoint)
+	}
+}
+
+// rotate moves the first count servers of a layout to its end.
+func rotate(layout []placedServer, count int) {
+	slices.Reverse(layout[:count])
+	slices.Reverse(layout[count:])
+	slices.Reverse(layout)
 }
 
 // moveTowardsEvenArcs makes one round of moves of the thesis, from the last point to the first. The points stay in their order on the ring.
