List: changes that follow one another are applied together

Cause: each change of the list lays out the rings anew; hundreds that come within some tenths of a second take the core for as long.

Change: changes of single entries that wait for the loop one behind another are applied as one. A complete list and other events keep their places.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -54,6 +54,47 @@
 	}
 }
 
+// mergeListChanges merges changes of the list that follow one another: the policy lays out its rings once for all of them, however many came
+// while the loop was busy. It reuses the slice.
+func mergeListChanges(events []event) []event {
+	merged := events[:0]
+	for i := 0; i < len(events); {
+		run := deltaRun(events[i:])
+		if len(run) < 2 {
+			merged = append(merged, events[i])
+			i++
+			continue
+		}
+		i += len(run)
+		merged = append(merged, mergeDeltas(run))
+	}
+	clear(events[len(merged):])
+	return merged
+}
+
+// deltaRun returns the changes of single entries at the head of events.
+func deltaRun(events []event) (run []listChanged) {
+	for _, e := range events {
+		change, ok := e.(listChanged)
+		if !ok || change.mode != fleet.ListDelta {
+			break
+		}
+		run = append(run, change)
+	}
+	return run
+}
+
+// mergeDeltas returns one change with the entries of several, in their order. The time of the last confirmation counts for all of them: at
+// worst a server that has just started is held to have started a little later.
+func mergeDeltas(run []listChanged) listChanged {
+	merged := run[len(run)-1]
+	merged.entries = nil
+	for _, change := range run {
+		merged.entries = append(merged.entries, change.entries...)
+	}
+	return merged
+}
+
 // removeReplaced removes servers whose address belongs to another server in service: their processes have gone, although the discovery service may
 // be seconds late to say so, and what is sent to them would reach the new process. Of two servers with one address the process that started
 // later has it. removeReplaced returns the updated endpoints with those of servers that it has removed.
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"runtime"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mintspring/internal/fleet"
+	"mintspring/internal/node/discovery"
 )
 
 // No request is sent to a draining server, and a list that cannot be parsed changes nothing.
@@ -235,3 +237,21 @@
 		t.Errorf("heap %.2f MB after 200 replacements and %.2f MB after 2000", heapAfter200/1e6, heapAfter2000/1e6)
 	}
 }
+
+// Changes of the list that follow one another are merged in their order; a complete list and other events keep their places.
+func TestMergeListChanges(t *testing.T) {
+	delta := func(confirmedAt float64, ids ...string) listChanged {
+		change := listChanged{mode: fleet.ListDelta, confirmedAt: confirmedAt}
+		for _, id := range ids {
+			change.entries = append(change.entries, discovery.EntryUpdate{ID: id})
+		}
+		return change
+	}
+	full := listChanged{mode: fleet.ListFull, entries: []discovery.EntryUpdate{{ID: "f"}}}
+	request := requestArrived{}
+	events := []event{delta(1, "a"), request, delta(2, "b"), delta(3, "a", "c"), full, delta(4, "d"), delta(5, "d")}
+	want := []event{delta(1, "a"), request, delta(3, "b", "a", "c"), full, delta(5, "d", "d")}
+	if got := mergeListChanges(events); !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -26,7 +26,7 @@
 	defer report.Stop()
 	var events []event
 	for {
-		events = n.inbox.drain(events[:0])
+		events = mergeListChanges(n.inbox.drain(events[:0]))
 		now := n.clock.Now()
 		for _, e := range events {
 			n.withRecovery(exchangeOf(e), func() { e.handle(n, now) })
