Soak: fleets of thousands of servers, nodes with a share of a core, kills of all nodes

A node's downtime ends now when its machine accepts connections, not when it answers PING: what is sent from then on has been taken. That is stricter.

--- a/cmd/mintspring-bench/soak.go
+++ b/cmd/mintspring-bench/soak.go
@@ -25,6 +25,7 @@
 	Seeds     string `help:"Seeds to play, such as 7 or 1..50." default:"1..6"`
 	Jobs      int    `help:"Runs at a time." default:"2"`
 	Program   string `help:"The node's program; the one beside this otherwise."`
+	Large     bool   `name:"large-fleets" help:"Play fleets of thousands of servers, whose nodes get a share of a core each; one run at a time."`
 	FailCalls bool   `name:"fail-syscalls" help:"Also fail system calls of nodes, by a plan that the seed draws."`
 	Out       string `help:"Directory for the experiments and the logs of nodes of runs that violate a rule; none otherwise."`
 }
@@ -44,6 +45,9 @@
 	if c.Jobs < 1 {
 		return fmt.Errorf("--jobs: %d is not a number above 0", c.Jobs)
 	}
+	if c.Large {
+		c.Jobs = 1 // a run takes most of the descriptors that a process may open
+	}
 	seeds := make(chan uint64)
 	var workers sync.WaitGroup
 	var mu sync.Mutex // guards failed and standard output
@@ -85,7 +89,11 @@
 
 // runSeed runs the experiment generated from a seed.
 func (c *soakCmd) runSeed(ctx context.Context, program string, seed uint64) (soakResult, error) {
-	x, err := faultsearch.GenerateSoak(seed)
+	generate := faultsearch.GenerateSoak
+	if c.Large {
+		generate = faultsearch.GenerateLargeFleetSoak
+	}
+	x, err := generate(seed)
 	if err != nil {
 		return soakResult{}, err
 	}
--- a/cmd/mintspring/largelist_test.go
+++ b/cmd/mintspring/largelist_test.go
@@ -94,7 +94,7 @@
 	if err := c.Start(); err != nil {
 		f.t.Fatal(err)
 	}
-	limiter := coreshare.Limit(c.Process.Pid, share)
+	limiter := coreshare.Limit(c.Process, share)
 	p := &nodeProcess{c, file, "", make(chan error, 1), log, f.t}
 	go func() {
 		p.exited <- c.Wait()
--- a/internal/testbed/coreshare/coreshare.go
+++ b/internal/testbed/coreshare/coreshare.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -34,17 +35,19 @@
 
 // Limiter limits one process until Stop is called or the process has ended.
 type Limiter struct {
-	pid   int
-	share float64
+	process *os.Process
+	share   float64
+
+	suspended sync.Mutex // held while the process is suspended
 
 	stopOnce sync.Once
 	stopping chan struct{}
 	ended    chan struct{}
 }
 
-// Limit limits a process, which must be a child of this one, to a share of a core. The caller must call Stop before it waits for the process.
-func Limit(pid int, share float64) *Limiter {
-	l := &Limiter{pid: pid, share: share, stopping: make(chan struct{}), ended: make(chan struct{})}
+// Limit limits a child process to a share of a core.
+func Limit(process *os.Process, share float64) *Limiter {
+	l := &Limiter{process: process, share: share, stopping: make(chan struct{}), ended: make(chan struct{})}
 	go l.run()
 	return l
 }
@@ -57,11 +60,11 @@
 
 func (l *Limiter) run() {
 	defer close(l.ended)
-	before, err := CPUTime(l.pid)
+	before, err := CPUTime(l.process.Pid)
 	excess := time.Duration(0)
 	for last := time.Now(); err == nil && l.wait(checkInterval); {
 		var used time.Duration
-		if used, err = CPUTime(l.pid); err != nil {
+		if used, err = CPUTime(l.process.Pid); err != nil {
 			return
 		}
 		now := time.Now()
@@ -81,11 +84,22 @@
 
 // suspend suspends the process for a while, and reports whether the limit goes on.
 func (l *Limiter) suspend(pause time.Duration) bool {
-	if syscall.Kill(l.pid, syscall.SIGSTOP) != nil {
-		return false
+	l.suspended.Lock()
+	defer l.suspended.Unlock()
+	if l.process.Signal(syscall.SIGSTOP) != nil {
+		return false // it has ended
 	}
 	goesOn := l.wait(pause)
-	return syscall.Kill(l.pid, syscall.SIGCONT) == nil && goesOn
+	return l.process.Signal(syscall.SIGCONT) == nil && goesOn
+}
+
+// Hold suspends the process for all of a duration, in which the limiter does not resume it.
+func (l *Limiter) Hold(duration time.Duration) {
+	l.suspended.Lock()
+	defer l.suspended.Unlock()
+	_ = l.process.Signal(syscall.SIGSTOP) // it may have ended
+	time.Sleep(duration)
+	_ = l.process.Signal(syscall.SIGCONT)
 }
 
 // wait waits, and reports false once Stop is called.
--- a/internal/testbed/coreshare/coreshare_test.go
+++ b/internal/testbed/coreshare/coreshare_test.go
@@ -13,7 +13,7 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	limiter := Limit(cmd.Process.Pid, share)
+	limiter := Limit(cmd.Process, share)
 	time.Sleep(period)
 	limiter.Stop()
 	limited, err := CPUTime(cmd.Process.Pid)
--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -90,7 +90,9 @@
 	MemoryMB              int               `toml:"memory_mb"`
 	Sockets               int               `toml:"sockets"`
 	Cores                 float64           `toml:"cores"`
-	OperatorFile          string            `toml:"operator"` // relative to the experiment file
+	CoreShare             float64           `toml:"core_share"` // share of a core that each process gets; 0: as much as there is; real processes only
+	KnownList             bool              `toml:"known_list"` // nodes are started with the endpoint list as it was at the beginning; real processes only
+	OperatorFile          string            `toml:"operator"`   // relative to the experiment file
 	Quantum               tomlfile.Duration `toml:"quantum"`
 	ClockSkew             tomlfile.Duration `toml:"clock_skew"`   // greatest offset of a node's clock in either direction; simulator only
 	ClockDrift            float64           `toml:"clock_drift"`  // greatest rate error of a node's clock, as a share in either direction; simulator only
@@ -252,6 +254,19 @@
 	return count
 }
 
+// coresOf returns the number of cores of a server.
+func (x *Experiment) coresOf(id servermodel.ServerID) int {
+	first := 0 // server of the group
+	for i := range x.Fleet.Groups {
+		group := &x.Fleet.Groups[i]
+		if int(id) < first+group.Count {
+			return group.Cores
+		}
+		first += group.Count
+	}
+	return x.Fleet.Origin.Cores
+}
+
 // originID returns the id of the origin: the index of the last server.
 func (x *Experiment) originID() servermodel.ServerID { return servermodel.ServerID(x.CacheCount()) }
 
--- a/internal/testbed/experiment/golden_test.go
+++ b/internal/testbed/experiment/golden_test.go
@@ -16,7 +16,7 @@
 		Name: "full", About: "every field of an experiment file", Seed: 42, Settle: 1500 * millisecond, Length: 20 * second,
 		Fleet: goldenFleet(),
 		Nodes: NodesConfig{
-			Count: 3, MemoryMB: 193, Sockets: 1025, Cores: 1.5, OperatorFile: "operator.toml", Quantum: 6 * millisecond,
+			Count: 3, MemoryMB: 193, Sockets: 1025, Cores: 1.5, CoreShare: 0.25, KnownList: true, OperatorFile: "operator.toml", Quantum: 6 * millisecond,
 			ClockSkew: 7 * millisecond, ClockDrift: 0.01, RequestCost: millisecond, TrafficWeights: []int{1, 5, 20}, FailureDetectionDelay: 1100 * millisecond,
 		},
 		Rules: RulesConfig{
--- a/internal/testbed/experiment/serverfigures.go
+++ b/internal/testbed/experiment/serverfigures.go
@@ -190,9 +190,8 @@
 func peakUtilization(role serverRole) func(*Run, measureWindow) float64 {
 	return func(r *Run, w measureWindow) float64 {
 		peak := 0.0
-		specs := r.Experiment.ServerSpecs()
 		r.eachSnapshotPair(w, role, func(p snapshotPair) {
-			peak = max(peak, (p.after.BusyMs-p.before.BusyMs)/p.elapsedMs/float64(specs[p.server].Config.Cores))
+			peak = max(peak, (p.after.BusyMs-p.before.BusyMs)/p.elapsedMs/float64(r.Experiment.coresOf(p.server)))
 		})
 		return peak
 	}
--- a/internal/testbed/experiment/validate.go
+++ b/internal/testbed/experiment/validate.go
@@ -14,7 +14,7 @@
 	maxRate  = 200_000 // requests a second, without retries
 
 	maxLength       = 3 * 3600 * second
-	maxGroupServers = 1000
+	maxGroupServers = 3200
 	maxClockDrift   = 0.1
 	maxWeight       = 1000
 	maxDuplicates   = 100
@@ -88,6 +88,8 @@
 		return x.FieldErrorf("nodes.count", "%d is not between 1 and %d", x.Nodes.Count, maxNodes)
 	case x.Nodes.ClockDrift < 0 || x.Nodes.ClockDrift > maxClockDrift:
 		return x.FieldErrorf("nodes.clock_drift", "%v is not between 0 and %v", x.Nodes.ClockDrift, maxClockDrift)
+	case x.Nodes.CoreShare < 0 || x.Nodes.CoreShare > 1:
+		return x.FieldErrorf("nodes.core_share", "%v is not between 0 and 1", x.Nodes.CoreShare)
 	case slices.ContainsFunc(x.Nodes.TrafficWeights, func(w int) bool { return w < 1 || w > maxWeight }):
 		return x.FieldErrorf("nodes.traffic", "weights must be from 1 to %d", maxWeight)
 	}
--- a/internal/testbed/fakes/discoveryhttp.go
+++ b/internal/testbed/fakes/discoveryhttp.go
@@ -153,22 +153,43 @@
 // with the lock held.
 func (d *Discovery) nextUpdate(node servermodel.NodeID, from int64, nowMs float64) (line []byte, revision int64, nextChangeMs float64) {
 	updates, complete, revision, nextChangeMs := d.endpoints.ChangesSince(from, nowMs)
-	message := updateJSON{Revision: revision, Complete: complete, Members: []memberJSON{}}
 	for _, u := range updates {
 		d.notifications = append(d.notifications, Notification{NowMs(), node, u.Server, u.Name, u.Phase, u.Started})
+	}
+	message := d.message(node, updates, complete, revision)
+	if len(message.Members) == 0 && !complete {
+		return nil, from, nextChangeMs
+	}
+	return append(message.encode(), '\n'), revision, nextChangeMs
+}
+
+// message returns the message with updates for a node.
+func (d *Discovery) message(node servermodel.NodeID, updates []servermodel.EndpointUpdate, complete bool, revision int64) updateJSON {
+	message := updateJSON{Revision: revision, Complete: complete, Members: []memberJSON{}}
+	for _, u := range updates {
 		if complete && u.Phase == Terminated {
 			continue // a complete list omits terminated servers
 		}
 		message.Members = append(message.Members, d.fleet.servers[u.Server].memberJSON(node, u))
 	}
-	if len(message.Members) == 0 && !complete {
-		return nil, from, nextChangeMs
-	}
-	line, err := json.Marshal(message)
+	return message
+}
+
+func (m *updateJSON) encode() []byte {
+	text, err := json.Marshal(m)
 	if err != nil {
 		panic(fmt.Sprintf("encoding the list of servers: %v", err)) // numbers and strings can always be encoded
 	}
-	return append(line, '\n'), revision, nextChangeMs
+	return text
+}
+
+// List returns the whole list for a node, as a platform stores it. It does not count as a notification.
+func (d *Discovery) List(node servermodel.NodeID) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	updates, complete, revision, _ := d.endpoints.ChangesSince(fullList, NowMs())
+	message := d.message(node, updates, complete, revision)
+	return message.encode()
 }
 
 // memberJSON returns the server's entry in the list that a node receives.
--- a/internal/testbed/faultsearch/soak_test.go
+++ b/internal/testbed/faultsearch/soak_test.go
@@ -52,3 +52,32 @@
 	}
 	return x
 }
+
+// Each seed always generates the same valid run with thousands of servers. Together the runs have kills of all nodes at once, stops and floods.
+func TestGenerateLargeFleetSoak(t *testing.T) {
+	actions := map[string]int{}
+	for seed := uint64(1); seed <= 60; seed++ {
+		x, err := GenerateLargeFleetSoak(seed)
+		if err == nil {
+			err = x.ValidateRealTime()
+		}
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		again, err := GenerateLargeFleetSoak(seed)
+		if err != nil || !reflect.DeepEqual(x.Steps, again.Steps) || x.CacheCount() != again.CacheCount() {
+			t.Fatalf("seed %d gives another run the second time, %v", seed, err)
+		}
+		if x.CacheCount() < minLargeFleet || x.Nodes.CoreShare == 0 || !x.Nodes.KnownList {
+			t.Errorf("seed %d: %d servers, %+v", seed, x.CacheCount(), x.Nodes)
+		}
+		for _, step := range x.Steps {
+			actions[step.Action]++
+		}
+	}
+	for _, action := range []string{"kill_node", "start_node", "stop_node", "hangup_node", "crowd_node"} {
+		if actions[action] == 0 {
+			t.Errorf("no run has %s", action)
+		}
+	}
+}
--- a/internal/testbed/processrunner/nodeconfig.go
+++ b/internal/testbed/processrunner/nodeconfig.go
@@ -15,6 +15,7 @@
 	Discovery  string          `json:"discovery"`
 	Seed       string          `json:"seed"` // hexadecimal
 	Limits     nodeLimits      `json:"limits"`
+	Known      json.RawMessage `json:"known,omitempty"` // endpoint list to start with
 	Settings   json.RawMessage `json:"settings"`
 	Admin      string          `json:"admin,omitempty"`
 	PeerListen string          `json:"peer_listen,omitempty"`
--- a/internal/testbed/processrunner/nodeprocess.go
+++ b/internal/testbed/processrunner/nodeprocess.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"mintspring/internal/testbed/coreshare"
 	"mintspring/internal/testbed/fakes"
 )
 
@@ -30,6 +31,8 @@
 	stop       func()        // stops a node within this process
 	exited     chan struct{} // closed once the process has ended
 	expectedUp bool          // an exit now is a crash; guarded by the runner's mutex
+
+	limiter *coreshare.Limiter // nil: the process gets as much of a core as there is
 }
 
 // signal sends a signal to the process.
@@ -37,6 +40,17 @@
 	_ = p.cmd.Process.Signal(sig) // fails only if the process has ended, which waitForExit notices
 }
 
+// hold suspends the process for a duration.
+func (p *nodeProcess) hold(duration time.Duration) {
+	if p.limiter != nil {
+		p.limiter.Hold(duration)
+		return
+	}
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(duration)
+	p.signal(syscall.SIGCONT)
+}
+
 // waitExited waits until the process has ended, and returns false on timeout.
 func (p *nodeProcess) waitExited(timeout time.Duration) bool {
 	select {
@@ -60,6 +74,9 @@
 		return fmt.Errorf("starting node %d: %w", n.index, err)
 	}
 	p := &nodeProcess{cmd: cmd, exited: make(chan struct{}), expectedUp: true}
+	if n.coreShare > 0 {
+		p.limiter = coreshare.Limit(cmd.Process, n.coreShare)
+	}
 	n.setCurrent(p)
 	go n.waitForExit(p) // ends with the process
 	return nil
--- a/internal/testbed/processrunner/noderunner.go
+++ b/internal/testbed/processrunner/noderunner.go
@@ -1,6 +1,7 @@
 package processrunner
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -41,6 +42,7 @@
 	dir          string               // shared by all nodes
 	program      nodeProgram
 	logFile      *os.File
+	coreShare    float64       // of each process; 0: no limit
 	killTimeout  time.Duration // from SIGTERM to SIGKILL
 	operatorFile string        // "" for none
 	env          []string      // added to the environment of its processes
@@ -171,7 +173,7 @@
 	return fmt.Errorf("node %d is not serving after %v: %s", n.index, timeout, n.lastLogLine())
 }
 
-// restart starts a node that has ended, and closes its downtime once it serves.
+// restart starts a node that has ended, and closes its downtime once it accepts connections.
 func (n *nodeRunner) restart() error {
 	n.configMu.Lock()
 	err := n.start()
@@ -179,11 +181,28 @@
 	if err != nil {
 		return err
 	}
-	err = n.waitReady(startTimeout)
+	acceptErr := n.waitAccepting(startTimeout)
 	n.mu.Lock()
 	n.endDowntimeLocked()
 	n.mu.Unlock()
-	return err
+	return cmp.Or(acceptErr, n.waitReady(startTimeout))
+}
+
+// waitAccepting waits until the node's machine accepts connections: from then on the node has to answer what is sent to it. With a socket that
+// outlives the processes, which always accepts, it waits until the node serves.
+func (n *nodeRunner) waitAccepting(timeout time.Duration) error {
+	if n.listenSocket != nil {
+		return n.waitReady(timeout)
+	}
+	for deadline := time.Now().Add(timeout); ; time.Sleep(pollInterval) {
+		conn, err := net.DialTimeout("tcp4", n.addr, pingDialTimeout)
+		if err == nil {
+			return conn.Close()
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("node %d accepts no connections after %v: %s", n.index, timeout, n.lastLogLine())
+		}
+	}
 }
 
 // beginDowntimeLocked begins a downtime now and returns its index. Called with the mutex held.
@@ -244,13 +263,11 @@
 		return
 	}
 	from := fakes.NowMs()
+	var holds sync.WaitGroup
 	for _, p := range processes {
-		p.signal(syscall.SIGSTOP)
-	}
-	time.Sleep(duration)
-	for _, p := range processes {
-		p.signal(syscall.SIGCONT)
+		holds.Go(func() { p.hold(duration) })
 	}
+	holds.Wait()
 	n.mu.Lock()
 	n.pauses = append(n.pauses, pause{from, fakes.NowMs()})
 	n.mu.Unlock()
--- a/internal/testbed/processrunner/nodeset.go
+++ b/internal/testbed/processrunner/nodeset.go
@@ -16,6 +16,7 @@
 	"mintspring/internal/testbed/experiment"
 	"mintspring/internal/testbed/fakes"
 	"mintspring/internal/testbed/reservedport"
+	"mintspring/internal/testbed/servermodel"
 )
 
 // idempotencyAddrEnvPrefix begins the names of the environment variables MINTSPRING_REPLICA_1, MINTSPRING_REPLICA_2 and so on, which hold
@@ -42,7 +43,7 @@
 	for i := range x.Nodes.Count {
 		n := &nodeRunner{
 			index: i, dir: dir, program: program, operatorFile: x.OperatorFile(),
-			killTimeout: min(x.LongestTimeout(), maxRequestDeadline) + killGrace,
+			coreShare: x.Nodes.CoreShare, killTimeout: min(x.LongestTimeout(), maxRequestDeadline) + killGrace,
 		}
 		set.runners = append(set.runners, n)
 		if err := set.prepareNode(n, x, seed); err != nil {
@@ -99,6 +100,9 @@
 	if n.config, err = newNodeConfig(x, n.index, n.addr, s.fleet.Discovery.Addr(n.index), seed); err != nil {
 		return err
 	}
+	if x.Nodes.KnownList {
+		n.config.Known = s.fleet.Discovery.List(servermodel.NodeID(n.index))
+	}
 	if s.gossipRelay != nil {
 		if err := s.configurePeers(n, x.Nodes.Count); err != nil {
 			return err
