Upstream: the oldest unused connection is looked for among servers with connections

Change: the group keeps the endpoints that have connections, a few hundred, and no list of all of them, so that nothing has to be removed from it either. TestCloseOldestUnused asks for what the group keeps.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -206,7 +206,6 @@
 		n.exclusions.ForgetReadmission(replacedID)
 		n.serverStarts.Forget(replacedID)
 		n.addresses.move(id, n.servers[id].entry.HostPort, "")
-		n.servers[id].endpoint.Remove()
 	} else {
 		n.servers = append(n.servers, nil)
 	}
--- a/internal/node/upstream/conn.go
+++ b/internal/node/upstream/conn.go
@@ -42,6 +42,7 @@
 
 // startConn starts the goroutines of a connection.
 func (e *Endpoint) startConn(addr string, netConn net.Conn) *conn {
+	e.group.connOpened(e)
 	c := &conn{
 		Conn:     connpool.Conn{Addr: addr, Jitter: e.group.random()},
 		endpoint: e, number: e.connCount.Add(1), net: netConn, outgoing: make(chan message, maxOutgoing),
--- a/internal/node/upstream/endpoint.go
+++ b/internal/node/upstream/endpoint.go
@@ -34,7 +34,7 @@
 	nextRecent int                         // index in recent
 }
 
-// New adds an endpoint to a group. It accepts no attempts until SetTarget is called. The name identifies the server.
+// New returns an endpoint of a group. It accepts no attempts until SetTarget is called. The name identifies the server.
 func New(group *Group, protocol Protocol, name string, config connpool.Config) *Endpoint {
 	hash := fnv.New64a()
 	hash.Write([]byte(name)) //nolint:errcheck // a hash never fails
@@ -43,13 +43,9 @@
 	e.pool = connpool.New(policy, &group.counters, connpool.Owner[*conn, *Attempt](poolOwner{e}))
 	e.timer = time.AfterFunc(time.Hour, e.tick)
 	e.timer.Stop()
-	group.add(e)
 	return e
 }
 
-// Remove removes the endpoint from its group, once its server no longer exists.
-func (e *Endpoint) Remove() { e.group.remove(e) }
-
 // poolOwner implements connpool.Owner: it carries out the pool's decisions on real connections. The pool calls it with the
 // endpoint's mutex held.
 type poolOwner struct{ *Endpoint }
@@ -67,6 +63,7 @@
 func (o poolOwner) CloseConn(c *conn) {
 	close(c.outgoing)
 	_ = c.net.Close() // an error has no consequence: nothing more is written
+	o.group.connClosed(o.Endpoint)
 	o.group.Sockets.Release(fdlimit.Server)
 }
 
--- a/internal/node/upstream/group.go
+++ b/internal/node/upstream/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"maps"
 	"slices"
 	"sync"
 
@@ -32,9 +33,8 @@
 
 	counters connpool.Counters
 
-	mu        sync.Mutex // guards the fields below
-	endpoints []*Endpoint
-	removed   map[*Endpoint]struct{} // removed since endpoints was last filtered
+	mu        sync.Mutex        // guards connected
+	connected map[*Endpoint]int // number of open connections of each endpoint that has any: far fewer than all, with thousands of servers
 }
 
 // Stats counts events of the node's pools since its start.
@@ -76,51 +76,39 @@
 	return g.Random()
 }
 
-func (g *Group) add(e *Endpoint) {
+// connOpened records that a connection of an endpoint was opened. Called with the endpoint's mutex held.
+func (g *Group) connOpened(e *Endpoint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.endpoints = append(g.endpoints, e)
+	if g.connected == nil {
+		g.connected = map[*Endpoint]int{}
+	}
+	g.connected[e]++
 }
 
-// remove removes an endpoint. The slice is filtered once half of it is removed, and else when it is needed, so that the removal of many
-// endpoints takes a time in proportion to their number.
-func (g *Group) remove(e *Endpoint) {
+// connClosed records that a connection of an endpoint was closed. Called with the endpoint's mutex held.
+func (g *Group) connClosed(e *Endpoint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.removed == nil {
-		g.removed = map[*Endpoint]struct{}{}
-	}
-	g.removed[e] = struct{}{}
-	if 2*len(g.removed) > len(g.endpoints) {
-		g.filterRemoved()
+	if g.connected[e] > 1 {
+		g.connected[e]--
+	} else {
+		delete(g.connected, e)
 	}
 }
 
-// filterRemoved drops the removed endpoints from a copy of the slice, because callers of snapshot may still be reading it. Called with the
-// mutex held.
-func (g *Group) filterRemoved() {
-	g.endpoints = slices.DeleteFunc(slices.Clone(g.endpoints), func(e *Endpoint) bool {
-		_, removed := g.removed[e]
-		return removed
-	})
-	g.removed = nil
-}
-
-// snapshot returns the endpoints; the slice must not be changed.
-func (g *Group) snapshot() []*Endpoint {
+// connectedEndpoints returns the endpoints that have connections, in any order.
+func (g *Group) connectedEndpoints() []*Endpoint {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.removed) > 0 {
-		g.filterRemoved()
-	}
-	return g.endpoints
+	return slices.Collect(maps.Keys(g.connected))
 }
 
 // CloseOldestUnused closes the connection of the group that has been unused longest, and reports whether there was one.
 func (g *Group) CloseOldestUnused() bool {
 	var oldest *Endpoint
 	var oldestSince float64
-	for _, e := range g.snapshot() {
+	for _, e := range g.connectedEndpoints() {
 		if since, found := e.oldestUnused(); found && (oldest == nil || since < oldestSince) {
 			oldest, oldestSince = e, since
 		}
@@ -130,7 +118,7 @@
 
 // CloseUnused closes all unused connections of the group.
 func (g *Group) CloseUnused() {
-	for _, e := range g.snapshot() {
+	for _, e := range g.connectedEndpoints() {
 		e.CloseUnused()
 	}
 }
--- a/internal/testbed/experiment/figures.go
+++ b/internal/testbed/experiment/figures.go
@@ -83,9 +83,11 @@
 	"drain_ms":         {"longest time from the notification of a drain to the last execution sent there", (*Run).longestDrainMs},
 	"node_memory_mb":   {"greatest resident memory of a node", (*Run).peakNodeMemoryMB},
 	"node_descriptors": {"greatest number of open descriptors of a node", (*Run).peakNodeDescriptors},
+	"node_cpu_s":       {"processor time of a node from the start of its first process to the end of the last, mean", (*Run).meanNodeCPUSeconds},
 	"recovery_s":       {"s from the end of the last fault until service is back to 0.95 of its level before the faults; 1000000: it does not recover", (*Run).recoverySeconds},
 	"worst_second":     {"service in the worst second from the first fault on, as a share of its level before", (*Run).worstSecond},
 	"list_calls":       {"calls of the discovery service", func(r *Run, _ measureWindow) float64 { return float64(r.DiscoveryCalls) }},
+	"list_bytes":       {"bytes of lists that the discovery service has written to a node, mean", (*Run).meanListBytes},
 	"keys_moved":       {"share of keys with another owner at the end; -1 if unknown, as with real nodes", func(r *Run, _ measureWindow) float64 { return r.MovedKeyShare }},
 }
 
--- a/internal/testbed/experiment/nodefigures.go
+++ b/internal/testbed/experiment/nodefigures.go
@@ -101,6 +101,20 @@
 	return float64(greatestSampled(r.Samples, func(s *Sample) []int { return s.NodeDescriptors }))
 }
 
+// meanNodeCPUSeconds returns the mean processor time of the nodes, or 0 if it is unknown.
+func (r *Run) meanNodeCPUSeconds(measureWindow) float64 {
+	sum := 0.0
+	for _, seconds := range r.NodeCPUSeconds {
+		sum += seconds
+	}
+	return ratioOrZero(sum, float64(len(r.NodeCPUSeconds)))
+}
+
+// meanListBytes returns how many bytes of lists a node has received.
+func (r *Run) meanListBytes(measureWindow) float64 {
+	return ratioOrZero(float64(r.DiscoveryBytes), float64(r.Experiment.Nodes.Count))
+}
+
 // greatestSampled returns the greatest value of any node in any sample, or 0 if there is none.
 func greatestSampled[T int | float64](samples []Sample, byNode func(*Sample) []T) T {
 	var greatest T
--- a/internal/testbed/experiment/result.go
+++ b/internal/testbed/experiment/result.go
@@ -37,8 +37,10 @@
 	WrongKeyResponses   []invariants.WrongKeyResponse
 	DuplicateDetections []fakes.DuplicateDetection
 	DiscoveryCalls      int
-	MovedKeyShare       float64 // share of keys whose owner at the end differs from that at the beginning, or UnknownMovedKeyShare
-	LatenessMs          float64 // of the bench itself, at p99
+	DiscoveryBytes      int       // of lists that discovery has written to nodes
+	NodeCPUSeconds      []float64 // processor time of all processes of a node, by node; nil if unknown
+	MovedKeyShare       float64   // share of keys whose owner at the end differs from that at the beginning, or UnknownMovedKeyShare
+	LatenessMs          float64   // of the bench itself, at p99
 
 	originIndex int
 }
--- a/internal/testbed/fakes/discovery.go
+++ b/internal/testbed/fakes/discovery.go
@@ -50,6 +50,7 @@
 	httpServers   []*http.Server // by node
 	notifications []Notification
 	callCount     int
+	bytesWritten  int
 	changed       chan struct{} // closed and replaced at each change
 }
 
@@ -196,6 +197,13 @@
 	return d.callCount
 }
 
+// BytesWritten returns how many bytes of lists nodes have been sent.
+func (d *Discovery) BytesWritten() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.bytesWritten
+}
+
 // notifiedOfStart reports whether a node was sent the given start time of a server.
 func (d *Discovery) notifiedOfStart(node servermodel.NodeID, server servermodel.ServerID, startedMs float64) bool {
 	d.mu.Lock()
--- a/internal/testbed/fakes/discoveryhttp.go
+++ b/internal/testbed/fakes/discoveryhttp.go
@@ -160,7 +160,9 @@
 	if len(message.Members) == 0 && !complete {
 		return nil, from, nextChangeMs
 	}
-	return append(message.encode(), '\n'), revision, nextChangeMs
+	line = append(message.encode(), '\n')
+	d.bytesWritten += len(line)
+	return line, revision, nextChangeMs
 }
 
 // message returns the message with updates for a node.
--- a/internal/testbed/processrunner/nodeprocess.go
+++ b/internal/testbed/processrunner/nodeprocess.go
@@ -104,6 +104,7 @@
 func (n *nodeRunner) waitForExit(p *nodeProcess) {
 	err := p.cmd.Wait()
 	n.mu.Lock()
+	n.endedCPU += p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime()
 	if p.expectedUp {
 		p.expectedUp = false
 		n.crashes = append(n.crashes, fmt.Sprintf("node %d: %v: %s", n.index, err, n.lastLogLine()))
--- a/internal/testbed/processrunner/noderunner.go
+++ b/internal/testbed/processrunner/noderunner.go
@@ -60,6 +60,7 @@
 	pauses       []pause
 	crowds       []invariants.ConnectionFlood
 	operations   invariants.Operations
+	endedCPU     time.Duration // processor time of the processes that have ended
 }
 
 // reserveAddress reserves an address until the node is released. While no process of the node listens on it, no outgoing connection of
--- a/internal/testbed/processrunner/nodeset.go
+++ b/internal/testbed/processrunner/nodeset.go
@@ -195,6 +195,16 @@
 	return nil
 }
 
+// cpuSeconds returns the processor time of the processes of each node that have ended.
+func (s *nodeSet) cpuSeconds() (seconds []float64) {
+	for _, n := range s.runners {
+		n.mu.Lock()
+		seconds = append(seconds, n.endedCPU.Seconds())
+		n.mu.Unlock()
+	}
+	return seconds
+}
+
 // close kills all nodes in parallel and closes the relays. It may be called more than once.
 func (s *nodeSet) close() {
 	var closing sync.WaitGroup
--- a/internal/testbed/processrunner/run.go
+++ b/internal/testbed/processrunner/run.go
@@ -133,6 +133,7 @@
 	nodes.close()
 	fleet.Close()
 	collectObservations(run, fleet, load)
+	run.NodeCPUSeconds = nodes.cpuSeconds()
 	checkInvariants(run, fleet, nodes, load.attempts, o.AcceptFails)
 	return run, nil
 }
@@ -144,6 +145,7 @@
 func collectObservations(r *experiment.Run, fleet *fakes.Fleet, load *loadGenerator) {
 	r.ConnectionEvents, r.DuplicateDetections = fleet.ConnectionEvents(), fleet.DuplicateDetections()
 	r.Notifications, r.DiscoveryCalls = fleet.Discovery.Notifications(), fleet.Discovery.CallCount()
+	r.DiscoveryBytes = fleet.Discovery.BytesWritten()
 	recorder := experiment.NewExecutionRecorder(r.Experiment)
 	for _, e := range fleet.Executions() {
 		recorder.Add(e)
