--- a/internal/node/upstream/group.go
+++ b/internal/node/upstream/group.go
@@ -1,8 +1,8 @@
 package upstream
 
 import (
-	"net"
 	"maps"
+	"net"
 	"slices"
 	"sync"
 
