--- a/cmd/mintspring/run.go
+++ b/cmd/mintspring/run.go
@@ -102,6 +102,9 @@
 	if handover != nil && handover.State.Clock > 0 {
 		nodeConfig.Clock = clock.StartAt(handover.State.ClockNow())
 	}
+	if handover != nil && len(handover.State.Endpoints.Members) > 0 {
+		nodeConfig.CachedList.Members = nil // the predecessor's list replaces it
+	}
 	n := node.New(nodeConfig, log)
 	n.StartHandover(dir, handover)
 	return n
