Reload: a file that has not changed is not parsed again, and its keys only once

Signals come in series, with the same file.

Change: a file with the contents of the active one is not parsed; keys of the active file are kept. What a reload has left for a restart is still reported at each signal.

--- a/cmd/mintspring/reload.go
+++ b/cmd/mintspring/reload.go
@@ -33,7 +33,7 @@
 //
 // An error means that reading a file failed with a transient error. Nothing has changed then.
 func (a activeConfig) reload(files fileFlags, n reloadTarget, log *logrus.Logger) (activeConfig, error) {
-	config, err := platform.Load(files.getenv)
+	config, err := a.platform.Reload(files.getenv)
 	if transient.Is(err) {
 		return a, err
 	}
@@ -79,7 +79,7 @@
 func (a activeConfig) reloadIfChanged(
 	files fileFlags, n reloadTarget, log *logrus.Logger, pendingRetry <-chan time.Time,
 ) (activeConfig, <-chan time.Time) {
-	config, err := platform.Load(files.getenv)
+	config, err := a.platform.Reload(files.getenv)
 	if err == nil && config.SameFile(a.platform) && a.isOperatorFileUnchanged(files) {
 		return a, pendingRetry
 	}
--- a/internal/config/platform/complete.go
+++ b/internal/config/platform/complete.go
@@ -23,6 +23,9 @@
 // truncated or partially written file may still parse; its missing keys reveal it. Only the active configuration says which
 // keys a deployment's file has to have.
 func (c *Config) CheckComplete(other *Config) error {
+	if c.SameFile(other) {
+		return nil
+	}
 	active, err := c.checkedKeys()
 	if err != nil {
 		return nil // cannot happen: Load has parsed both
@@ -37,8 +40,11 @@
 	return nil
 }
 
-// checkedKeys parses the file without its optional keys: the list of known servers is by far the largest part of it.
+// checkedKeys parses the file once without its optional keys: the list of known servers is by far the largest part of it.
 func (c *Config) checkedKeys() (map[string]any, error) {
+	if c.keys != nil {
+		return c.keys, nil
+	}
 	var texts map[string]json.RawMessage
 	if err := json.Unmarshal(c.raw, &texts); err != nil {
 		return nil, err
@@ -54,6 +60,7 @@
 		}
 		parsed[key] = value
 	}
+	c.keys = parsed
 	return parsed, nil
 }
 
--- a/internal/config/platform/platform.go
+++ b/internal/config/platform/platform.go
@@ -2,6 +2,7 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -38,7 +39,9 @@
 
 	Deployment settings.Deployment `json:"-"` // the parsed Settings
 
-	raw []byte // contents of the file
+	raw  []byte         // contents of the file
+	file *Config        // the configuration as the file has it, if it was merged with another one; else nil
+	keys map[string]any // parsed raw without the optional keys; nil until it is needed
 }
 
 // Limits are the resource limits of the process; 0: no limit.
@@ -52,6 +55,28 @@
 
 // Load reads and validates the file that the environment names. Its errors are one line with the file and the field.
 func Load(getenv func(string) string) (*Config, error) {
+	text, err := readFile(getenv)
+	if err != nil {
+		return nil, err
+	}
+	return parse(getenv, text)
+}
+
+// Reload reads the file again, like Load. If it has not changed since c was read, it is not parsed again.
+func (c *Config) Reload(getenv func(string) string) (*Config, error) {
+	text, err := readFile(getenv)
+	switch {
+	case err != nil:
+		return nil, err
+	case !bytes.Equal(text, c.raw):
+		return parse(getenv, text)
+	case c.file != nil:
+		return c.file, nil
+	}
+	return c, nil
+}
+
+func readFile(getenv func(string) string) ([]byte, error) {
 	file := getenv(configVariable)
 	if file == "" {
 		return nil, errNoFile
@@ -60,7 +85,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading the configuration: %w", err)
 	}
-	c := &Config{raw: text}
+	return text, nil
+}
+
+func parse(getenv func(string) string, text []byte) (*Config, error) {
+	file, c := getenv(configVariable), &Config{raw: text}
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("%s: %w", file, err)
 	}
--- a/internal/config/platform/reload.go
+++ b/internal/config/platform/reload.go
@@ -41,7 +41,8 @@
 // Merged returns this configuration with every change from another one that takes effect without a restart.
 func (c *Config) Merged(other *Config) *Config {
 	merged := *c
-	merged.Discovery, merged.Deployment, merged.raw = other.Discovery, other.Deployment, other.raw
+	merged.Discovery, merged.Deployment = other.Discovery, other.Deployment
+	merged.raw, merged.file, merged.keys = other.raw, other, other.keys
 	merged.Deployment.Limits.Seed = c.Deployment.Limits.Seed
 	merged.Deployment.ConnIdleTimeout = c.Deployment.ConnIdleTimeout
 	merged.Deployment.ConnectTimeout = c.Deployment.ConnectTimeout
--- a/internal/config/platform/reload_test.go
+++ b/internal/config/platform/reload_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -117,3 +119,37 @@
 		}
 	}
 }
+
+// A file that has not changed is not parsed again, and what its reload left for a restart is still reported. A changed file is read.
+func TestReloadOfUnchangedFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	getenv := func(name string) string { return map[string]string{configVariable: file}[name] }
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(fullConfig)
+	active, err := Load(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, err := active.Reload(getenv); err != nil || again != active {
+		t.Errorf("an unchanged file was parsed again: %v", err)
+	}
+	write(strings.Replace(fullConfig, `"sockets":1024`, `"sockets":512`, 1))
+	changed, err := active.Reload(getenv)
+	if err != nil || changed == active || active.CheckComplete(changed) != nil || changed.Limits.Sockets != 512 {
+		t.Fatalf("a changed file: %+v, %v", changed, err)
+	}
+	active = active.Merged(changed)
+	again, err := active.Reload(getenv)
+	if err != nil || again != changed || active.CheckComplete(again) != nil || len(active.RestartRequired(again)) != 1 {
+		t.Errorf("after a reload: needs a restart for %v, %v", active.RestartRequired(again), err)
+	}
+	write(fullConfig[:len(fullConfig)/2])
+	if _, err := active.Reload(getenv); err == nil {
+		t.Error("a truncated file was accepted")
+	}
+}
