Soak: two pauses of a node are never one long one

Its log: neither of the node's two processes logs anything for 0.31 s, and both go on at the same instant. Nodes run for as long as a pause between two of them now.

--- a/internal/testbed/processrunner/noderunner.go
+++ b/internal/testbed/processrunner/noderunner.go
@@ -51,6 +51,8 @@
 	configMu sync.Mutex // guards config and its file; held while a successor starts
 	config   *nodeConfig
 
+	pausing sync.Mutex // held during a pause and for as long after it
+
 	mu           sync.Mutex   // guards the fields below
 	current      *nodeProcess // the process started last; nil before the first
 	serving      *nodeProcess // the process that operators call and signal; a successor takes this place once it is ready
@@ -252,8 +254,12 @@
 }
 
 // pauseProcesses suspends the node's processes for the duration, a starting successor included. They count as running meanwhile, as do
-// processes that the kernel does not schedule.
+// processes that the kernel does not schedule. Between two pauses the processes run for at least the duration, also if the timeline is late: two
+// pauses right behind one another would be one that is longer than the protocol allows.
 func (n *nodeRunner) pauseProcesses(duration time.Duration) {
+	n.pausing.Lock()
+	defer n.pausing.Unlock()
+	defer time.Sleep(duration)
 	n.mu.Lock()
 	processes := []*nodeProcess{n.current}
 	if n.serving != n.current {
