--- a/internal/testbed/faultsearch/soak_test.go
+++ b/internal/testbed/faultsearch/soak_test.go
@@ -13,7 +13,7 @@
 func TestGenerateSoak(t *testing.T) {
 	actions, shortDeadlines := map[string]int{}, 0
 	for seed := uint64(1); seed <= 200; seed++ {
-		x := generateSoakTwice(t, seed)
+		x := generateTwice(t, GenerateSoak, seed)
 		if _, err := syscalltrace.ParseFaultPlan(SoakFaultPlan(seed)); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
@@ -36,18 +36,18 @@
 	}
 }
 
-// generateSoakTwice returns the run of a seed after checking that it can be executed and that a second call generates the same steps.
-func generateSoakTwice(t *testing.T, seed uint64) *experiment.Experiment {
+// generateTwice returns the run of a seed after checking that it can be executed and that a second call generates the same steps.
+func generateTwice(t *testing.T, generate func(seed uint64) (*experiment.Experiment, error), seed uint64) *experiment.Experiment {
 	t.Helper()
-	x, err := GenerateSoak(seed)
+	x, err := generate(seed)
 	if err == nil {
 		err = x.ValidateRealTime()
 	}
 	if err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
 	}
-	again, err := GenerateSoak(seed)
-	if err != nil || !reflect.DeepEqual(x.Steps, again.Steps) {
+	again, err := generate(seed)
+	if err != nil || !reflect.DeepEqual(x.Steps, again.Steps) || x.CacheCount() != again.CacheCount() {
 		t.Fatalf("seed %d gives another run the second time, %v", seed, err)
 	}
 	return x
@@ -57,17 +57,7 @@
 func TestGenerateLargeFleetSoak(t *testing.T) {
 	actions := map[string]int{}
 	for seed := uint64(1); seed <= 60; seed++ {
-		x, err := GenerateLargeFleetSoak(seed)
-		if err == nil {
-			err = x.ValidateRealTime()
-		}
-		if err != nil {
-			t.Fatalf("seed %d: %v", seed, err)
-		}
-		again, err := GenerateLargeFleetSoak(seed)
-		if err != nil || !reflect.DeepEqual(x.Steps, again.Steps) || x.CacheCount() != again.CacheCount() {
-			t.Fatalf("seed %d gives another run the second time, %v", seed, err)
-		}
+		x := generateTwice(t, GenerateLargeFleetSoak, seed)
 		if x.CacheCount() < minLargeFleet || x.Nodes.CoreShare == 0 || !x.Nodes.KnownList {
 			t.Errorf("seed %d: %d servers, %+v", seed, x.CacheCount(), x.Nodes)
 		}
