Hot restart: requests that waited for a successor have the time that is left to them

What callers would see where a predecessor is killed while its successor starts: answers up to all of a request's time late.

The successor accepts from the shared socket once it learns that the predecessor has gone; requests may have waited there for as long as its start takes, and their time began when they were read.

Change: a process that has waited for another one takes the arrival of what is in the backlog from the system, as one that starts alone on such a socket does.

--- a/internal/node/clients/limits_test.go
+++ b/internal/node/clients/limits_test.go
@@ -382,3 +382,19 @@
 		}
 	}
 }
+
+// Guards against requests lost in a hot restart whose predecessor is killed (incident 40): until the successor accepted, they waited for an unknown time,
+// and had all of it again.
+func TestDeadlineOfRequestThatWaitedForTakeover(t *testing.T) {
+	const wait = 250 * time.Millisecond
+	h := newHarness(t, func(s *Server) { s.Lifecycle.SetPredecessor(true) })
+	c := h.dial()
+	c.send(command("KV.GET", "k", "1", "c=read,d=480"))
+	sentAt := h.server.Clock.Now()
+	time.Sleep(wait)
+	h.server.Lifecycle.SetPredecessor(false)
+	h.server.ResumeAccept()
+	if late := h.nextRequest().Deadline - (sentAt + 480); late > 20 {
+		t.Errorf("the deadline is %.0f ms after the client's", late)
+	}
+}
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -137,11 +137,16 @@
 	s.listener, s.serveEnded = listener, ended
 	s.mu.Unlock()
 	var outage acceptOutage
-	if s.UnattendedListener {
-		outage.begin(s.Clock.Now())
-		outage.unattended = true
-	}
-	for s.waitUntilAccepting() {
+	unattended := s.UnattendedListener
+	for {
+		accepting, waited := s.waitUntilAccepting()
+		if !accepting {
+			return nil
+		}
+		if unattended = unattended || waited; unattended {
+			outage.begin(s.Clock.Now())
+			outage.unattended, unattended = true, false
+		}
 		outage.endIfDrained(listener)
 		netConn, err := listener.Accept()
 		now := s.Clock.Now()
@@ -166,14 +171,13 @@
 			s.serveConn(netConn, false, outage.of(netConn))
 		}
 	}
-	return nil
 }
 
 // acceptOutage records since when no connections were accepted, so that they may have waited in the backlog. The zero value means that there
 // is no outage.
 type acceptOutage struct {
 	since      float64 // time of the first failure, in ms of the server's clock; 0: no outage
-	unattended bool    // nothing was accepted for an unknown time before
+	unattended bool    // nothing may have been accepted for an unknown time before
 }
 
 // begin records that an accept failed. It reports whether this is the first failure of the outage.
@@ -214,18 +218,20 @@
 	return true
 }
 
-// waitUntilAccepting waits while another process accepts. It reports false once this process accepts nothing more.
-func (s *Server) waitUntilAccepting() bool {
+// waitUntilAccepting waits while another process accepts, which may have ended some time before this one learns of it. It reports false once
+// this process accepts nothing more.
+func (s *Server) waitUntilAccepting() (accepting, waited bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.canAccept.L = &s.mu // an earlier broadcast has no waiter to wake
 	for !s.closed && !s.Lifecycle.AcceptsConnections() {
 		s.canAccept.Wait()
+		waited = true
 	}
 	if s.closed {
 		s.setAcceptDeadline(time.Now().Add(backlogIdleTimeout))
 	}
-	return s.Lifecycle.AcceptsConnections() && !s.backlogAbandoned
+	return s.Lifecycle.AcceptsConnections() && !s.backlogAbandoned, waited
 }
 
 func (s *Server) isClosed() bool {
