Test: the flood of TestEvictionByUsage is read before a request is sent beside it

It waits now until each connection of the flood was accepted and read, and then asks as much as before: with nothing evicting incomplete connections it fails.

--- a/internal/node/clients/eviction_test.go
+++ b/internal/node/clients/eviction_test.go
@@ -137,6 +137,7 @@
 		request(h.dial(), fmt.Sprint("b", i))
 	}
 	request(first, "first")
+	flood := newFlood(h)
 	for i := range 2000 {
 		c, err := net.Dial("tcp", h.addr)
 		if err != nil {
@@ -144,9 +145,10 @@
 		}
 		t.Cleanup(func() { _ = c.Close() })
 		_, _ = io.WriteString(c, "*4\r\n$6\r\nKV.GET\r\n") // it may have been evicted already
-		if i%100 == 0 {
-			time.Sleep(5 * time.Millisecond)
+		if flood.dialed++; i%100 == 0 {
+			flood.waitUntilRead()
 			request(h.dial(), fmt.Sprint("c", i))
+			flood.dialed++
 		}
 	}
 	if n := h.server.OpenConns(); n > 45 {
@@ -154,6 +156,48 @@
 	}
 }
 
+// flood counts the connections of a flood. Before all of them were accepted and read, none may count as incomplete, and another connection could be closed
+// unread, as the operators' page allows in a crowd.
+type flood struct {
+	h          *harness
+	openBefore int // connections that were open before
+	dialed     int
+	closed     int // by the server
+}
+
+func newFlood(h *harness) *flood {
+	h.server.TakeCounts()
+	return &flood{h: h, openBefore: h.server.OpenConns()}
+}
+
+// waitUntilRead waits until all connections were accepted and read.
+func (f *flood) waitUntilRead() {
+	f.h.t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		counts := f.h.server.TakeCounts()
+		f.closed += int(counts.Rejected + counts.Evicted[Idle] + counts.Evicted[Silent] + counts.Evicted[Incomplete])
+		accepted, unread := f.closed+f.h.server.OpenConns()-f.openBefore, f.h.countState(Silent)
+		if accepted == f.dialed && unread == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.h.t.Fatalf("%d of %d connections of the flood were accepted, %d of them not read", accepted, f.dialed, unread)
+		}
+	}
+}
+
+// countState returns how many connections are in a state.
+func (h *harness) countState(state ConnState) (count int) {
+	h.server.mu.Lock()
+	defer h.server.mu.Unlock()
+	for c := range h.server.conns {
+		if current, _ := c.classify(); current == state {
+			count++
+		}
+	}
+	return count
+}
+
 // unreadConn returns a server's connection, without its goroutines, on which an unread byte has arrived, and the client's end of it.
 func unreadConn(h *harness) (c *conn, clientEnd net.Conn) {
 	listener := loopbacktest.Listen(h.t)
