Clients: what waited for another process arrived no earlier than that process served

Cause: where a process waits for another one, the arrival of what is in the backlog was taken from the system without a bound. A request that the predecessor would have accepted can't have waited since before that.

Change: the beginning of an outage has an earliest time; none for a socket that was unattended before a start. TestArrivalIsNotBeforeOutage: 10 ms, where the system told 50 and more; TestDeadlineOfRequestThatWaitedForTakeover as before.

--- a/internal/node/clients/limits_test.go
+++ b/internal/node/clients/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"runtime"
 	"strings"
@@ -383,6 +384,23 @@
 	}
 }
 
+// What waited while another process may have accepted arrived no earlier than that process was known to accept, whatever the system tells.
+func TestArrivalIsNotBeforeOutage(t *testing.T) {
+	h := newHarness(t)
+	conn, clientEnd := unreadConn(h)
+	defer func() { _ = clientEnd.Close() }()
+	time.Sleep(50 * time.Millisecond)
+	now := h.server.Clock.Now()
+	outage := acceptOutage{since: now, earliest: now - 10}
+	if got := outage.arrivalTime(conn.net, now); got != outage.earliest {
+		t.Errorf("arrived %.0f ms before now, want 10", now-got)
+	}
+	outage.earliest = math.Inf(-1)
+	if got := now - outage.arrivalTime(conn.net, now); got < 30 || got > 200 {
+		t.Errorf("with no bound, arrived %.0f ms before now, want 50 or so", got)
+	}
+}
+
 // Guards against requests lost in a hot restart whose predecessor is killed (incident 40): until the successor accepted, they waited for an unknown time,
 // and had all of it again.
 func TestDeadlineOfRequestThatWaitedForTakeover(t *testing.T) {
--- a/internal/node/clients/reader.go
+++ b/internal/node/clients/reader.go
@@ -136,16 +136,12 @@
 }
 
 // arrivalTime returns the arrival time of requests that were read at readAt. On a connection that waited in the accept backlog, requests
-// count as arrived when the wait began, until all bytes that arrived meanwhile have been read. If the beginning is unknown, they count as
-// arrived with the last bytes.
+// count as arrived when the wait began, until all bytes that arrived meanwhile have been read.
 func (c *conn) arrivalTime(readAt float64) float64 {
 	if c.backlogged.since == 0 {
 		return readAt
 	}
-	arrivedAt := c.backlogged.since
-	if age, known := sockstate.SinceLastArrival(c.net); known && c.backlogged.unattended {
-		arrivedAt = min(arrivedAt, readAt-float64(age)/float64(time.Millisecond))
-	}
+	arrivedAt := c.backlogged.arrivalTime(c.net, readAt)
 	if unread, _ := sockstate.Peek(c.net); !unread {
 		c.backlogged = acceptOutage{}
 	}
--- a/internal/node/clients/server.go
+++ b/internal/node/clients/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -137,15 +138,16 @@
 	s.listener, s.serveEnded = listener, ended
 	s.mu.Unlock()
 	var outage acceptOutage
-	unattended := s.UnattendedListener
+	if s.UnattendedListener {
+		outage = acceptOutage{since: s.Clock.Now(), earliest: math.Inf(-1)}
+	}
 	for {
-		accepting, waited := s.waitUntilAccepting()
+		accepting, waitedSince := s.waitUntilAccepting()
 		if !accepting {
 			return nil
 		}
-		if unattended = unattended || waited; unattended {
-			outage.begin(s.Clock.Now())
-			outage.unattended, unattended = true, false
+		if waitedSince > 0 && outage.since == 0 {
+			outage = acceptOutage{since: s.Clock.Now(), earliest: waitedSince}
 		}
 		outage.endIfDrained(listener)
 		netConn, err := listener.Accept()
@@ -175,9 +177,11 @@
 
 // acceptOutage records since when no connections were accepted, so that they may have waited in the backlog. The zero value means that there
 // is no outage.
+//
+// While another process accepts, or none does, the beginning is not known: nothing may have been accepted at some time since earliest.
 type acceptOutage struct {
-	since      float64 // time of the first failure, in ms of the server's clock; 0: no outage
-	unattended bool    // nothing may have been accepted for an unknown time before
+	since    float64 // when accepts had failed at the latest, in ms of the server's clock; 0: no outage
+	earliest float64 // earliest time at which bytes may have arrived during the outage; -Inf: unknown
 }
 
 // begin records that an accept failed. It reports whether this is the first failure of the outage.
@@ -185,10 +189,23 @@
 	if o.since > 0 {
 		return false
 	}
-	o.since = now
+	o.since, o.earliest = now, now
 	return true
 }
 
+// arrivalTime returns when bytes count as arrived that waited on a connection during the outage and were read at readAt: at its beginning or, if
+// that is not known, when the last of them arrived. If the system does not tell, they count as arrived when accepts resumed.
+func (o *acceptOutage) arrivalTime(netConn net.Conn, readAt float64) float64 {
+	if o.earliest == o.since {
+		return o.since
+	}
+	age, known := sockstate.SinceLastArrival(netConn)
+	if !known {
+		return o.since
+	}
+	return max(o.earliest, min(o.since, readAt-float64(age)/float64(time.Millisecond)))
+}
+
 // of returns the outage for a connection that was accepted during it, which is none if no bytes wait on the connection.
 func (o *acceptOutage) of(netConn net.Conn) acceptOutage {
 	if o.since == 0 {
@@ -219,19 +236,21 @@
 }
 
 // waitUntilAccepting waits while another process accepts, which may have ended some time before this one learns of it. It reports false once
-// this process accepts nothing more.
-func (s *Server) waitUntilAccepting() (accepting, waited bool) {
+// this process accepts nothing more. waitedSince is when a wait began; 0: there was none.
+func (s *Server) waitUntilAccepting() (accepting bool, waitedSince float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.canAccept.L = &s.mu // an earlier broadcast has no waiter to wake
+	if !s.closed && !s.Lifecycle.AcceptsConnections() {
+		waitedSince = s.Clock.Now()
+	}
 	for !s.closed && !s.Lifecycle.AcceptsConnections() {
 		s.canAccept.Wait()
-		waited = true
 	}
 	if s.closed {
 		s.setAcceptDeadline(time.Now().Add(backlogIdleTimeout))
 	}
-	return s.Lifecycle.AcceptsConnections() && !s.backlogAbandoned, waited
+	return s.Lifecycle.AcceptsConnections() && !s.backlogAbandoned, waitedSince
 }
 
 func (s *Server) isClosed() bool {
