--- a/cmd/mintspring/inheritedbacklog_test.go
+++ b/cmd/mintspring/inheritedbacklog_test.go
@@ -1,25 +1,15 @@
 package main
 
 import (
-	"net"
 	"testing"
 	"time"
-
-	"mintspring/internal/testbed/loopbacktest"
 )
 
 // newFleetWithHeldSocket returns a fleet of three silent servers whose node's socket the platform holds.
 func newFleetWithHeldSocket(t *testing.T, timeout time.Duration) *largeFleet {
 	t.Helper()
 	f := newLargeFleet(t, 3, int(timeout/time.Millisecond))
-	ln := loopbacktest.Listen(t)
-	f.addr = ln.Addr().String()
-	var err error
-	if f.socket, err = ln.(*net.TCPListener).File(); err != nil {
-		t.Fatal(err)
-	}
-	closeAll(ln)
-	t.Cleanup(func() { closeAll(f.socket) })
+	f.socket, f.addr = heldSocket(t)
 	return f
 }
 
--- a/cmd/mintspring/nodeprocess_test.go
+++ b/cmd/mintspring/nodeprocess_test.go
@@ -136,14 +136,7 @@
 func newTestNode(t *testing.T) *testNode {
 	t.Helper()
 	n := &testNode{t: t, dir: t.TempDir(), timeoutMs: 1200, sockets: 1024, serviceTime: time.Millisecond, answer: "*3\r\n$3\r\nhit\r\n$3\r\nhit\r\n$-1\r\n"}
-	ln := n.listen()
-	n.addr = ln.Addr().String()
-	var err error
-	if n.socket, err = ln.(*net.TCPListener).File(); err != nil {
-		t.Fatal(err)
-	}
-	closeAll(ln)
-	t.Cleanup(func() { closeAll(n.socket) })
+	n.socket, n.addr = heldSocket(t)
 	var members []string
 	for i := range n.received {
 		ln := n.listen()
@@ -163,6 +156,19 @@
 	return n
 }
 
+// heldSocket returns a listening socket that the test holds for processes, and its address.
+func heldSocket(t *testing.T) (socket *os.File, addr string) {
+	t.Helper()
+	ln := loopbacktest.Listen(t)
+	socket, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	closeAll(ln)
+	t.Cleanup(func() { closeAll(socket) })
+	return socket, ln.Addr().String()
+}
+
 // serveCache runs a cache server that has every key, until its listener is closed. Its reply to anything but a request to a cache server
 // is an error.
 func (n *testNode) serveCache(ln net.Listener, received *atomic.Int64) {
--- a/internal/testbed/processrunner/noderunner.go
+++ b/internal/testbed/processrunner/noderunner.go
@@ -1,7 +1,6 @@
 package processrunner
 
 import (
-	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -184,11 +183,14 @@
 	if err != nil {
 		return err
 	}
-	acceptErr := n.waitAccepting(startTimeout)
+	err = n.waitAccepting(startTimeout)
 	n.mu.Lock()
 	n.endDowntimeLocked()
 	n.mu.Unlock()
-	return cmp.Or(acceptErr, n.waitReady(startTimeout))
+	if err != nil {
+		return err
+	}
+	return n.waitReady(startTimeout)
 }
 
 // waitAccepting waits until the node's machine accepts connections: from then on the node has to answer what is sent to it. With a socket that
