Decide: adjustments without a move, and a server that is new, cost little beside thousands

Change: points are set anew if one has moved or a server is in slow start, whose capacity grows; the order by hash point is kept by insertion. What is decided is the same: TestRingFollowsChangesOfTheList compares 400 random changes and adjustments with a ring made anew, and fails without the condition on slow start.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,6 +41,7 @@
 	hashOrder                  []fleet.ServerID // all of servers, by hashPoint
 	ring                       hashRing         // all caches
 	zoneRing                   hashRing         // the caches of this node's zone
+	hasColdServer              bool             // a server on a ring was in slow start when applyShedShares was last called
 	meanUtil, zoneShare        float64          // meanUtil: of caches; zoneShare: share of keys routed by zoneRing
 	origin                     *server          // nil: none is ready
 	pollAt                     float64          // time of the next request for the endpoint list; +Inf: a watch is open
--- a/decide/layout_test.go
+++ b/decide/layout_test.go
@@ -54,3 +54,51 @@
 		}
 	}
 }
+
+// Guards against a ring that is not that of the list: after any changes (servers that are new, restart, drain, are gone, or take the slot of another one) and
+// adjustments, the servers, points and capacity are those that the list and the moves so far give.
+func TestRingFollowsChangesOfTheList(t *testing.T) {
+	const slots = 40
+	rng := rand.New(rand.NewPCG(3, 3))
+	n := newHarness(testLimits()).node
+	now := harnessStart
+	for range 400 {
+		id := fleet.ServerID(rng.IntN(slots))
+		change := fleet.Endpoint{ID: id, Name: fmt.Sprint(id, "-", rng.IntN(3)), State: fleet.State(rng.IntN(3)), NominalCapacity: 1, StartedAt: now * float64(rng.IntN(2))}
+		n.UpdateEndpoints(now, fleet.ListDelta, []fleet.Endpoint{change})
+		for _, s := range n.ring.servers {
+			n.recordReport(s, utilizationReport(rng.Float64()))
+		}
+		now += testWarmUpTime / 10 * rng.Float64()
+		n.now = now
+		n.adjustPoints()
+		checkRing(t, n)
+	}
+}
+
+// checkRing compares the ring of all caches with one that is made anew.
+func checkRing(t *testing.T, n *Node) {
+	t.Helper()
+	want := hashRing{positionIndex: 0}
+	for _, s := range n.servers {
+		if s != nil && s.state == fleet.Ready {
+			copied := *s
+			want.servers = append(want.servers, &copied)
+		}
+	}
+	layOutPlainly(&want)
+	if len(want.servers) != len(n.ring.servers) {
+		t.Fatalf("%d servers are on the ring, want %d", len(n.ring.servers), len(want.servers))
+	}
+	capacity := 0.0
+	for i, s := range want.servers {
+		s.positions[0].point -= s.shedShare * s.positions[0].evenArc
+		capacity += s.capacityShare(n)
+		if got := n.ring.servers[i]; got.id != s.id || got.positions[0] != s.positions[0] {
+			t.Fatalf("server %d at %+v, want %d at %+v", got.id, got.positions[0], s.id, s.positions[0])
+		}
+	}
+	if capacity != n.ring.capacity {
+		t.Fatalf("capacity %v, want %v", n.ring.capacity, capacity)
+	}
+}
--- a/decide/list.go
+++ b/decide/list.go
@@ -44,20 +44,33 @@
 	if mode != fleet.ListCached && mode != fleet.ListLocal {
 		n.pollAt, n.failedPolls = math.Inf(1), 0
 	}
-	for _, s := range n.servers {
-		if s != nil && mode != fleet.ListDelta && mode != fleet.ListLocal {
-			s.listed = false
-		}
+	complete := mode != fleet.ListDelta && mode != fleet.ListLocal
+	if complete {
+		n.markUnlisted()
 	}
 	for i := range entries {
 		n.updateEndpoint(&entries[i])
 	}
+	if complete {
+		n.removeUnlisted()
+	}
+	n.rebuild()
+}
+
+func (n *Node) markUnlisted() {
+	for _, s := range n.servers {
+		if s != nil {
+			s.listed = false
+		}
+	}
+}
+
+func (n *Node) removeUnlisted() {
 	for _, s := range n.servers {
 		if s != nil && !s.listed {
 			s.state = fleet.Gone
 		}
 	}
-	n.rebuild()
 }
 
 // updateEndpoint applies one entry. A server that has restarted begins with empty state and its whole arc, because what
@@ -67,9 +80,6 @@
 		n.servers = append(n.servers, nil)
 	}
 	s := n.servers[endpoint.ID]
-	if s == nil {
-		n.hashOrder = append(n.hashOrder, endpoint.ID)
-	}
 	if s == nil || endpoint.State == fleet.Ready && (s.state != fleet.Ready || endpoint.StartedAt != s.started) {
 		restarted := &server{
 			id: endpoint.ID, report: fleet.NewLoadReport(), step: firstStep, backoff: n.limits.adjustInterval,
@@ -79,7 +89,14 @@
 		if s != nil {
 			restarted.inFlight, restarted.silentSince, restarted.connected = s.inFlight, s.silentSince, s.connected
 		}
+		moved := s == nil || s.hashPoint != restarted.hashPoint
+		if s != nil && moved {
+			n.removeFromHashOrder(endpoint.ID)
+		}
 		n.servers[endpoint.ID], s = restarted, restarted
+		if moved {
+			n.insertIntoHashOrder(endpoint.ID)
+		}
 	}
 	if s.listed = true; endpoint.NominalCapacity > 0 {
 		s.size = endpoint.NominalCapacity
--- a/decide/ring.go
+++ b/decide/ring.go
@@ -50,7 +50,6 @@
 			n.origin = s
 		}
 	}
-	n.sortByHashPoint()
 	for _, id := range n.hashOrder {
 		if s := n.servers[id]; s.state == fleet.Ready && !n.isOrigin(s) {
 			n.ring.servers = append(n.ring.servers, s)
@@ -69,12 +68,25 @@
 	return n.limits.originKind >= 0 && s.kind == n.limits.originKind
 }
 
-// sortByHashPoint sorts hashOrder, which is in order unless a server is new.
-func (n *Node) sortByHashPoint() {
-	byHashPoint := func(a, b fleet.ServerID) int { return cmp.Compare(n.servers[a].hashPoint, n.servers[b].hashPoint) }
-	if !slices.IsSortedFunc(n.hashOrder, byHashPoint) {
-		slices.SortFunc(n.hashOrder, byHashPoint)
+// indexInHashOrder returns the index of the first server in hashOrder whose point is not before that of the given one.
+func (n *Node) indexInHashOrder(id fleet.ServerID) int {
+	i, _ := slices.BinarySearchFunc(n.hashOrder, n.servers[id].hashPoint, func(other fleet.ServerID, point float64) int {
+		return cmp.Compare(n.servers[other].hashPoint, point)
+	})
+	return i
+}
+
+func (n *Node) insertIntoHashOrder(id fleet.ServerID) {
+	n.hashOrder = slices.Insert(n.hashOrder, n.indexInHashOrder(id), id)
+}
+
+// removeFromHashOrder removes a server that is in hashOrder by its present point.
+func (n *Node) removeFromHashOrder(id fleet.ServerID) {
+	i := n.indexInHashOrder(id)
+	for n.hashOrder[i] != id { // servers with the same point
+		i++
 	}
+	n.hashOrder = slices.Delete(n.hashOrder, i, i+1)
 }
 
 // layOutEvenly puts the points on the even ring. Deviation from the thesis: without reports all loads are equal, so the
@@ -144,12 +156,15 @@
 // applyShedShares sets each point by its server's shedShare, within the server's arc of the even ring, and sums up the
 // rings' capacities.
 func (n *Node) applyShedShares() {
+	n.hasColdServer = false
 	for _, ring := range [...]*hashRing{&n.ring, &n.zoneRing} {
 		ring.capacity = 0
 		for _, s := range ring.servers {
 			p := &s.positions[ring.positionIndex]
 			p.point = p.evenPoint - s.shedShare*p.evenArc // may be below 0 for the first one, so that the points stay in order
-			ring.capacity += s.capacityShare(n)
+			share := s.capacityShare(n)
+			ring.capacity += share
+			n.hasColdServer = n.hasColdServer || share < 1
 		}
 	}
 }
@@ -203,19 +218,24 @@
 // adjustPoints moves back each point whose server's load level exceeds its successor's by moveMargin, and adapts the
 // share of keys routed by zone. A move needs a new report from both servers: no report may move a point twice.
 func (n *Node) adjustPoints() {
-	ring := &n.ring
+	ring, moved := &n.ring, false
 	for i, s := range ring.servers {
+		if !s.hasNewReport {
+			continue
+		}
 		successor := ring.serverAt(i + 1)
-		exceedsMargin := s.hasNewReport && successor.hasNewReport && s.loadLevel() > successor.loadLevel()+moveMargin // false if a level is NaN
+		exceedsMargin := successor.hasNewReport && s.loadLevel() > successor.loadLevel()+moveMargin // false if a level is NaN
 		if !exceedsMargin || s.isOutlier() || successor.isOutlier() {
 			continue
 		}
 		if x := pointShift(s.loadLevel(), successor.loadLevel(), ring.arcLength(i), ring.arcLength(i+1)) * s.step; x > 0 && s != successor {
 			s.shedShare = min(s.shedShare+x/s.positions[0].evenArc, 0.75)
-			s.step, s.hasNewReport = max(s.step*stepDecay, 0.02), false
+			s.step, s.hasNewReport, moved = max(s.step*stepDecay, 0.02), false, true
 		}
 	}
-	n.applyShedShares()
+	if moved || n.hasColdServer {
+		n.applyShedShares()
+	}
 	originBusy := n.origin != nil && n.origin.report.Util > 0.9 && len(n.originLimit.waiting) > 0
 	if n.lateShare > 3*overloadLateShare || n.originLimit.lateShare > 0.3 || originBusy {
 		n.zoneShare *= 0.7
